--- a/bergamotturn/process/events.py
+++ b/bergamotturn/process/events.py
@@ -1,6 +1,6 @@
 """Events that tell all components of a process about changes of state."""
 
-from typing import final
+from typing import Final, final
 
 import msgspec
 from circuits import Event
@@ -10,14 +10,31 @@
 __all__ = (
     'MemberView',
     'OrderView',
+    'ShutdownPhase',
     'configuration_changed',
+    'coordinators_changed',
     'endpoint_list_changed',
+    'in_flight_changed',
     'members_changed',
+    'order_placed',
     'orders_changed',
+    'place_order',
+    'publication_answered',
+    'publish_configuration',
+    'shutdown_phase_changed',
     'stop_requested',
 )
 
 
+class ShutdownPhase:
+    """Phases of a graceful shutdown, in order."""
+
+    serving: Final = 'serving'
+    leaving: Final = 'leaving'
+    draining: Final = 'draining'
+    ended: Final = 'ended'
+
+
 @final
 class MemberView(msgspec.Struct, frozen=True, eq=False):
     """All members that are known, this instance among them."""
@@ -48,12 +65,52 @@
 
 
 class configuration_changed(Event):
-    """Publish ``version_number`` and ``configuration`` to all channels."""
+    """Publish ``version_number`` and ``configuration`` to all."""
 
 
 class endpoint_list_changed(Event):
-    """Publish ``leaving``, names of endpoints that the list has as leaving."""
+    """Publish ``leaving``, the names of leaving endpoints, to all."""
 
 
 class stop_requested(Event):
     """Start the graceful shutdown of this instance."""
+
+
+class shutdown_phase_changed(Event):
+    """Publish ``phase``, one of :class:`ShutdownPhase`, to all channels."""
+
+
+class in_flight_changed(Event):
+    """Publish ``in_flight_requests``, the open calls, to all channels."""
+
+
+class coordinators_changed(Event):
+    """Publish ``announces``, a tuple of announcements, to all channels.
+
+    There is one :class:`~..connection.peer_messages.CoordinatorAnnounce` for
+    each endpoint whose coordinator is known.
+    """
+
+
+class place_order(Event):
+    """Ask for an order: ``request_id``, ``target`` and ``state``."""
+
+
+class order_placed(Event):
+    """Tell ``operators`` the ``request_id`` and the ``order`` that holds."""
+
+
+class publish_configuration(Event):
+    """Ask ``configuration`` to publish a version.
+
+    Arguments: ``request_id``, ``content`` (bytes of an encoded
+    configuration), ``author`` and ``expected_version``.
+    """
+
+
+class publication_answered(Event):
+    """Tell ``operators`` the ``request_id`` and ``result``.
+
+    The result is an expression ``Result`` with the new version number or a
+    :class:`~..errors.Failure`.
+    """
