Add merge and checks of configuration files, and burn counts

Cause: operators describe the fleet in a base file and one overlay per site; a wrong file must name file, key and reason of every error at once. Ruled out: one conversion of the whole document, because the codec stops at the first error; fields are converted one by one instead.

--- /dev/null
+++ b/bergamotturn/process/burn.py
@@ -0,0 +1,195 @@
+"""Service-level burn: how fast the fleet uses up its error budgets.
+
+Each instance counts good and bad events in buckets of a minute; a report sums
+the counts of all instances over several windows. Nothing is written to disk:
+an instance that restarts loses its own counts, and the report says how far
+back the counts of each window reach.
+"""
+
+from collections.abc import Iterable
+from types import MappingProxyType
+from typing import Final, final
+
+import msgspec
+
+__all__ = (
+    'OBJECTIVES',
+    'WINDOWS_S',
+    'BurnCounts',
+    'BurnRow',
+    'ServiceLevels',
+    'WindowCounts',
+    'burn_rows',
+    'decode_counts',
+    'encode_counts',
+)
+
+#: Parts of events that must be good, for each objective. First tokens are good
+#: within 1.7 s and gaps between tokens within 60 ms.
+OBJECTIVES: Final = MappingProxyType(
+    {
+        'answered': 0.999,
+        'first_token': 0.95,
+        'token_gap': 0.95,
+    }
+)
+WINDOWS_S: Final = (300, 3600, 21_600)
+
+_BUCKET_S: Final = 60
+
+
+@final
+class WindowCounts(msgspec.Struct, frozen=True):
+    """Counts of one objective over one window.
+
+    :param reach_s: how far back this instance's counts go, at most the window.
+    """
+
+    objective: str
+    window_s: int
+    good: int
+    bad: int
+    reach_s: float
+
+
+@final
+class BurnCounts(msgspec.Struct, frozen=True):
+    """All counts of one instance."""
+
+    instance: str
+    windows: tuple[WindowCounts, ...]
+
+
+@final
+class BurnRow(msgspec.Struct, frozen=True):
+    """One line of the report.
+
+    :param burn_rate: 1 uses up the error budget exactly over its period.
+    :param reach_s: shortest reach among the instances.
+    """
+
+    objective: str
+    window_s: int
+    good: int
+    bad: int
+    burn_rate: float
+    reach_s: float
+    instances: int
+
+
+class _Bucket:
+    __slots__ = ('bad', 'good', 'minute')
+
+    def __init__(self, minute: int) -> None:
+        self.minute = minute
+        self.good = 0
+        self.bad = 0
+
+
+@final
+class ServiceLevels:
+    """Counts events of one instance."""
+
+    __slots__ = ('_buckets', '_instance', '_started_s')
+
+    def __init__(self, instance: str, now_s: float) -> None:
+        """Start counting at the monotonic time ``now_s``."""
+        self._instance = instance
+        self._started_s = now_s
+        self._buckets: dict[str, list[_Bucket]] = {
+            objective: [] for objective in OBJECTIVES
+        }
+
+    def record(
+        self, now_s: float, objective: str, good: int, bad: int = 0
+    ) -> None:
+        """Count events of ``objective``."""
+        minute = int(now_s // _BUCKET_S)
+        buckets = self._buckets[objective]
+        if not buckets or buckets[-1].minute != minute:
+            buckets.append(_Bucket(minute))
+            self._forget_old(minute, buckets)
+        buckets[-1].good += good
+        buckets[-1].bad += bad
+
+    def counts(self, now_s: float) -> BurnCounts:
+        """Return the counts over all windows."""
+        return BurnCounts(
+            self._instance,
+            tuple(
+                self._window(now_s, objective, window_s)
+                for objective in OBJECTIVES
+                for window_s in WINDOWS_S
+            ),
+        )
+
+    def _forget_old(self, minute: int, buckets: list[_Bucket]) -> None:
+        oldest = minute - WINDOWS_S[-1] // _BUCKET_S
+        while buckets[0].minute < oldest:
+            buckets.pop(0)
+
+    def _window(
+        self, now_s: float, objective: str, window_s: int
+    ) -> WindowCounts:
+        first_minute = int((now_s - window_s) // _BUCKET_S)
+        recent = [
+            bucket
+            for bucket in self._buckets[objective]
+            if bucket.minute > first_minute
+        ]
+        return WindowCounts(
+            objective,
+            window_s,
+            sum(bucket.good for bucket in recent),
+            sum(bucket.bad for bucket in recent),
+            min(window_s, now_s - self._started_s),
+        )
+
+
+def burn_rows(all_counts: Iterable[BurnCounts]) -> tuple[BurnRow, ...]:
+    """Sum the counts of several instances into the lines of the report."""
+    windows = [window for counts in all_counts for window in counts.windows]
+    return tuple(
+        _burn_row(
+            objective,
+            window_s,
+            [
+                window
+                for window in windows
+                if window.objective == objective and window.window_s == window_s
+            ],
+        )
+        for objective in OBJECTIVES
+        for window_s in WINDOWS_S
+    )
+
+
+def _burn_row(
+    objective: str, window_s: int, windows: list[WindowCounts]
+) -> BurnRow:
+    good = sum(window.good for window in windows)
+    bad = sum(window.bad for window in windows)
+    budget = 1 - OBJECTIVES[objective]
+    burn_rate = bad / (good + bad) / budget if good + bad else 0
+    return BurnRow(
+        objective,
+        window_s,
+        good,
+        bad,
+        round(burn_rate, 3),
+        min((window.reach_s for window in windows), default=0),
+        len(windows),
+    )
+
+
+def encode_counts(counts: BurnCounts) -> bytes:
+    """Return ``counts`` as JSON."""
+    return msgspec.json.encode(counts)
+
+
+def decode_counts(data: bytes) -> BurnCounts:
+    """Return the counts in ``data``.
+
+    :raises msgspec.ValidationError: when ``data`` has another shape.
+    """
+    return msgspec.json.decode(data, type=BurnCounts)
--- /dev/null
+++ b/bergamotturn/version/validation.py
@@ -0,0 +1,208 @@
+"""Checks of a merged configuration, with all errors at once."""
+
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any, Final
+
+import msgspec
+from expression import Error, Ok, Result
+
+from ..connection.exchange import Address
+from .configuration import (
+    Configuration,
+    Deployment,
+    EndpointSettings,
+    Policy,
+    Service,
+    Workspace,
+)
+from .merge import Finding, MergedDocument, merge_documents, read_document
+
+__all__ = ('check_references', 'load_configuration', 'validate')
+
+_ITEM_TYPES: Final = MappingProxyType(
+    {
+        'deployments': Deployment,
+        'services': Service,
+        'endpoints': EndpointSettings,
+        'workspaces': Workspace,
+    }
+)
+_FRACTIONS: Final = ('long_share', 'short_reserve')
+_MAY_BE_ZERO: Final = ('kv_tokens', 'cold_kv_tokens')
+_DIGEST_CHARACTERS: Final = 64
+
+
+def load_configuration(
+    paths: Sequence[Path],
+) -> Result[Configuration, tuple[Finding, ...]]:
+    """Read base and overlays, merge and check them.
+
+    :param paths: the base file first.
+    :returns: the configuration, or every error that was found.
+    """
+    findings: list[Finding] = []
+    documents = []
+    for path in paths:
+        document = read_document(path)
+        if document.is_ok():
+            documents.append(document.ok)
+        else:
+            findings.append(document.error)
+    if findings:
+        return Error(tuple(findings))
+    return validate(merge_documents(documents))
+
+
+def validate(
+    merged: MergedDocument,
+) -> Result[Configuration, tuple[Finding, ...]]:
+    """Return the typed configuration, or every error with its file."""
+    findings = list(merged.findings)
+    configuration = _read_all(merged, findings)
+    if not findings:
+        findings.extend(
+            Finding(merged.origin_of(found.key), found.key, found.reason)
+            for found in check_references(configuration)
+        )
+    if findings:
+        return Error(tuple(sorted(findings)))
+    return Ok(configuration)
+
+
+def _read_all(merged: MergedDocument, findings: list[Finding]) -> Configuration:
+    sections: dict[str, tuple[Any, ...]] = {}
+    for section, item_type in _ITEM_TYPES.items():
+        reader = _ItemReader(merged, item_type, findings)
+        sections[section] = tuple(
+            item
+            for name, fields in merged.items[section].items()
+            if (item := reader.read(f'{section}[{name}]', fields)) is not None
+        )
+    policy_reader = _ItemReader(merged, Policy, findings)
+    policy = policy_reader.read('policy', merged.policy) or Policy()
+    return Configuration(**sections, policy=policy)
+
+
+class _ItemReader:
+    """Reads items field by field, so that no error hides another."""
+
+    __slots__ = ('_fields', '_findings', '_merged', '_type')
+
+    def __init__(
+        self, merged: MergedDocument, item_type: type, findings: list[Finding]
+    ) -> None:
+        self._merged = merged
+        self._type = item_type
+        self._findings = findings
+        self._fields = {
+            field.name: field for field in msgspec.structs.fields(item_type)
+        }
+
+    def read(self, key: str, content: dict[str, object]) -> Any:
+        """Return the item, or nothing after recording its errors."""
+        before = len(self._findings)
+        known: dict[str, object] = {}
+        for name, value in content.items():
+            field = self._fields.get(name)
+            if field is None:
+                self._report(f'{key}.{name}', 'is not a known field')
+                continue
+            known[name] = self._convert(f'{key}.{name}', value, field.type)
+        for name, field in self._fields.items():
+            if field.required and name not in content:
+                self._report(f'{key}.{name}', 'is required')
+        if len(self._findings) > before:
+            return None
+        return self._type(**known)
+
+    def _convert(self, key: str, value: object, wanted: Any) -> object:
+        try:
+            converted = (
+                _address(value)
+                if wanted is Address
+                else msgspec.convert(value, wanted)
+            )
+        except (msgspec.ValidationError, ValueError) as error:
+            self._report(key, str(error))
+            return None
+        reason = _range_error(key.rpartition('.')[2], converted)
+        if reason:
+            self._report(key, reason)
+        return converted
+
+    def _report(self, key: str, reason: str) -> None:
+        file = self._merged.origin_of(key)
+        self._findings.append(Finding(file, key, reason))
+
+
+def _address(value: object) -> Address:
+    if isinstance(value, str):
+        return Address.parse(value)
+    return msgspec.convert(value, Address)
+
+
+def _range_error(field: str, value: object) -> str:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return ''
+    if field in _FRACTIONS and not 0 <= value <= 1:
+        return 'must be between 0 and 1'
+    if field in _MAY_BE_ZERO or field in _FRACTIONS:
+        return 'must not be negative' if value < 0 else ''
+    return 'must be above 0' if value <= 0 else ''
+
+
+def check_references(configuration: Configuration) -> Iterator[Finding]:
+    """Yield an error for each name that nothing else defines.
+
+    The files of the findings are empty: the caller knows the origins.
+    """
+    models = {item.model for item in configuration.deployments}
+    services = {item.name for item in configuration.services}
+    for name in models & services:
+        yield Finding('', f'services[{name}]', 'is also a deployment')
+    known = models | services
+    yield from _check_endpoints(configuration, models, known)
+    yield from _check_workspaces(configuration, known)
+
+
+def _check_endpoints(
+    configuration: Configuration, models: set[str], known: set[str]
+) -> Iterator[Finding]:
+    addresses: dict[Address, str] = {}
+    for endpoint in configuration.endpoints:
+        key = f'endpoints[{endpoint.name}]'
+        if endpoint.serves not in known:
+            yield Finding('', f'{key}.serves', f'{endpoint.serves} is unknown')
+        if endpoint.serves in models and not endpoint.kv_tokens:
+            yield Finding('', f'{key}.kv_tokens', 'an engine needs KV memory')
+        other = addresses.setdefault(endpoint.address, endpoint.name)
+        if other != endpoint.name:
+            yield Finding('', f'{key}.address', f'is also that of {other}')
+    for name in known - {item.serves for item in configuration.endpoints}:
+        section = 'deployments' if name in models else 'services'
+        yield Finding('', f'{section}[{name}]', 'has no endpoint')
+
+
+def _check_workspaces(
+    configuration: Configuration, known: set[str]
+) -> Iterator[Finding]:
+    owners: dict[str, str] = {}
+    for workspace in configuration.workspaces:
+        key = f'workspaces[{workspace.name}]'
+        for used in workspace.uses:
+            if used not in known:
+                yield Finding('', f'{key}.uses', f'{used} is unknown')
+        for digest in workspace.key_digests:
+            yield from _check_digest(f'{key}.key_digests', digest)
+            other = owners.setdefault(digest, workspace.name)
+            if other != workspace.name:
+                reason = f'a key is also that of {other}'
+                yield Finding('', f'{key}.key_digests', reason)
+
+
+def _check_digest(key: str, digest: str) -> Iterator[Finding]:
+    hexadecimal = set(digest) <= set('0123456789abcdef')
+    if len(digest) != _DIGEST_CHARACTERS or not hexadecimal:
+        yield Finding('', key, f'{digest!r} is not a SHA-256 digest in hex')
--- /dev/null
+++ b/features/validation.feature
@@ -0,0 +1,92 @@
+Feature: Base and overlay files
+  Operators change the fleet only through files; a wrong file must name each error.
+
+  Scenario: An overlay adds an endpoint and changes one field
+    Guards against an overlay that replaces the whole item instead of one field.
+    Given the base file
+      """
+      [[deployments]]
+      model = "letter"
+      [[endpoints]]
+      name = "letter-1"
+      address = "127.0.0.1:9001"
+      data_centre = "a"
+      serves = "letter"
+      kv_tokens = 400000
+      """
+    And the overlay file
+      """
+      [[endpoints]]
+      name = "letter-1"
+      cold_requests = 1
+      [[endpoints]]
+      name = "letter-2"
+      address = "127.0.0.1:9002"
+      data_centre = "b"
+      serves = "letter"
+      kv_tokens = 400000
+      """
+    When the files are merged
+    Then the configuration has the endpoints "letter-1,letter-2"
+    And the endpoint "letter-1" has 400000 KV tokens and bears 1 cold request
+
+  Scenario: All errors are reported at once with file and key
+    Guards against a file that must be corrected once per error.
+    Given the base file
+      """
+      [[deployments]]
+      model = "letter"
+      deadline_s = "soon"
+      [[workspaces]]
+      name = "clerks"
+      uses = ["letter"]
+      key_digests = ["abc"]
+      colour = "red"
+      """
+    And the overlay file
+      """
+      [[endpoints]]
+      name = "letter-1"
+      address = "nowhere"
+      data_centre = "a"
+      serves = "letter"
+      [policy]
+      long_share = 2.0
+      """
+    When the files are merged
+    Then these errors are reported
+      | file    | key                           |
+      | base    | deployments[letter].deadline_s |
+      | base    | workspaces[clerks].colour     |
+      | overlay | endpoints[letter-1].address   |
+      | overlay | policy.long_share             |
+
+  Scenario: References to unknown names are errors
+    Guards against a workspace or endpoint that points at nothing.
+    Given the base file
+      """
+      [[deployments]]
+      model = "letter"
+      [[endpoints]]
+      name = "letter-1"
+      address = "127.0.0.1:9001"
+      data_centre = "a"
+      serves = "ledger"
+      [[workspaces]]
+      name = "clerks"
+      uses = ["ledger"]
+      key_digests = ["abc"]
+      """
+    When the files are merged
+    Then these errors are reported
+      | file | key                            |
+      | base | deployments[letter]            |
+      | base | endpoints[letter-1].serves     |
+      | base | workspaces[clerks].key_digests |
+      | base | workspaces[clerks].uses        |
+
+  Scenario: Burn is computed from the counts of all instances
+    Guards against a burn rate averaged over instances of unlike load.
+    Given an instance that counted 990 good and 10 bad answers
+    And an instance that counted 0 good and 0 bad answers
+    Then the burn rate of "answered" over 300 s is 10.0
