--- /dev/null
+++ b/bergamotturn/command.py
@@ -0,0 +1,232 @@
+"""Command-line tool of the operators.
+
+It checks and publishes the fleet's configuration, takes data centres,
+instances and endpoints out of service and back, and shows status and
+service-level burn. Exit codes: 0 success, 1 errors in files, 2 wrong usage,
+3 refused or lost a race, 4 no instance answers, 5 not in force in time.
+"""
+
+import os
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Final, NoReturn
+
+import defopt
+import msgspec
+from expression import Result
+from rich.console import Console
+from rich.progress import Progress
+
+from .command_report import (
+    burn_table,
+    configuration_changes,
+    coordinator_table,
+    member_table,
+    order_table,
+)
+from .errors import ErrorKind, Failure
+from .operator_client import JsonObject, OperatorClient
+from .version.configuration import Configuration, encode_configuration
+from .version.validation import load_configuration
+
+__all__ = ('apply', 'back', 'burn', 'check', 'diff', 'main', 'out', 'status')
+
+_FILE_ERRORS: Final = 1
+_REFUSED: Final = 3
+_UNREACHABLE: Final = 4
+_NOT_IN_TIME: Final = 5
+
+_POLL_S: Final = 0.2
+_UNREACHABLE_KINDS: Final = frozenset(
+    (
+        ErrorKind.endpoint_unavailable,
+        ErrorKind.outcome_unknown,
+    )
+)
+
+_SERVERS: Final = 'BERGAMOTTURN_SERVERS'
+_TOKEN: Final = 'BERGAMOTTURN_TOKEN'  # noqa: S105
+
+
+def check(base: Path, *overlays: Path, json: bool = False) -> None:
+    """Check base and overlay files and print every error.
+
+    :param base: the base file.
+    :param overlays: one file for each site.
+    :param json: print JSON for a script.
+    """
+    _load((base, *overlays), json=json)
+    _show({'errors': []}, 'no errors', json=json)
+
+
+def diff(base: Path, *overlays: Path, json: bool = False) -> None:
+    """Show what applying the files would change.
+
+    :param base: the base file.
+    :param overlays: one file for each site.
+    :param json: print JSON for a script.
+    """
+    wanted = _load((base, *overlays), json=json)
+    current = _expect(_client().get('/configuration'))
+    changes = configuration_changes(
+        current.get('content') or {},
+        msgspec.json.decode(encode_configuration(wanted)),
+    )
+    text = '\n'.join(changes) or 'no changes'
+    _show({'changes': changes}, text, json=json)
+
+
+def apply(
+    base: Path, *overlays: Path, author: str = '', wait_s: float = 30
+) -> None:
+    """Publish base and overlays as the next version and wait for all members.
+
+    Rolling back is applying the older files: it makes a new version.
+
+    :param base: the base file.
+    :param overlays: one file for each site.
+    :param author: name shown to whoever loses a race against this version.
+    :param wait_s: longest time to wait until it is in force everywhere.
+    """
+    wanted = _load((base, *overlays), json=False)
+    client = _client()
+    current = _expect(client.get('/configuration'))
+    request = {
+        'content': encode_configuration(wanted).decode(),
+        'author': author or os.environ.get('USER', 'operator'),
+        'expected_version': current['version'],
+    }
+    version = _expect(client.post('/configuration', request))['version']
+    print(f'version {version} is accepted')
+    _wait_in_force(client, version, wait_s)
+
+
+def out(target: str) -> None:
+    """Take a target out of service.
+
+    :param target: data_centre/NAME, instance/NAME or endpoint/NAME.
+    """
+    _order(target, 'out')
+
+
+def back(target: str) -> None:
+    """Bring a target back into service.
+
+    :param target: data_centre/NAME, instance/NAME or endpoint/NAME.
+    """
+    _order(target, 'in')
+
+
+def status(*, json: bool = False) -> None:
+    """Show members, versions in force, orders and coordinators.
+
+    :param json: print JSON for a script.
+    """
+    client = _client()
+    report = dict(_expect(client.get('/status')))
+    report['versions'] = _versions(client, report)
+    if json:
+        _show(report, '', json=True)
+        return
+    console = Console()
+    for table in (member_table, order_table, coordinator_table):
+        console.print(table(report))
+
+
+def burn(*, json: bool = False) -> None:
+    """Show how fast the fleet uses up its error budgets.
+
+    :param json: print JSON for a script.
+    """
+    report = _expect(_client().get('/burn'))
+    if json:
+        _show(report, '', json=True)
+        return
+    Console().print(burn_table(report))
+
+
+def main() -> None:
+    """Run the tool."""
+    defopt.run(
+        [check, diff, apply, out, back, status, burn],
+        no_negated_flags=True,
+    )
+
+
+def _client() -> OperatorClient:
+    servers = os.environ.get(_SERVERS, 'http://127.0.0.1:8081').split(',')
+    return OperatorClient(servers, os.environ.get(_TOKEN, ''))
+
+
+def _load(files: Sequence[Path], *, json: bool) -> Configuration:
+    loaded = load_configuration(files)
+    if loaded.is_ok():
+        return loaded.ok
+    if json:
+        _show({'errors': msgspec.to_builtins(loaded.error)}, '', json=True)
+    else:
+        for found in loaded.error:
+            print(
+                found.file, found.key, found.reason, sep=': ', file=sys.stderr
+            )
+    sys.exit(_FILE_ERRORS)
+
+
+def _expect(answer: Result[JsonObject, Failure]) -> JsonObject:
+    if answer.is_ok():
+        return answer.ok
+    _give_up(answer.error)
+
+
+def _give_up(failure: Failure) -> NoReturn:
+    print(f'{failure.kind.value}: {failure.detail}', file=sys.stderr)
+    sys.exit(
+        _UNREACHABLE if failure.kind in _UNREACHABLE_KINDS else _REFUSED,
+    )
+
+
+def _order(target: str, state: str) -> None:
+    request = {'target': target, 'state': state}
+    order = _expect(_client().post('/orders', request))
+    count, state = order['order_count'], order['state']
+    print(f'{target}: {state} (count {count})')
+
+
+def _show(report: JsonObject, text: str, *, json: bool) -> None:
+    print(msgspec.json.encode(report).decode() if json else text)
+
+
+def _versions(client: OperatorClient, report: JsonObject) -> dict[str, int]:
+    versions = {}
+    for member in report['members']:
+        address = member['operator_address']
+        answer = client.at(f'http://{address}').get('/status')
+        version = answer.ok['configuration_version'] if answer.is_ok() else -1
+        versions[member['instance']] = version
+    return versions
+
+
+def _wait_in_force(client: OperatorClient, version: int, wait_s: float) -> None:
+    end_s = time.monotonic() + wait_s
+    with Progress(console=Console(stderr=True), transient=True) as progress:
+        task = progress.add_task('in force', total=None)
+        while time.monotonic() < end_s:
+            behind, members = _behind(client, version)
+            progress.update(
+                task, total=members, completed=members - len(behind)
+            )
+            if not behind:
+                print(f'version {version} is in force at {members} members')
+                return
+            time.sleep(_POLL_S)
+    names = ', '.join(behind)
+    print(f'version {version} is not yet in force at {names}', file=sys.stderr)
+    sys.exit(_NOT_IN_TIME)
+
+
+def _behind(client: OperatorClient, version: int) -> tuple[list[str], int]:
+    versions = _versions(client, _expect(client.get('/status')))
+    behind = [name for name, at_one in versions.items() if at_one < version]
+    return behind, len(versions)
