--- a/bergamotturn/command.py
+++ b/bergamotturn/command.py
@@ -181,7 +181,7 @@
 
 
 def _give_up(failure: Failure) -> NoReturn:
-    print(f'{failure.kind.value}: {failure.detail}', file=sys.stderr)
+    print(failure.kind.value, failure.detail, sep=': ', file=sys.stderr)
     sys.exit(
         _UNREACHABLE if failure.kind in _UNREACHABLE_KINDS else _REFUSED,
     )
