--- /dev/null
+++ b/bergamotturn/process/cancel_task.py
@@ -0,0 +1,100 @@
+"""Cancels work at engines and returns its permits once that is confirmed.
+
+A cancel outlives the request that it belongs to: the permit may go back only
+when the engine said that nothing runs under it any more.
+"""
+
+from typing import Final, final
+
+import msgspec
+from circuits import Component, Event, handler
+
+from ..connection.exchange import (
+    HTTP_CLIENT,
+    Address,
+    Exchange,
+    Header,
+    next_exchange_id,
+    start_exchange,
+)
+from ..connection.peer_messages import PermitRelease
+from .metrics import STREAM_EVENTS
+from .permit_events import PERMITS_CHANNEL, give_back
+from .timers import Timers
+
+__all__ = ('CancelTask', 'CancelTarget', 'cancel_work')
+
+_CANCEL_S: Final = 2
+#: Pauses between tries. After the last one the permit stays counted until the
+#: coordinator sees in the engine's stream list that the work is gone.
+_PAUSES_S: Final = (0.2, 0.5, 1.0, 2.0)
+_NOT_FOUND: Final = 404
+
+
+@final
+class CancelTarget(msgspec.Struct, frozen=True, eq=False):
+    """What is to be cancelled.
+
+    :param path: path of the stream or group at the engine.
+    :param release: permit that goes back afterwards.
+    """
+
+    address: Address
+    path: str
+    release: PermitRelease
+
+
+class cancel_work(Event):
+    """Cancel ``target``, a :class:`CancelTarget`; ``tried`` times so far."""
+
+
+@final
+class CancelTask(Component):
+    """Owns all cancels under way."""
+
+    channel = 'cancels'
+
+    def __init__(self, timers: Timers) -> None:
+        """Start with no cancels."""
+        super().__init__()
+        self._timers = timers
+        self._pending: dict[int, tuple[CancelTarget, int]] = {}
+
+    @handler('cancel_work')
+    def _on_cancel_work(self, target: CancelTarget, tried: int = 0) -> None:
+        exchange = Exchange(
+            exchange_id=next_exchange_id(),
+            owner=self.channel,
+            address=target.address,
+            method='DELETE',
+            path=target.path,
+            total_s=_CANCEL_S,
+        )
+        self._pending[exchange.exchange_id] = (target, tried)
+        self.fire(start_exchange(exchange), HTTP_CLIENT)
+
+    @handler('exchange_head')
+    def _on_head(
+        self, exchange: Exchange, status: int, headers: tuple[Header, ...]
+    ) -> None:
+        target, tried = self._pending.pop(exchange.exchange_id)
+        if status < 300 or status == _NOT_FOUND:  # noqa: WPS432
+            STREAM_EVENTS.labels('cancel').inc()
+            self.fire(give_back(target.release), PERMITS_CHANNEL)
+        else:
+            self._try_again(target, tried)
+
+    @handler('exchange_failed')
+    def _on_failed(
+        self, exchange: Exchange, failure: object, sent: bool
+    ) -> None:
+        pending = self._pending.pop(exchange.exchange_id, None)
+        if pending is not None:
+            self._try_again(*pending)
+
+    def _try_again(self, target: CancelTarget, tried: int) -> None:
+        if tried == len(_PAUSES_S):
+            STREAM_EVENTS.labels('cancel_failed').inc()
+            return
+        again = cancel_work(target, tried + 1)
+        self._timers.call_after(_PAUSES_S[tried], again, self.channel)
