Add endpoint admission: lease, coordinator, permits, groups and orphans

Cause: nine instances must never start more work at a cold endpoint than it bears, whichever of them dies, pauses or loses the table. Ruled out: reading back a lost lease write only by a read. Repeating the same conditional write settles it in one step, since a conflict carries the row.

--- /dev/null
+++ b/bergamotturn/process/actions.py
@@ -0,0 +1,17 @@
+"""Actions that several decision classes return to their components."""
+
+from dataclasses import dataclass
+from typing import final
+
+from ..connection.peer_messages import Message
+
+__all__ = ('SendTo',)
+
+
+@final
+@dataclass(slots=True, frozen=True)
+class SendTo:
+    """Send ``message`` to ``instance``."""
+
+    instance: str
+    message: Message
--- /dev/null
+++ b/bergamotturn/process/admission_task.py
@@ -0,0 +1,256 @@
+"""Component that coordinates admission to the endpoints it holds leases of."""
+
+from collections.abc import Iterable
+from time import monotonic
+from typing import Final, assert_never, final
+
+from circuits import Component, Event, handler
+
+from ..connection.engine_control import (
+    CallAnswer,
+    EngineCalls,
+    fence_call,
+    load_call,
+    parse_load,
+    parse_status,
+    status_call,
+)
+from ..connection.exchange import (
+    HTTP_CLIENT,
+    Exchange,
+    Header,
+    start_exchange,
+)
+from ..connection.peer_messages import (
+    CoordinatorAnnounce,
+    Envelope,
+    MemberUpdate,
+    Message,
+    PermitBusy,
+    PermitGrant,
+    send_message,
+)
+from ..connection.store_events import (
+    STORES,
+    RowRead,
+    RowWrite,
+    StoreOutcome,
+    next_operation_id,
+    store_operation,
+)
+from ..version.configuration import Configuration
+from ..version.settings import Settings
+from .actions import SendTo
+from .admission_duty import AskLoad, AskStatus, Duty, DutyAction, GiveEpoch
+from .events import MemberView, coordinators_changed
+from .lease import Identity, ReadLease, WriteLease, encode_lease_row
+from .ledger import CoordinatorTerms
+from .metrics import PERMITS
+from .timers import Timers
+
+__all__ = ('AdmissionTask', 'admission_tick')
+
+_PERIOD_S: Final = 0.25
+_PEERS: Final = 'peers'
+_STATUS: Final = 'status'
+_LOAD: Final = 'load'
+_FENCE: Final = 'fence/'
+#: Permits at plain services are dropped this long after the longest call.
+_SERVICE_MARGIN_S: Final = 5.0
+
+
+class admission_tick(Event):
+    """Let all leases and queues act on the time."""
+
+
+@final
+class AdmissionTask(Component):
+    """Owns this instance's part in coordinating every endpoint."""
+
+    channel = 'admission'
+
+    def __init__(
+        self, settings: Settings, boot_id: str, timers: Timers
+    ) -> None:
+        """Start without endpoints and members."""
+        super().__init__()
+        self._identity = Identity(settings.instance, boot_id)
+        self._timers = timers
+        self._started_s = monotonic()
+        self._duties: dict[str, Duty] = {}
+        self._members: tuple[MemberUpdate, ...] = ()
+        self._operations: dict[int, tuple[str, bool]] = {}
+        self._calls = EngineCalls()
+        self._published: tuple[CoordinatorAnnounce, ...] = ()
+        timers.call_after(_PERIOD_S, admission_tick(), self.channel)
+
+    @handler('configuration_changed')
+    def _on_configuration_changed(
+        self, version_number: int, configuration: Configuration
+    ) -> None:
+        for terms in _all_terms(configuration):
+            name = terms.endpoint.name
+            if name not in self._duties:
+                self._duties[name] = Duty(
+                    self._identity, terms, self._started_s
+                )
+            self._duties[name].change_terms(terms)
+        kept = {endpoint.name for endpoint in configuration.endpoints}
+        for gone in self._duties.keys() - kept:
+            self._duties.pop(gone)
+        self._assign()
+
+    @handler('members_changed')
+    def _on_members_changed(self, view: MemberView) -> None:
+        self._members = view.members
+        self._assign()
+
+    @handler('admission_tick')
+    def _on_admission_tick(self) -> None:
+        self._timers.call_after(_PERIOD_S, admission_tick(), self.channel)
+        for endpoint, duty in self._duties.items():
+            self._carry_out(endpoint, duty.tick(monotonic()))
+
+    @handler('peer_message')
+    def _on_peer_message(self, envelope: Envelope) -> None:
+        endpoint = getattr(envelope.message, 'endpoint', '')
+        duty = self._duties.get(endpoint)
+        if duty is not None:
+            self._carry_out(endpoint, duty.message(monotonic(), envelope))
+
+    @handler('store_outcome')
+    def _on_store_outcome(self, outcome: StoreOutcome) -> None:
+        endpoint, is_read = self._operations.pop(
+            outcome.operation_id, ('', False)
+        )
+        duty = self._duties.get(endpoint)
+        if duty is None:
+            return
+        take = duty.row_read if is_read else duty.row_written
+        self._carry_out(endpoint, take(monotonic(), outcome))
+
+    @handler('exchange_head')
+    def _on_exchange_head(
+        self, exchange: Exchange, status: int, headers: Iterable[Header]
+    ) -> None:
+        self._calls.head(exchange, status)
+
+    @handler('exchange_data')
+    def _on_exchange_data(self, exchange: Exchange, body: bytes) -> None:
+        self._calls.chunk(exchange, body)
+
+    @handler('exchange_end')
+    def _on_exchange_end(self, exchange: Exchange) -> None:
+        self._take_answer(self._calls.end(exchange))
+
+    @handler('exchange_failed')
+    def _on_exchange_failed(
+        self, exchange: Exchange, failure: object, sent: object
+    ) -> None:
+        self._take_answer(self._calls.failed(exchange))
+
+    def _assign(self) -> None:
+        now_s = monotonic()
+        for duty in self._duties.values():
+            duty.members_known(now_s, self._members)
+
+    def _take_answer(self, answer: CallAnswer | None) -> None:
+        duty = self._duties.get(answer.endpoint) if answer else None
+        if answer is None or duty is None:
+            return
+        self._carry_out(answer.endpoint, _engine_answered(duty, answer))
+
+    def _carry_out(self, endpoint: str, actions: Iterable[DutyAction]) -> None:
+        for action in actions:
+            match action:
+                case SendTo(instance, message):
+                    _count(message)
+                    self.fire(send_message(instance, message), _PEERS)
+                case ReadLease() | WriteLease():
+                    self._operate(endpoint, action)
+                case AskStatus() | AskLoad() | GiveEpoch():
+                    self._call(endpoint, action)
+                case _:
+                    assert_never(action)
+        self._publish()
+
+    def _operate(self, endpoint: str, action: ReadLease | WriteLease) -> None:
+        operation_id = next_operation_id()
+        row_key = f'lease/{endpoint}'
+        operation: RowRead | RowWrite = RowRead(
+            operation_id=operation_id, owner=self.channel, row_key=row_key
+        )
+        if isinstance(action, WriteLease):
+            operation = RowWrite(
+                operation_id=operation_id,
+                owner=self.channel,
+                row_key=row_key,
+                value=encode_lease_row(action.row),
+                expected_version=action.expected_version,
+            )
+        is_read = isinstance(action, ReadLease)
+        self._operations[operation_id] = (endpoint, is_read)
+        self.fire(store_operation(operation), STORES)
+
+    def _call(
+        self, endpoint: str, action: AskStatus | AskLoad | GiveEpoch
+    ) -> None:
+        address = self._duties[endpoint].terms.endpoint.address
+        owner = self.channel
+        match action:
+            case AskStatus():
+                call, label = status_call(address, owner), _STATUS
+            case AskLoad():
+                call, label = load_call(address, owner), _LOAD
+            case GiveEpoch(epoch):
+                call = fence_call(address, owner, epoch)
+                label = f'{_FENCE}{epoch}'
+        if self._calls.is_open(label, endpoint):
+            return
+        self._calls.opened(call, label, endpoint, monotonic())
+        self.fire(start_exchange(call), HTTP_CLIENT)
+
+    def _publish(self) -> None:
+        """Tell all components when a coordinator has changed."""
+        announces = tuple(
+            duty.announce for duty in self._duties.values() if duty.announce
+        )
+        if announces == self._published:
+            return
+        self._published = announces
+        self._assign()
+        self.fire(coordinators_changed(announces), '*')
+
+
+def _count(message: Message) -> None:
+    if isinstance(message, PermitGrant):
+        PERMITS.labels('granted').inc()
+    elif isinstance(message, PermitBusy):
+        PERMITS.labels(message.reason).inc()
+
+
+def _engine_answered(duty: Duty, answer: CallAnswer) -> list[DutyAction]:
+    now_s = monotonic()
+    if answer.label == _STATUS:
+        status = parse_status(answer.body) if answer.body else None
+        return duty.status_answered(now_s, answer.asked_s, status)
+    if answer.body is None:
+        return []
+    if answer.label == _LOAD:
+        load = parse_load(answer.body, answer.asked_s)
+        return duty.load_answered(now_s, load) if load else []
+    duty.epoch_answered(int(answer.label.removeprefix(_FENCE)))
+    return []
+
+
+def _all_terms(configuration: Configuration) -> list[CoordinatorTerms]:
+    weights = {
+        workspace.name: workspace.weight
+        for workspace in configuration.workspaces
+    }
+    deadlines = [service.deadline_s for service in configuration.services]
+    life_s = max(deadlines, default=0) + _SERVICE_MARGIN_S
+    return [
+        CoordinatorTerms(endpoint, configuration.policy, weights, life_s)
+        for endpoint in configuration.endpoints
+    ]
--- /dev/null
+++ b/bergamotturn/process/orphan_task.py
@@ -0,0 +1,126 @@
+"""Component that cancels streams whose owner is gone.
+
+For each engine the first alive member by rendezvous hash reads the stream
+list once a second. Cancels are idempotent, so two members that both believe
+to be first do no harm, and the duty needs no lease.
+"""
+
+from collections.abc import Iterable
+from time import monotonic
+from typing import Final, final
+
+from circuits import Component, Event, handler
+
+from ..connection.engine_control import (
+    EngineCalls,
+    cancel_calls,
+    load_call,
+    parse_load,
+)
+from ..connection.exchange import (
+    HTTP_CLIENT,
+    Exchange,
+    Header,
+    start_exchange,
+)
+from ..connection.peer_messages import MemberUpdate
+from ..version.configuration import Configuration, EndpointSettings
+from ..version.settings import Settings
+from .events import MemberView
+from .metrics import STREAM_EVENTS
+from .orphans import Orphans, alive_instances, rank_instances
+from .timers import Timers
+
+__all__ = ('OrphanTask', 'orphan_tick')
+
+_PERIOD_S: Final = 1.0
+_LOAD: Final = 'load'
+_CANCEL: Final = 'cancel'
+
+
+class orphan_tick(Event):
+    """Read the stream lists that this instance is responsible for."""
+
+
+@final
+class OrphanTask(Component):
+    """Reads stream lists and cancels orphaned streams."""
+
+    channel = 'orphans'
+
+    def __init__(
+        self, settings: Settings, boot_id: str, timers: Timers
+    ) -> None:
+        """Start without members and endpoints."""
+        super().__init__()
+        self._instance = settings.instance
+        self._timers = timers
+        self._members: tuple[MemberUpdate, ...] = ()
+        self._engines: dict[str, EndpointSettings] = {}
+        self._orphans: dict[str, Orphans] = {}
+        self._calls = EngineCalls()
+        timers.call_after(_PERIOD_S, orphan_tick(), self.channel)
+
+    @handler('members_changed')
+    def _on_members_changed(self, view: MemberView) -> None:
+        self._members = view.members
+
+    @handler('configuration_changed')
+    def _on_configuration_changed(
+        self, version_number: int, configuration: Configuration
+    ) -> None:
+        self._engines = {
+            endpoint.name: endpoint
+            for endpoint in configuration.endpoints
+            if endpoint.kv_tokens
+        }
+
+    @handler('orphan_tick')
+    def _on_orphan_tick(self) -> None:
+        self._timers.call_after(_PERIOD_S, orphan_tick(), self.channel)
+        alive = alive_instances(self._members)
+        for name, engine in self._engines.items():
+            ranked = rank_instances(name, alive)
+            if not ranked or ranked[0] != self._instance:
+                self._orphans.pop(name, None)
+                continue
+            if not self._calls.is_open(_LOAD, name):
+                call = load_call(engine.address, self.channel)
+                self._start(call, _LOAD, name)
+
+    @handler('exchange_head')
+    def _on_exchange_head(
+        self, exchange: Exchange, status: int, headers: Iterable[Header]
+    ) -> None:
+        self._calls.head(exchange, status)
+
+    @handler('exchange_data')
+    def _on_exchange_data(self, exchange: Exchange, body: bytes) -> None:
+        self._calls.chunk(exchange, body)
+
+    @handler('exchange_failed')
+    def _on_exchange_failed(
+        self, exchange: Exchange, failure: object, sent: object
+    ) -> None:
+        self._calls.failed(exchange)
+
+    @handler('exchange_end')
+    def _on_exchange_end(self, exchange: Exchange) -> None:
+        answer = self._calls.end(exchange)
+        if answer is None or answer.label != _LOAD or answer.body is None:
+            return
+        load = parse_load(answer.body, answer.asked_s)
+        engine = self._engines.get(answer.endpoint)
+        if load is None or engine is None:
+            return
+        orphans = self._orphans.setdefault(answer.endpoint, Orphans())
+        found = orphans.find(monotonic(), load.streams, self._members)
+        for stream in found:
+            STREAM_EVENTS.labels('orphan_cancelled').inc()
+            calls = cancel_calls(engine.address, self.channel, stream.stream_id)
+            for call in calls:
+                self._start(call, _CANCEL, engine.name)
+
+    def _start(self, call: Exchange, label: str, endpoint: str) -> None:
+        self._calls.opened(call, label, endpoint, monotonic())
+        self.fire(start_exchange(call), HTTP_CLIENT)
--- /dev/null
+++ b/bergamotturn/process/permits_task.py
@@ -0,0 +1,139 @@
+"""Component that asks coordinators for permits on behalf of requests."""
+
+from collections.abc import Iterable
+from time import monotonic
+from typing import Final, assert_never, final
+
+from circuits import Component, Event, handler
+
+from ..connection.peer_messages import (
+    CoordinatorAnnounce,
+    Envelope,
+    MemberState,
+    PermitAsk,
+    PermitBusy,
+    PermitGrant,
+    PermitRelease,
+    send_message,
+)
+from ..version.configuration import Configuration
+from ..version.settings import Settings
+from .actions import SendTo
+from .events import MemberView
+from .permits import Granted, PermitAction, Permits, Refused
+from .timers import Timers
+
+__all__ = (
+    'PermitsTask',
+    'ask_permit',
+    'give_back',
+    'permit_granted',
+    'permit_refused',
+    'permits_tick',
+)
+
+_PERIOD_S: Final = 0.1
+_REQUESTS: Final = 'requests'
+_PEERS: Final = 'peers'
+
+
+class ask_permit(Event):
+    """Ask ``permits`` for a permit: ``ask``, a :class:`PermitAsk`.
+
+    The ask id is the stream id or group id under which the engine will list
+    the work.
+    """
+
+
+class give_back(Event):
+    """Give ``permits`` a permit back: ``release``."""
+
+
+class permit_granted(Event):
+    """Tell ``requests`` that an ask got ``grant``.
+
+    :func:`~.permits.may_start` is asked right before the first byte leaves.
+    """
+
+
+class permit_refused(Event):
+    """Tell ``requests`` that an ask got no permit: ``busy``."""
+
+
+class permits_tick(Event):
+    """Give up asks whose answer did not come."""
+
+
+@final
+class PermitsTask(Component):
+    """Wires the instance's permits to requests and coordinators."""
+
+    channel = 'permits'
+
+    def __init__(
+        self, settings: Settings, boot_id: str, timers: Timers
+    ) -> None:
+        """Start without coordinators; nothing is granted yet."""
+        super().__init__()
+        self._timers = timers
+        self._permits = Permits()
+        self._permits.members_known((settings.instance,), 1)
+        timers.call_after(_PERIOD_S, permits_tick(), self.channel)
+
+    @handler('configuration_changed')
+    def _on_configuration_changed(
+        self, version_number: int, configuration: Configuration
+    ) -> None:
+        self._permits.configure(configuration.endpoints)
+
+    @handler('members_changed')
+    def _on_members_changed(self, view: MemberView) -> None:
+        usable = (MemberState.alive, MemberState.leaving)
+        alive = [
+            member.instance for member in view.members if member.state in usable
+        ]
+        self._permits.members_known(alive, len(view.members))
+
+    @handler('coordinators_changed')
+    def _on_coordinators_changed(
+        self, announces: Iterable[CoordinatorAnnounce]
+    ) -> None:
+        for announce in announces:
+            self._permits.coordinator_known(announce)
+
+    @handler('ask_permit')
+    def _on_ask_permit(self, ask: PermitAsk) -> None:
+        self._carry_out(self._permits.ask(monotonic(), ask))
+
+    @handler('give_back')
+    def _on_give_back(self, release: PermitRelease) -> None:
+        self._carry_out(self._permits.give_back(monotonic(), release))
+
+    @handler('peer_message')
+    def _on_peer_message(self, envelope: Envelope) -> None:
+        message = envelope.message
+        now_s = monotonic()
+        if isinstance(message, PermitGrant):
+            actions = self._permits.grant(now_s, envelope.sender, message)
+        elif isinstance(message, PermitBusy):
+            actions = self._permits.busy(now_s, envelope.sender, message)
+        else:
+            return
+        self._carry_out(actions)
+
+    @handler('permits_tick')
+    def _on_permits_tick(self) -> None:
+        self._timers.call_after(_PERIOD_S, permits_tick(), self.channel)
+        self._carry_out(self._permits.tick(monotonic()))
+
+    def _carry_out(self, actions: list[PermitAction]) -> None:
+        for action in actions:
+            match action:
+                case SendTo(instance, message):
+                    self.fire(send_message(instance, message), _PEERS)
+                case Granted(grant):
+                    self.fire(permit_granted(grant), _REQUESTS)
+                case Refused(busy):
+                    self.fire(permit_refused(busy), _REQUESTS)
+                case _:
+                    assert_never(action)
