Add at-most-once calls to plain services

Cause: a fee charge that runs twice cannot be taken back. Ruled out: permit before record, since a repeat whose result is kept would be refused while the endpoints are busy. Conclusion: usable by the caller listener and the permits component.

--- /dev/null
+++ b/bergamotturn/request/idempotency.py
@@ -0,0 +1,419 @@
+"""At-most-once record of one call to a plain service.
+
+:class:`IdempotentCall` decides what to write to the call's row, when the call
+may be sent and what the caller is told. A row that is ``started`` is only ever
+changed by the attempt that wrote it, so no second attempt can run while the
+first one may have.
+
+Wall-clock time chooses between refusals and drops results that were kept long
+enough. It never lets a call run again.
+"""
+
+from enum import Enum, unique
+from typing import Final, final
+
+import msgspec
+
+from ..connection.store_events import (
+    ObjectRead,
+    ObjectWrite,
+    Row,
+    RowRead,
+    RowWrite,
+    StoreOutcome,
+    StoreStatus,
+    next_operation_id,
+)
+from ..errors import ErrorKind, Failure
+from .call_actions import (
+    Action,
+    CallTerms,
+    Finish,
+    Operate,
+    OwnerLiveness,
+    Proceed,
+    Refuse,
+    Reply,
+    Retry,
+    Send,
+)
+from .call_record import (
+    CallRecord,
+    CallState,
+    KeptResult,
+    decode_record,
+    decode_result,
+    encode_record,
+    encode_result,
+)
+
+__all__ = ('IdempotentCall',)
+
+#: Largest encoded result that is kept in the row itself.
+_INLINE_BYTES: Final = 4096
+#: Creates that are tried before the caller is refused.
+_MAX_CREATES: Final = 3
+_FIRST_RETRY_S: Final = 0.5
+_MAX_RETRY_S: Final = 30.0
+
+
+@unique
+class _Phase(Enum):
+    """Where an attempt is."""
+
+    creating = 'creating'
+    reading_back = 'reading_back'
+    ready = 'ready'
+    sent = 'sent'
+    keeping_object = 'keeping_object'
+    keeping_row = 'keeping_row'
+    fetching = 'fetching'
+    aborting = 'aborting'
+    dropping = 'dropping'
+    ended = 'ended'
+
+
+_MAY_HAVE_RUN: Final = frozenset(
+    (
+        _Phase.sent,
+        _Phase.keeping_object,
+        _Phase.keeping_row,
+    )
+)
+
+
+class _RecordWriter:
+    """Writes that an attempt makes to its own row, also in the background."""
+
+    def __init__(self, terms: CallTerms, owner_lives: OwnerLiveness) -> None:
+        """Prepare the attempt; nothing is written before :meth:`start`."""
+        self._terms = terms
+        self._owner_lives = owner_lives
+        self._phase = _Phase.creating
+        self._operation_id = 0
+        self._row_version = 0
+        self._creates = 0
+        self._retries = 0
+        # Whether a create without an answer may still take effect.
+        self._open_create = False
+        self._kept: KeptResult | None = None
+        self._done_unix_s = float(0)
+
+    def on_retry(self) -> list[Action]:
+        """Go on with a write in the background."""
+        if self._phase is _Phase.aborting:
+            return self._abort()
+        if self._phase is _Phase.keeping_row:
+            return self._keep_row()
+        if self._phase is _Phase.keeping_object:
+            return self._keep()
+        return []
+
+    def _keep(self) -> list[Action]:
+        encoded = encode_result(self._kept)
+        if len(encoded) <= _INLINE_BYTES:
+            return self._keep_row()
+        self._phase = _Phase.keeping_object
+        return self._operate(
+            ObjectWrite(
+                operation_id=next_operation_id(),
+                owner=self._terms.owner,
+                object_key=self._object_key(),
+                value=encoded,
+            )
+        )
+
+    def _on_object_kept(self, outcome: StoreOutcome) -> list[Action]:
+        if outcome.status is not StoreStatus.written:
+            return self._retry_later()
+        self._kept = None
+        return self._keep_row()
+
+    def _keep_row(self) -> list[Action]:
+        self._phase = _Phase.keeping_row
+        return self._write(self._record(CallState.done))
+
+    def _abort(self) -> list[Action]:
+        # Written over an unconfirmed create, at the version that the create
+        # expects, this also stops a create that would take effect later.
+        self._phase = _Phase.aborting
+        return self._write(self._record(CallState.aborted))
+
+    def _on_own_write(self, outcome: StoreOutcome) -> list[Action]:
+        if outcome.status is StoreStatus.written:
+            return self._finish()
+        if outcome.status is not StoreStatus.conflict:
+            return self._retry_later()
+        row = outcome.rows[0] if outcome.rows else None
+        record = None if row is None else decode_record(row.value)
+        if record is None or record.token != self._terms.token:
+            return self._finish()
+        if record.state != CallState.started:
+            return self._finish()
+        self._row_version = row.row_version
+        return self.on_retry()
+
+    def _retry_later(self) -> list[Action]:
+        delay_s = min(_MAX_RETRY_S, _FIRST_RETRY_S * 2**self._retries)
+        self._retries = min(self._retries + 1, 10)
+        return [Retry(delay_s)]
+
+    def _refuse(self, kind: ErrorKind, detail: str = '') -> list[Action]:
+        self._phase = _Phase.ended
+        return [Refuse(Failure(kind, detail)), Finish()]
+
+    def _finish(self) -> list[Action]:
+        self._phase = _Phase.ended
+        return [Finish()]
+
+    def _write(self, record: CallRecord) -> list[Action]:
+        return self._operate(
+            RowWrite(
+                operation_id=next_operation_id(),
+                owner=self._terms.owner,
+                row_key=self._terms.row_key,
+                value=encode_record(record),
+                expected_version=self._row_version,
+            )
+        )
+
+    def _operate(
+        self, operation: RowRead | RowWrite | ObjectRead | ObjectWrite
+    ) -> list[Action]:
+        self._operation_id = operation.operation_id
+        return [Operate(operation)]
+
+    def _record(self, state: str) -> CallRecord:
+        is_done = state == CallState.done
+        in_object = is_done and self._kept is None
+        return CallRecord(
+            digest=self._terms.digest,
+            token=self._terms.token,
+            instance=self._terms.instance,
+            boot_id=self._terms.boot_id,
+            state=state,
+            deadline_unix_s=self._terms.deadline_s + self._terms.unix_offset_s,
+            kept=self._kept if is_done else None,
+            object_key=self._object_key() if in_object else '',
+            done_unix_s=self._done_unix_s,
+        )
+
+    def _object_key(self) -> str:
+        return '/'.join(('result', self._terms.token))
+
+
+class _Claim(_RecordWriter):
+    """Claims the row for this attempt, or answers from an earlier one."""
+
+    def start(self, now_s: float) -> list[Action]:
+        """Create the row.
+
+        The create is conditional on the row's absence, so its conflict also
+        serves as the read of an earlier attempt's row.
+        """
+        if now_s >= self._terms.deadline_s:
+            return self._refuse(ErrorKind.deadline_unreachable)
+        return self._create()
+
+    def give_up(self, failure: Failure) -> list[Action]:
+        """Refuse a confirmed call that was not sent and mark it aborted.
+
+        :param failure: of a kind that may say ``not run``.
+        """
+        if self._phase is not _Phase.ready:
+            return []
+        return [Refuse(failure), *self._abort()]
+
+    def _create(self) -> list[Action]:
+        self._phase = _Phase.creating
+        self._creates += 1
+        return self._write(self._record(CallState.started))
+
+    def _on_created(self, outcome: StoreOutcome, now_s: float) -> list[Action]:
+        if outcome.status is StoreStatus.written:
+            return self._confirm(outcome.row_version, now_s)
+        if outcome.status is StoreStatus.conflict and outcome.rows:
+            return self._judge(outcome.rows[0], now_s)
+        if outcome.status is not StoreStatus.unknown:
+            return self._refuse_unconfirmed()
+        self._open_create = True
+        self._phase = _Phase.reading_back
+        return self._operate(
+            RowRead(
+                operation_id=next_operation_id(),
+                owner=self._terms.owner,
+                row_key=self._terms.row_key,
+            )
+        )
+
+    def _on_read_back(
+        self, outcome: StoreOutcome, now_s: float
+    ) -> list[Action]:
+        if outcome.status is StoreStatus.found and outcome.rows:
+            return self._judge(outcome.rows[0], now_s)
+        if outcome.status is StoreStatus.absent:
+            return self._create_again()
+        return self._refuse_unconfirmed()
+
+    def _create_again(self) -> list[Action]:
+        # The same token and expected version make a repeat of the create
+        # harmless: at most one of the writes can take effect.
+        if self._creates >= _MAX_CREATES:
+            return self._refuse_unconfirmed()
+        return self._create()
+
+    def _refuse_unconfirmed(self) -> list[Action]:
+        # A create whose operation is still running counts as unanswered.
+        failure = Failure(ErrorKind.store_unavailable)
+        creating = self._phase is _Phase.creating and self._operation_id
+        if self._open_create or creating:
+            return [Refuse(failure), *self._abort()]
+        return self._refuse(ErrorKind.store_unavailable)
+
+    def _judge(self, row: Row, now_s: float) -> list[Action]:
+        record = decode_record(row.value)
+        if record is None:
+            return self._refuse(ErrorKind.outcome_unknown)
+        if record.token == self._terms.token:
+            return self._confirm(row.row_version, now_s)
+        if record.digest != self._terms.digest:
+            return self._refuse(ErrorKind.key_reused)
+        if record.state == CallState.aborted:
+            self._row_version = row.row_version
+            return self._create_again()
+        if record.state == CallState.done:
+            return self._repeat(row, record, now_s)
+        if self._is_running(record, now_s):
+            return self._refuse(ErrorKind.in_progress)
+        return self._refuse(ErrorKind.outcome_unknown)
+
+    def _is_running(self, record: CallRecord, now_s: float) -> bool:
+        if now_s + self._terms.unix_offset_s >= record.deadline_unix_s:
+            return False
+        return self._owner_lives(record.instance, record.boot_id)
+
+    def _confirm(self, row_version: int, now_s: float) -> list[Action]:
+        self._row_version = row_version
+        self._open_create = False
+        self._phase = _Phase.ready
+        if now_s >= self._terms.deadline_s:
+            return self.give_up(Failure(ErrorKind.deadline_unreachable))
+        return [Proceed()]
+
+    def _repeat(
+        self, row: Row, record: CallRecord, now_s: float
+    ) -> list[Action]:
+        if record.kept is None and not record.object_key:
+            return self._refuse(ErrorKind.result_expired)
+        age_s = now_s + self._terms.unix_offset_s - record.done_unix_s
+        if age_s > self._terms.result_keep_s:
+            return self._drop_result(row, record)
+        if record.kept is not None:
+            self._phase = _Phase.ended
+            return [Reply(record.kept), Finish()]
+        self._phase = _Phase.fetching
+        return self._operate(
+            ObjectRead(
+                operation_id=next_operation_id(),
+                owner=self._terms.owner,
+                object_key=record.object_key,
+            )
+        )
+
+    def _drop_result(self, row: Row, record: CallRecord) -> list[Action]:
+        self._phase = _Phase.dropping
+        self._row_version = row.row_version
+        tombstone = msgspec.structs.replace(record, kept=None, object_key='')
+        failure = Failure(ErrorKind.result_expired)
+        return [Refuse(failure), *self._write(tombstone)]
+
+    def _on_fetched(self, outcome: StoreOutcome) -> list[Action]:
+        kept = None
+        if outcome.status is StoreStatus.found:
+            kept = decode_result(outcome.value)
+        if kept is None:
+            return self._refuse(
+                ErrorKind.outcome_unknown,
+                'The call ran; its result cannot be read now.',
+            )
+        self._phase = _Phase.ended
+        return [Reply(kept), Finish()]
+
+
+@final
+class IdempotentCall(_Claim):
+    """One attempt of a call that may not be repeated."""
+
+    @property
+    def waits_for_permit(self) -> bool:
+        """Whether the record is confirmed and the call is not yet sent."""
+        return self._phase is _Phase.ready
+
+    def open_outcome(self, digest: str, now_s: float) -> ErrorKind | None:
+        """Return what a repeat is told while this attempt may have run.
+
+        It holds without the table, and only for repeats at this instance.
+        """
+        if self._phase not in _MAY_HAVE_RUN:
+            return None
+        if digest != self._terms.digest:
+            return ErrorKind.key_reused
+        if now_s >= self._terms.deadline_s:
+            return ErrorKind.outcome_unknown
+        return ErrorKind.in_progress
+
+    def send(self, now_s: float) -> list[Action]:
+        """Check the deadline right before the first byte leaves."""
+        if self._phase is not _Phase.ready:
+            return []
+        if now_s >= self._terms.deadline_s:
+            return self.give_up(Failure(ErrorKind.deadline_unreachable))
+        self._phase = _Phase.sent
+        return [Send()]
+
+    def on_failed(self, sent: bool) -> list[Action]:
+        """Take the end of a call that brought no whole answer.
+
+        :param sent: whether any byte left.
+        """
+        if self._phase is not _Phase.sent:
+            return []
+        if sent:
+            return self._refuse(ErrorKind.outcome_unknown)
+        failure = Failure(ErrorKind.endpoint_unavailable)
+        return [Refuse(failure), *self._abort()]
+
+    def on_answer(self, kept: KeptResult, now_s: float) -> list[Action]:
+        """Pass the service's answer on and keep it."""
+        if self._phase is not _Phase.sent:
+            return []
+        self._kept = kept
+        self._done_unix_s = now_s + self._terms.unix_offset_s
+        return [Reply(kept), *self._keep()]
+
+    def on_deadline(self) -> list[Action]:
+        """End the attempt; what was kept or aborted so far is finished."""
+        if self._phase in {_Phase.creating, _Phase.reading_back}:
+            return self._refuse_unconfirmed()
+        if self._phase is _Phase.ready:
+            return self.give_up(Failure(ErrorKind.deadline_unreachable))
+        if self._phase in {_Phase.sent, _Phase.fetching}:
+            return self._refuse(ErrorKind.outcome_unknown)
+        return []
+
+    def on_outcome(self, outcome: StoreOutcome, now_s: float) -> list[Action]:
+        """Take the outcome of the latest operation; others are ignored."""
+        if outcome.operation_id != self._operation_id:
+            return []
+        self._operation_id = 0
+        if self._phase is _Phase.creating:
+            return self._on_created(outcome, now_s)
+        if self._phase is _Phase.reading_back:
+            return self._on_read_back(outcome, now_s)
+        if self._phase is _Phase.fetching:
+            return self._on_fetched(outcome)
+        if self._phase is _Phase.keeping_object:
+            return self._on_object_kept(outcome)
+        if self._phase in {_Phase.keeping_row, _Phase.aborting}:
+            return self._on_own_write(outcome)
+        return self._finish()
