Add publication and adoption of configuration versions

Cause: operators race each other, answers are lost, and instances hear of versions from the table and from peers in any order. Adoption takes only higher numbers. ConfigurationTask carries both out; configuration_heard is a new event by which pings pass a peer's number on. Conclusion: the operators' listener can fire publish_configuration.

--- /dev/null
+++ b/bergamotturn/process/configuration_task.py
@@ -0,0 +1,229 @@
+"""Component that publishes and adopts configuration versions.
+
+What to write and what to adopt is decided in :mod:`..version.publication` and
+:mod:`..version.adoption`; this component carries their actions out.
+"""
+
+from secrets import token_hex
+from time import monotonic, time
+from typing import Final, final
+
+import msgspec
+from circuits import Component, Event
+from eliot import log_message
+from expression import Error, Result
+
+from ..connection.peer_messages import (
+    ConfigurationContent,
+    ConfigurationFetch,
+    ConfigurationOffer,
+    Envelope,
+    MemberState,
+    send_message,
+)
+from ..connection.store_events import STORES, StoreOutcome, store_operation
+from ..errors import ErrorKind, Failure
+from ..request.call_actions import Operate
+from ..version.adoption import Adopt, Adoption, AdoptionAction, Reject, Tell
+from ..version.configuration import decode_configuration
+from ..version.publication import (
+    Publication,
+    PublicationAction,
+    PublicationTerms,
+    Settled,
+)
+from ..version.settings import Settings
+from .events import MemberView, configuration_changed, publication_answered
+from .invariants import check_invariant
+from .metrics import CONFIGURATION_VERSION
+from .timers import Timers
+
+__all__ = ('CONFIGURATION', 'ConfigurationTask', 'configuration_tick')
+
+#: Channel of the component.
+CONFIGURATION: Final = 'configuration'
+_PEERS: Final = 'peers'
+_OPERATORS: Final = 'operators'
+#: Polls are part of the table's read budget: one a second and instance.
+_POLL_S: Final = 1.0
+#: Each publication holds a whole content.
+_MAX_PUBLICATIONS: Final = 16
+_TOKEN_BYTES: Final = 16
+
+
+class configuration_tick(Event):
+    """Tell that the next poll is due."""
+
+
+@final
+class _Publishing(msgspec.Struct, frozen=True, eq=False):
+    """A publication and the operator's request that asked for it."""
+
+    request_id: object
+    content: bytes
+    publication: Publication
+
+
+class _Adopting(Component):
+    """Adopts accepted versions."""
+
+    channel = CONFIGURATION
+
+    def __init__(
+        self, settings: Settings, boot_id: str, timers: Timers
+    ) -> None:
+        """Start without a version; the first poll is due at once."""
+        super().__init__()
+        self._instance = settings.instance
+        self._timers = timers
+        self._adoption = Adoption(CONFIGURATION)
+        self._in_force = 0
+        self._others: tuple[str, ...] = ()
+        timers.call_after(0, configuration_tick(), CONFIGURATION)
+
+    def members_changed(self, view: MemberView) -> None:
+        """Take which other instances live."""
+        self._others = tuple(
+            member.instance
+            for member in view.members
+            if member.instance != self._instance
+            and member.state in {MemberState.alive, MemberState.leaving}
+        )
+
+    def configuration_heard(self, instance: str, version_number: int) -> None:
+        """Take the number in force at a peer."""
+        self._follow(self._adoption.on_heard(instance, version_number))
+
+    def peer_message(self, envelope: Envelope) -> None:
+        """Take a peer's offer, question or content."""
+        message = envelope.message
+        if isinstance(message, ConfigurationOffer):
+            actions = self._adoption.on_offer(envelope.sender, message)
+        elif isinstance(message, ConfigurationFetch):
+            actions = self._adoption.on_fetch(envelope.sender, message)
+        elif isinstance(message, ConfigurationContent):
+            actions = self._adoption.on_content(message, monotonic())
+        else:
+            return
+        self._follow(actions)
+
+    def _follow(self, actions: list[AdoptionAction]) -> None:
+        for action in actions:
+            if isinstance(action, Operate):
+                self.fire(store_operation(action.operation), STORES)
+            elif isinstance(action, Tell):
+                message = send_message(action.instance, action.message)
+                self.fire(message, _PEERS)
+            elif isinstance(action, Reject):
+                log_message(
+                    'configuration_unreadable',
+                    version=action.version_number,
+                    reason=action.reason,
+                )
+            else:
+                self._put_in_force(action)
+
+    def _put_in_force(self, adopt: Adopt) -> None:
+        number = adopt.version_number
+        if not check_invariant(
+            number > self._in_force,
+            'configuration_never_reverts',
+            f'{number} after {self._in_force}',
+        ):
+            return
+        self._in_force = number
+        CONFIGURATION_VERSION.set(number)
+        log_message('configuration_in_force', version=number)
+        self.fire(configuration_changed(number, adopt.configuration), '*')
+
+
+@final
+class ConfigurationTask(_Adopting):
+    """Publishes versions for operators, beside adopting them."""
+
+    def __init__(
+        self, settings: Settings, boot_id: str, timers: Timers
+    ) -> None:
+        """Start without a version and without publications."""
+        super().__init__(settings, boot_id, timers)
+        self._publishing: list[_Publishing] = []
+
+    def configuration_tick(self) -> None:
+        """Poll, and let publications go on."""
+        self._timers.call_after(_POLL_S, configuration_tick(), CONFIGURATION)
+        now_s = monotonic()
+        self._follow(self._adoption.on_tick(now_s, self._others))
+        for publishing in tuple(self._publishing):
+            self._settle(publishing, publishing.publication.on_tick(now_s))
+
+    def store_outcome(self, outcome: StoreOutcome) -> None:
+        """Take the outcome of an operation on the stores."""
+        self._follow(self._adoption.on_outcome(outcome))
+        for publishing in tuple(self._publishing):
+            self._settle(publishing, publishing.publication.on_outcome(outcome))
+
+    def publish_configuration(
+        self,
+        request_id: object,
+        content: bytes,
+        author: str,
+        expected_version: int,
+    ) -> None:
+        """Start a publication, or refuse it at once."""
+        failure = self._refusal(content)
+        if failure is not None:
+            self._answer(request_id, Error(failure))
+            return
+        terms = PublicationTerms(
+            content=content,
+            author=author,
+            expected_version=expected_version,
+            token=token_hex(_TOKEN_BYTES),
+            published_unix_s=time(),
+            owner=CONFIGURATION,
+        )
+        publication = Publication(terms, monotonic())
+        publishing = _Publishing(request_id, content, publication)
+        self._publishing.append(publishing)
+        self._settle(publishing, publication.start())
+
+    def _refusal(self, content: bytes) -> Failure | None:
+        if self._adoption.table_is_down:
+            return Failure(ErrorKind.store_unavailable)
+        if len(self._publishing) >= _MAX_PUBLICATIONS:
+            return Failure(ErrorKind.overloaded)
+        try:
+            decode_configuration(content)
+        except msgspec.DecodeError as error:
+            return Failure(ErrorKind.configuration_invalid, str(error))
+        return None
+
+    def _settle(
+        self, publishing: _Publishing, actions: list[PublicationAction]
+    ) -> None:
+        for action in actions:
+            if isinstance(action, Operate):
+                self.fire(store_operation(action.operation), STORES)
+                continue
+            self._publishing.remove(publishing)
+            self._announce(publishing, action)
+            self._answer(publishing.request_id, action.result)
+
+    def _announce(self, publishing: _Publishing, settled: Settled) -> None:
+        accepted = settled.accepted
+        if accepted is None:
+            return
+        content = ConfigurationContent(
+            version_number=accepted.version_number,
+            digest=accepted.digest,
+            content=publishing.content,
+        )
+        self._follow(self._adoption.on_accepted(content))
+        offer = ConfigurationOffer(
+            version_number=accepted.version_number, digest=accepted.digest
+        )
+        for instance in self._others:
+            self.fire(send_message(instance, offer), _PEERS)
+
+    def _answer(self, request_id: object, result: Result[int, Failure]) -> None:
+        self.fire(publication_answered(request_id, result), _OPERATORS)
--- a/bergamotturn/process/events.py
+++ b/bergamotturn/process/events.py
@@ -12,6 +12,7 @@
     'OrderView',
     'ShutdownPhase',
     'configuration_changed',
+    'configuration_heard',
     'coordinators_changed',
     'endpoint_list_changed',
     'in_flight_changed',
@@ -68,6 +69,13 @@
     """Publish ``version_number`` and ``configuration`` to all."""
 
 
+class configuration_heard(Event):
+    """Tell ``configuration`` that ``instance`` has ``version_number``.
+
+    Fired for each number on a ping that is not the own one.
+    """
+
+
 class endpoint_list_changed(Event):
     """Publish ``leaving``, the names of leaving endpoints, to all."""
 
