--- a/bergamotturn/process/permits_task.py
+++ b/bergamotturn/process/permits_task.py
@@ -20,46 +20,16 @@
 from ..version.settings import Settings
 from .actions import SendTo
 from .events import MemberView
+from .permit_events import permit_granted, permit_refused
 from .permits import Granted, PermitAction, Permits, Refused
 from .timers import Timers
 
-__all__ = (
-    'PermitsTask',
-    'ask_permit',
-    'give_back',
-    'permit_granted',
-    'permit_refused',
-    'permits_tick',
-)
+__all__ = ('PermitsTask', 'permits_tick')
 
 _PERIOD_S: Final = 0.1
-_REQUESTS: Final = 'requests'
 _PEERS: Final = 'peers'
 
 
-class ask_permit(Event):
-    """Ask ``permits`` for a permit: ``ask``, a :class:`PermitAsk`.
-
-    The ask id is the stream id or group id under which the engine will list
-    the work.
-    """
-
-
-class give_back(Event):
-    """Give ``permits`` a permit back: ``release``."""
-
-
-class permit_granted(Event):
-    """Tell ``requests`` that an ask got ``grant``.
-
-    :func:`~.permits.may_start` is asked right before the first byte leaves.
-    """
-
-
-class permit_refused(Event):
-    """Tell ``requests`` that an ask got no permit: ``busy``."""
-
-
 class permits_tick(Event):
     """Give up asks whose answer did not come."""
 
@@ -77,6 +47,8 @@
         super().__init__()
         self._timers = timers
         self._permits = Permits()
+        #: Channel that waits for the answer to each open ask.
+        self._owners: dict[str, str] = {}
         self._permits.members_known((settings.instance,), 1)
         timers.call_after(_PERIOD_S, permits_tick(), self.channel)
 
@@ -102,7 +74,8 @@
             self._permits.coordinator_known(announce)
 
     @handler('ask_permit')
-    def _on_ask_permit(self, ask: PermitAsk) -> None:
+    def _on_ask_permit(self, ask: PermitAsk, owner: str) -> None:
+        self._owners[ask.ask_id] = owner
         self._carry_out(self._permits.ask(monotonic(), ask))
 
     @handler('give_back')
@@ -132,8 +105,13 @@
                 case SendTo(instance, message):
                     self.fire(send_message(instance, message), _PEERS)
                 case Granted(grant):
-                    self.fire(permit_granted(grant), _REQUESTS)
+                    self.fire(
+                        permit_granted(grant), self._owner_of(grant.ask_id)
+                    )
                 case Refused(busy):
-                    self.fire(permit_refused(busy), _REQUESTS)
+                    self.fire(permit_refused(busy), self._owner_of(busy.ask_id))
                 case _:
                     assert_never(action)
+
+    def _owner_of(self, ask_id: str) -> str:
+        return self._owners.pop(ask_id)
