--- a/bergamotturn/connection/engine_control.py
+++ b/bergamotturn/connection/engine_control.py
@@ -20,8 +20,12 @@
     'EngineLoad',
     'EngineStatus',
     'EngineStream',
+    'GroupMemory',
     'cancel_calls',
+    'cancel_stream_call',
     'fence_call',
+    'free_memory_call',
+    'hold_memory_call',
     'load_call',
     'parse_load',
     'parse_status',
@@ -70,6 +74,19 @@
     streams: tuple[EngineStream, ...]
 
 
+@final
+class GroupMemory(msgspec.Struct, frozen=True):
+    """Memory to hold for a prompt that another engine leads.
+
+    :param group_id: id under which the engine lists it.
+    :param owner: ``instance/boot_id``.
+    """
+
+    group_id: str
+    owner: str
+    kv_tokens: int
+
+
 class _StatusBody(msgspec.Struct, frozen=True):
     start_id: str
     cold_count: int
@@ -101,6 +118,18 @@
     return _call(address, owner, 'POST', '/fence', body)
 
 
+def cancel_stream_call(address: Address, owner: str, work_id: str) -> Exchange:
+    """Return the exchange that cancels a stream; it may be repeated."""
+    return _call(
+        address, owner, 'DELETE', f'/streams/{quote(work_id, safe="")}'
+    )
+
+
+def free_memory_call(address: Address, owner: str, work_id: str) -> Exchange:
+    """Return the exchange that frees a group's memory; it may be repeated."""
+    return _call(address, owner, 'DELETE', f'/groups/{quote(work_id, safe="")}')
+
+
 def cancel_calls(
     address: Address, owner: str, work_id: str
 ) -> tuple[Exchange, Exchange]:
@@ -109,13 +138,20 @@
     A load report does not tell streams from memory held for a group, and both
     calls are idempotent, so both are made.
     """
-    escaped = quote(work_id, safe='')
     return (
-        _call(address, owner, 'DELETE', f'/streams/{escaped}'),
-        _call(address, owner, 'DELETE', f'/groups/{escaped}'),
+        cancel_stream_call(address, owner, work_id),
+        free_memory_call(address, owner, work_id),
     )
 
 
+def hold_memory_call(
+    address: Address, owner: str, memory: GroupMemory
+) -> Exchange:
+    """Return the exchange that holds memory for a group of engines."""
+    body = msgspec.json.encode(memory)
+    return _call(address, owner, 'POST', '/groups', body)
+
+
 def parse_status(body: bytes) -> EngineStatus | None:
     """Return the status in ``body``, or ``None`` for another form."""
     try:
--- a/bergamotturn/process/cancel_task.py
+++ b/bergamotturn/process/cancel_task.py
@@ -9,12 +9,12 @@
 import msgspec
 from circuits import Component, Event, handler
 
+from ..connection.engine_control import cancel_stream_call, free_memory_call
 from ..connection.exchange import (
     HTTP_CLIENT,
     Address,
     Exchange,
     Header,
-    next_exchange_id,
     start_exchange,
 )
 from ..connection.peer_messages import PermitRelease
@@ -24,10 +24,10 @@
 
 __all__ = ('CancelTask', 'CancelTarget', 'cancel_work')
 
-_CANCEL_S: Final = 2
 #: Pauses between tries. After the last one the permit stays counted until the
 #: coordinator sees in the engine's stream list that the work is gone.
 _PAUSES_S: Final = (0.2, 0.5, 1.0, 2.0)
+_ERROR_STATUS: Final = 300
 _NOT_FOUND: Final = 404
 
 
@@ -35,12 +35,14 @@
 class CancelTarget(msgspec.Struct, frozen=True, eq=False):
     """What is to be cancelled.
 
-    :param path: path of the stream or group at the engine.
+    :param work_id: id under which the engine lists it.
+    :param is_group_memory: whether it is memory held for a group, not a stream.
     :param release: permit that goes back afterwards.
     """
 
     address: Address
-    path: str
+    work_id: str
+    is_group_memory: bool
     release: PermitRelease
 
 
@@ -62,14 +64,10 @@
 
     @handler('cancel_work')
     def _on_cancel_work(self, target: CancelTarget, tried: int = 0) -> None:
-        exchange = Exchange(
-            exchange_id=next_exchange_id(),
-            owner=self.channel,
-            address=target.address,
-            method='DELETE',
-            path=target.path,
-            total_s=_CANCEL_S,
-        )
+        call = cancel_stream_call
+        if target.is_group_memory:
+            call = free_memory_call
+        exchange = call(target.address, self.channel, target.work_id)
         self._pending[exchange.exchange_id] = (target, tried)
         self.fire(start_exchange(exchange), HTTP_CLIENT)
 
@@ -78,7 +76,7 @@
         self, exchange: Exchange, status: int, headers: tuple[Header, ...]
     ) -> None:
         target, tried = self._pending.pop(exchange.exchange_id)
-        if status < 300 or status == _NOT_FOUND:  # noqa: WPS432
+        if status < _ERROR_STATUS or status == _NOT_FOUND:
             STREAM_EVENTS.labels('cancel').inc()
             self.fire(give_back(target.release), PERMITS_CHANNEL)
         else:
