--- /dev/null
+++ b/bergamotturn/connection/connection_pool.py
@@ -0,0 +1,121 @@
+"""Open connections to outside addresses, kept between exchanges."""
+
+from dataclasses import dataclass, field
+from socket import MSG_PEEK, socket
+from typing import final
+
+import h11
+
+from .exchange import Address, Exchange
+
+__all__ = ('ConnectionPool', 'PeerConnection', 'Transfer')
+
+
+@final
+@dataclass(slots=True, eq=False)
+class Transfer:
+    """An exchange under way.
+
+    :param total_timer: number of the timer of the total limit.
+    :param limit_timer: number of the timer of the connect or silence limit.
+    :param heard_s: monotonic time at which the peer last took or gave a byte.
+    :param sent: whether any byte of the request left.
+    :param answered: whether any byte of an answer came.
+    :param retried: whether this is the second attempt.
+    """
+
+    exchange: Exchange
+    total_timer: int = 0
+    limit_timer: int = 0
+    heard_s: float = 0
+    sent: bool = False
+    answered: bool = False
+    retried: bool = False
+
+
+@final
+@dataclass(slots=True, eq=False)
+class PeerConnection:
+    """One TCP connection and what runs on it.
+
+    :param unsent: bytes of the request that the socket has not taken yet.
+    :param reused: whether an earlier exchange finished on it.
+    :param reserved_until_s: monotonic time until which only a follow-up of
+        the last exchange may use it.
+    """
+
+    sock: socket
+    address: Address
+    transfer: Transfer | None = None
+    http: h11.Connection = field(
+        default_factory=lambda: h11.Connection(h11.CLIENT)
+    )
+    unsent: memoryview = field(default_factory=lambda: memoryview(b''))
+    connecting: bool = True
+    reused: bool = False
+    last_exchange_id: int = 0
+    idle_timer: int = 0
+    reserved_until_s: float = 0
+
+    def is_open(self) -> bool:
+        """Return whether an idle connection can still be used.
+
+        Bytes outside an exchange make it as unusable as its end does.
+        """
+        try:
+            self.sock.recv(1, MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+@final
+class ConnectionPool:
+    """Idle connections by address.
+
+    :param per_address: most idle connections for one address.
+    """
+
+    def __init__(self, per_address: int) -> None:
+        """Start empty."""
+        self._per_address = per_address
+        self._idle: dict[Address, list[PeerConnection]] = {}
+
+    def take(self, address: Address, now_s: float) -> PeerConnection | None:
+        """Remove and return the connection that was used last.
+
+        Connections that wait for a follow-up are left.
+        """
+        for connection in reversed(self._idle.get(address, ())):
+            if connection.reserved_until_s <= now_s:
+                self.remove(connection)
+                return connection
+        return None
+
+    def take_after(
+        self, address: Address, exchange_id: int
+    ) -> PeerConnection | None:
+        """Remove and return the connection that ``exchange_id`` ran on."""
+        for connection in self._idle.get(address, ()):
+            if connection.last_exchange_id == exchange_id:
+                self.remove(connection)
+                return connection
+        return None
+
+    def put(self, connection: PeerConnection) -> PeerConnection | None:
+        """Keep ``connection`` and return the one that is too many."""
+        idle = self._idle.setdefault(connection.address, [])
+        idle.append(connection)
+        if len(idle) > self._per_address:
+            return idle.pop(0)
+        return None
+
+    def remove(self, connection: PeerConnection) -> None:
+        """Forget ``connection``; unknown ones are ignored."""
+        idle = self._idle.get(connection.address, [])
+        if connection in idle:
+            idle.remove(connection)
+        if not idle:
+            self._idle.pop(connection.address, None)
--- a/bergamotturn/connection/exchange.py
+++ b/bergamotturn/connection/exchange.py
@@ -82,6 +82,8 @@
     :param total_s: longest time for the whole exchange.
     :param same_connection_as: id of an earlier, finished exchange whose
         connection must be used; the exchange fails unsent when it is gone.
+    :param follow_up_s: how long after the end of this exchange its connection
+        is kept for an exchange that names it in ``same_connection_as``.
     """
 
     exchange_id: int
@@ -95,6 +97,7 @@
     silence_s: float = 2
     total_s: float = 600
     same_connection_as: int | None = None
+    follow_up_s: float = 0
 
 
 class start_exchange(Event):
--- /dev/null
+++ b/bergamotturn/connection/http_client.py
@@ -0,0 +1,467 @@
+"""Streaming HTTP/1.1 client on the circuits poller.
+
+Sockets never block: a connection is made in the background, the request leaves
+as fast as the peer takes it, and each read is reported at once. Framing is
+h11's.
+"""
+
+from collections.abc import Iterator
+from errno import EINPROGRESS
+from ipaddress import ip_address
+from os import strerror
+from socket import (
+    AF_INET,
+    AF_INET6,
+    IPPROTO_TCP,
+    SO_ERROR,
+    SO_KEEPALIVE,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_NODELAY,
+    socket,
+)
+from time import monotonic
+from typing import Final, final
+
+import h11
+from circuits import Event, handler
+
+from ..errors import ErrorKind, Failure
+from ..process.timers import Timers
+from .connection_pool import ConnectionPool, PeerConnection, Transfer
+from .exchange import (
+    HTTP_CLIENT,
+    Exchange,
+    Header,
+    exchange_data,
+    exchange_end,
+    exchange_failed,
+    exchange_head,
+)
+from .polled_component import PolledComponent
+
+__all__ = ('HttpClient',)
+
+#: Large enough for many stream events, small enough to keep the loop fair.
+_READ_BYTES: Final = 65_536
+
+_BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
+#: Methods that may be sent a second time after a kept connection was lost.
+_REPEATABLE_METHODS: Final = frozenset(('GET', 'HEAD'))
+
+
+class _connect_limit_passed(Event):
+    """Check the connect limit of ``transfer``."""
+
+
+class _silence_limit_passed(Event):
+    """Check the silence limit of ``transfer``."""
+
+
+class _total_limit_passed(Event):
+    """End ``transfer``."""
+
+
+class _idle_limit_passed(Event):
+    """Close ``connection`` if it is still idle."""
+
+
+class _ExchangeConnections(PolledComponent):
+    """Makes, uses and closes the connections that exchanges run on."""
+
+    channel = HTTP_CLIENT
+
+    def __init__(self, timers: Timers, idle_connections: int) -> None:
+        """Start with no connections."""
+        super().__init__()
+        self._timers = timers
+        self._pool = ConnectionPool(idle_connections)
+        self._connections: dict[socket, PeerConnection] = {}
+        self._running: dict[int, PeerConnection] = {}
+
+    def _kept_connection(self, exchange: Exchange) -> PeerConnection | None:
+        while True:
+            if exchange.same_connection_as is None:
+                connection = self._pool.take(exchange.address, monotonic())
+            else:
+                connection = self._pool.take_after(
+                    exchange.address, exchange.same_connection_as
+                )
+            if connection is None or connection.is_open():
+                return connection
+            self._close(connection)
+
+    def _open(self, transfer: Transfer) -> None:
+        exchange = transfer.exchange
+        address = exchange.address
+        try:
+            sock = _new_socket(address.host)
+        except (OSError, ValueError) as error:
+            self._report_failure(
+                transfer, ErrorKind.endpoint_unavailable, str(error)
+            )
+            return
+        connection = PeerConnection(sock, address, transfer)
+        self._connections[sock] = connection
+        self._running[exchange.exchange_id] = connection
+        code = sock.connect_ex((address.host, address.port))
+        if code not in {0, EINPROGRESS}:
+            self._fail(
+                connection, ErrorKind.endpoint_unavailable, strerror(code)
+            )
+            return
+        transfer.limit_timer = self._timers.call_after(
+            exchange.connect_s, _connect_limit_passed(transfer), self.channel
+        )
+        self._poller.addWriter(self, sock)
+
+    def _begin(self, connection: PeerConnection, transfer: Transfer) -> None:
+        exchange = transfer.exchange
+        self._timers.cancel(connection.idle_timer)
+        self._timers.cancel(transfer.limit_timer)
+        connection.transfer = transfer
+        self._running[exchange.exchange_id] = connection
+        try:
+            connection.unsent = memoryview(_encode(connection.http, exchange))
+        except h11.LocalProtocolError as error:
+            self._fail(connection, ErrorKind.bad_request, str(error))
+            return
+        transfer.heard_s = monotonic()
+        transfer.limit_timer = self._timers.call_after(
+            exchange.silence_s, _silence_limit_passed(transfer), self.channel
+        )
+        if not self._poller.isReading(connection.sock):
+            self._poller.addReader(self, connection.sock)
+        self._send(connection)
+
+    def _send(self, connection: PeerConnection) -> None:
+        transfer = connection.transfer
+        if transfer is None or not connection.unsent:
+            self._stop_writing(connection)
+            return
+        try:
+            taken = connection.sock.send(connection.unsent)
+        except BlockingIOError:
+            taken = 0
+        except OSError as error:
+            self._lose(connection, error.strerror or 'connection lost')
+            return
+        if taken:
+            transfer.sent = True
+            transfer.heard_s = monotonic()
+            connection.unsent = connection.unsent[taken:]
+        if not connection.unsent:
+            self._stop_writing(connection)
+        elif not self._poller.isWriting(connection.sock):
+            self._poller.addWriter(self, connection.sock)
+
+    def _stop_writing(self, connection: PeerConnection) -> None:
+        if self._poller.isWriting(connection.sock):
+            self._poller.removeWriter(connection.sock)
+
+    def _lose(self, connection: PeerConnection, reason: str) -> None:
+        transfer = connection.transfer
+        if transfer is None or not _may_retry(connection, transfer):
+            self._fail(connection, ErrorKind.endpoint_lost, reason)
+            return
+        # The peer closed the kept connection while it was idle.
+        self._close(connection)
+        self._timers.cancel(transfer.limit_timer)
+        transfer.retried = True
+        self._open(transfer)
+
+    def _fail(
+        self, connection: PeerConnection, kind: ErrorKind, reason: str
+    ) -> None:
+        transfer = connection.transfer
+        self._close(connection)
+        if transfer is not None:
+            self._report_failure(transfer, kind, reason)
+
+    def _report_failure(
+        self, transfer: Transfer, kind: ErrorKind, reason: str
+    ) -> None:
+        exchange = transfer.exchange
+        self._forget(transfer)
+        failure = Failure(kind, f'{exchange.address}: {reason}')
+        self.fire(
+            exchange_failed(exchange, failure, transfer.sent), exchange.owner
+        )
+
+    def _forget(self, transfer: Transfer) -> None:
+        self._running.pop(transfer.exchange.exchange_id, None)
+        self._timers.cancel(transfer.total_timer)
+        self._timers.cancel(transfer.limit_timer)
+
+    def _close(self, connection: PeerConnection) -> None:
+        if self._connections.pop(connection.sock, None) is None:
+            return
+        self._pool.remove(connection)
+        self._timers.cancel(connection.idle_timer)
+        self._poller.discard(connection.sock)
+        connection.sock.close()
+
+
+@final
+class HttpClient(_ExchangeConnections):
+    """Carries out exchanges with outside addresses.
+
+    :param idle_s: how long an idle connection is kept.
+    :param idle_connections: most idle connections for one address.
+    """
+
+    def __init__(
+        self, timers: Timers, idle_s: float = 15, idle_connections: int = 16
+    ) -> None:
+        """Start with no connections."""
+        super().__init__(timers, idle_connections)
+        self._idle_s = idle_s
+
+    @handler('start_exchange')
+    def _on_start_exchange(self, exchange: Exchange) -> None:
+        transfer = Transfer(exchange)
+        transfer.total_timer = self._timers.call_after(
+            exchange.total_s, _total_limit_passed(transfer), self.channel
+        )
+        connection = self._kept_connection(exchange)
+        if connection:
+            self._begin(connection, transfer)
+        elif exchange.same_connection_as is None:
+            self._open(transfer)
+        else:
+            self._report_failure(
+                transfer,
+                ErrorKind.endpoint_unavailable,
+                'the connection to be used is closed',
+            )
+
+    @handler('cancel_exchange')
+    def _on_cancel_exchange(self, exchange_id: int) -> None:
+        connection = self._running.get(exchange_id)
+        if connection is None:
+            return
+        self._forget(connection.transfer)
+        self._close(connection)
+
+    @handler('_write')
+    def _on_writable(self, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        if not connection.connecting:
+            self._send(connection)
+            return
+        code = sock.getsockopt(SOL_SOCKET, SO_ERROR)
+        if code:
+            self._fail(
+                connection, ErrorKind.endpoint_unavailable, strerror(code)
+            )
+            return
+        connection.connecting = False
+        self._begin(connection, connection.transfer)
+
+    @handler('_read')
+    def _on_readable(self, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        try:
+            received = sock.recv(_READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._lose(connection, error.strerror or 'connection lost')
+            return
+        transfer = connection.transfer
+        if transfer is None:
+            # Nothing is expected: either the end or bytes of no exchange.
+            self._close(connection)
+            return
+        if not received and not transfer.answered:
+            self._lose(connection, 'closed without an answer')
+            return
+        transfer.answered = True
+        transfer.heard_s = monotonic()
+        connection.http.receive_data(received)
+        self._report(connection, transfer)
+
+    def _report(self, connection: PeerConnection, transfer: Transfer) -> None:
+        exchange = transfer.exchange
+        content = []
+        *events, last = _received_events(connection.http)
+        for event in events:
+            if isinstance(event, h11.Response):
+                self.fire(
+                    exchange_head(exchange, event.status_code, _headers(event)),
+                    exchange.owner,
+                )
+            else:
+                content.append(bytes(event.data))
+        if content:
+            self.fire(
+                exchange_data(exchange, b''.join(content)), exchange.owner
+            )
+        if isinstance(last, h11.EndOfMessage):
+            self._finish(connection, transfer)
+        elif isinstance(last, h11.RemoteProtocolError):
+            self._fail(connection, _broken_kind(connection), str(last))
+
+    def _finish(self, connection: PeerConnection, transfer: Transfer) -> None:
+        exchange = transfer.exchange
+        self._forget(transfer)
+        connection.transfer = None
+        connection.last_exchange_id = exchange.exchange_id
+        if _is_reusable(connection):
+            connection.http.start_next_cycle()
+            self._keep(connection, exchange.follow_up_s)
+        else:
+            self._close(connection)
+        self.fire(exchange_end(exchange), exchange.owner)
+
+    def _keep(self, connection: PeerConnection, reserved_s: float) -> None:
+        connection.reused = True
+        connection.reserved_until_s = monotonic() + reserved_s
+        connection.idle_timer = self._timers.call_after(
+            self._idle_s, _idle_limit_passed(connection), self.channel
+        )
+        too_many = self._pool.put(connection)
+        if too_many is not None:
+            self._close(too_many)
+
+    @handler('_disconnect')
+    def _on_disconnect(self, sock: socket) -> None:
+        connection = self._connections.get(sock)
+        if connection is None:
+            return
+        code = sock.getsockopt(SOL_SOCKET, SO_ERROR)
+        reason = strerror(code) if code else 'connection lost'
+        if connection.connecting:
+            self._fail(connection, ErrorKind.endpoint_unavailable, reason)
+            return
+        self._lose(connection, reason)
+
+    @handler('_error')
+    def _on_error(self, sock: socket, error: Exception) -> None:
+        connection = self._connections.get(sock)
+        if connection is not None:
+            self._lose(connection, str(error))
+
+    @handler('_connect_limit_passed')
+    def _on_connect_limit(self, transfer: Transfer) -> None:
+        connection = self._running.get(transfer.exchange.exchange_id)
+        if connection is not None and connection.connecting:
+            self._fail(
+                connection,
+                ErrorKind.endpoint_unavailable,
+                'no connection within the connect limit',
+            )
+
+    @handler('_silence_limit_passed')
+    def _on_silence_limit(self, transfer: Transfer) -> None:
+        exchange = transfer.exchange
+        connection = self._running.get(exchange.exchange_id)
+        if connection is None or connection.transfer is not transfer:
+            return
+        left_s = transfer.heard_s + exchange.silence_s - monotonic()
+        if left_s > 0:
+            transfer.limit_timer = self._timers.call_after(
+                left_s, _silence_limit_passed(transfer), self.channel
+            )
+            return
+        self._fail(connection, ErrorKind.endpoint_lost, 'silent for too long')
+
+    @handler('_total_limit_passed')
+    def _on_total_limit(self, transfer: Transfer) -> None:
+        connection = self._running.get(transfer.exchange.exchange_id)
+        if connection is not None and connection.transfer is transfer:
+            self._fail(
+                connection,
+                ErrorKind.deadline_exceeded,
+                'not complete within the total limit',
+            )
+
+    @handler('_idle_limit_passed')
+    def _on_idle_limit(self, connection: PeerConnection) -> None:
+        if connection.transfer is None:
+            self._close(connection)
+
+
+def _new_socket(host: str) -> socket:
+    family = AF_INET if ip_address(host).version == 4 else AF_INET6
+    sock = socket(family, SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
+    return sock
+
+
+def _encode(http: h11.Connection, exchange: Exchange) -> bytes:
+    headers = [
+        ('host', str(exchange.address)),
+        *((header.name, header.value) for header in exchange.headers),
+    ]
+    if exchange.body or exchange.method in _BODY_METHODS:
+        headers.append(('content-length', str(len(exchange.body))))
+    return b''.join(
+        (
+            http.send(
+                h11.Request(
+                    method=exchange.method,
+                    target=exchange.path,
+                    headers=headers,
+                )
+            ),
+            http.send(h11.Data(data=exchange.body)) if exchange.body else b'',
+            http.send(h11.EndOfMessage()),
+        )
+    )
+
+
+def _received_events(
+    http: h11.Connection,
+) -> Iterator[h11.Event | h11.RemoteProtocolError]:
+    while True:
+        event = _next_event(http)
+        if isinstance(event, h11.Response | h11.Data):
+            yield event
+        elif not isinstance(event, h11.InformationalResponse):
+            yield event
+            return
+
+
+def _next_event(
+    http: h11.Connection,
+) -> h11.Event | h11.RemoteProtocolError | type:
+    try:
+        return http.next_event()
+    except h11.RemoteProtocolError as error:
+        return error
+
+
+def _may_retry(connection: PeerConnection, transfer: Transfer) -> bool:
+    exchange = transfer.exchange
+    if not connection.reused or transfer.retried or transfer.answered:
+        return False
+    if exchange.same_connection_as is not None:
+        return False
+    return not transfer.sent or exchange.method in _REPEATABLE_METHODS
+
+
+def _broken_kind(connection: PeerConnection) -> ErrorKind:
+    is_closed = connection.http.trailing_data[1]
+    return ErrorKind.endpoint_lost if is_closed else ErrorKind.endpoint_failed
+
+
+def _is_reusable(connection: PeerConnection) -> bool:
+    http = connection.http
+    if connection.unsent or http.our_state is not h11.DONE:
+        return False
+    # Bytes after the answer would be taken for the next one's.
+    return http.their_state is h11.DONE and not http.trailing_data[0]
+
+
+def _headers(event: h11.Response) -> tuple[Header, ...]:
+    return tuple(
+        Header(name.decode('ascii'), field.decode('latin-1'))
+        for name, field in event.headers
+    )
