--- /dev/null
+++ b/bergamotturn/process/membership.py
@@ -0,0 +1,255 @@
+"""Which instances are members, and which of them live.
+
+Members ping each other. One that gives no ack in time is asked for through
+two others and suspected, then held dead. A suspected member that lives hears
+of it and refutes it by a higher incarnation. The class has no socket and no
+clock: the caller passes the time and carries the actions out.
+"""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Final, final
+
+from msgspec.structs import replace
+
+from ..connection.exchange import Address
+from ..connection.peer_messages import (
+    Ack,
+    Envelope,
+    MemberState,
+    MemberUpdate,
+    OrderUpdate,
+    Ping,
+    PingRequest,
+)
+from .fanout import Action, Fanout, ReplaceLink, SendTo
+from .gossip import Gossip
+from .member_table import MemberTable
+from .ping_target import PingTarget
+from .probes import Probes
+from .service_orders import ServiceOrders
+
+__all__ = ('TICK_S', 'Membership')
+
+#: One ping is sent on each tick: two each half second.
+TICK_S: Final = 0.25
+_SUSPECT_S: Final = 2
+#: A longer gap between two ticks means that this instance did not run.
+_PAUSE_S: Final = 0.75
+_ASKED_MEMBERS: Final = 2
+
+
+@final
+class Membership:
+    """What one instance knows of the others, and what it sends them."""
+
+    def __init__(
+        self,
+        me: MemberUpdate,
+        contacts: Iterable[Address],
+        random: Random,
+    ) -> None:
+        """Start as the only member.
+
+        :param contacts: peer addresses to ask first; until the instance there
+            is known, messages to it are addressed to ``host:port``.
+        """
+        self.table = MemberTable(me)
+        self.orders = ServiceOrders()
+        self.configuration_version = 0
+        self._gossip = Gossip(self.table, self.orders)
+        self._probes = Probes()
+        self._random = random
+        self._target = PingTarget(self.table, contacts, random)
+        self._ticks = 0
+        self._ticked_s: float | None = None
+        self._fanout = Fanout(self.table, self._gossip, random)
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Judge what is overdue and send the next ping.
+
+        :param now_s: monotonic time; called every :data:`TICK_S`.
+        """
+        self._allow_for_pause(now_s)
+        self._ticks += 1
+        self._fanout.refill()
+        actions: list[Action] = [
+            ReplaceLink(instance)
+            for instance in self._probes.take_silent(now_s)
+        ]
+        actions.extend(self._judge_probes(now_s))
+        actions.extend(self._judge_suspects(now_s))
+        self.table.forget_gone(now_s)
+        target = self._target.choose(self._ticks)
+        if target is not None:
+            number = self._probes.start(now_s, target)
+            self.table.note_contact(now_s, target)
+            actions.append(self._ping(target, number))
+        return actions
+
+    def receive(self, now_s: float, envelope: Envelope) -> list[Action]:
+        """Take a message from another instance."""
+        message = envelope.message
+        if isinstance(message, MemberUpdate):
+            return self._merge(now_s, envelope, (message,))
+        if isinstance(message, OrderUpdate):
+            self.merge_orders((message,))
+            return []
+        if isinstance(message, PingRequest):
+            return self._relay(now_s, envelope.sender, message)
+        if not isinstance(message, (Ping, Ack)):
+            return []
+        actions = self._merge(now_s, envelope, message.updates)
+        self.merge_orders(message.orders)
+        self._gossip.note_digest(envelope.sender, message.orders_digest)
+        if isinstance(message, Ping):
+            actions.append(self._ack(envelope.sender, message.number))
+        elif message.subject == envelope.sender:
+            actions.extend(self._answered(envelope.sender, message.number))
+        return actions
+
+    def place_order(self, target: str, state: str) -> list[Action]:
+        """Accept an operator's order and send it to all members at once."""
+        order = self.orders.place(target, state, self.table.me.instance)
+        self._gossip.spread_order(target)
+        return [
+            SendTo(instance, order)
+            for instance in self.table.up_to(MemberState.suspect)
+        ]
+
+    def merge_orders(self, orders: Iterable[OrderUpdate]) -> None:
+        """Take orders from a peer or from the table."""
+        for order in orders:
+            if self.orders.merge(order):
+                self._gossip.spread_order(order.target)
+
+    def set_in_flight(self, in_flight_requests: int) -> None:
+        """Report ``in_flight_requests`` with the next messages."""
+        self.table.me = replace(self.table.me, in_flight=in_flight_requests)
+        self.table.load_revision += 1
+
+    def leave(self) -> list[Action]:
+        """Announce that this instance stops after a while."""
+        self.table.claim_again(state=MemberState.leaving)
+        return self._fanout.tell(self.table.me, ())
+
+    def _allow_for_pause(self, now_s: float) -> None:
+        """Move deadlines when this instance itself did not run."""
+        ticked_s = self._ticked_s
+        self._ticked_s = now_s
+        if ticked_s is None or now_s - ticked_s <= _PAUSE_S:
+            return
+        self._probes.restart()
+        for record in self.table.records.values():
+            record.changed_s += now_s - ticked_s
+
+    def _judge_probes(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for probe in self._probes.take_unanswered(now_s):
+            record = self.table.records.get(probe.instance)
+            # A member that was heard of after the ping left gets another one.
+            if record is None or record.changed_s > probe.sent_s:
+                continue
+            if record.update.state >= MemberState.suspect:
+                continue
+            others = self.table.up_to(MemberState.leaving)
+            others.remove(probe.instance)
+            suspect = self.table.set_state(
+                now_s, probe.instance, MemberState.suspect
+            )
+            actions.extend(self._ask_others(now_s, suspect, others))
+        return actions
+
+    def _ask_others(
+        self, now_s: float, suspect: MemberUpdate, others: list[str]
+    ) -> list[Action]:
+        asked = self._random.sample(others, min(_ASKED_MEMBERS, len(others)))
+        actions = self._fanout.tell(suspect, (*asked, suspect.instance))
+        for instance in asked:
+            number = self._probes.start(now_s, suspect.instance)
+            actions.append(
+                SendTo(
+                    instance,
+                    PingRequest(number=number, subject=suspect.instance),
+                )
+            )
+        return actions
+
+    def _judge_suspects(self, now_s: float) -> list[Action]:
+        actions: list[Action] = []
+        for instance, record in self.table.records.items():
+            if record.is_suspected_for(now_s, _SUSPECT_S):
+                dead = self.table.set_state(now_s, instance, MemberState.dead)
+                actions.extend(self._fanout.tell(dead, (instance,)))
+        return actions
+
+    def _relay(
+        self, now_s: float, asker: str, request: PingRequest
+    ) -> list[Action]:
+        number = self._probes.start_relay(now_s, asker, request.number)
+        if number is None or request.subject not in self.table.records:
+            return []
+        return [self._ping(request.subject, number)]
+
+    def _answered(self, subject: str, number: int) -> list[Action]:
+        relay = self._probes.answered(number, subject)
+        record = self.table.records.get(subject)
+        if relay is None or record is None:
+            return []
+        ack = Ack(
+            number=relay.number,
+            subject=subject,
+            updates=(self.table.me, record.update),
+            orders_digest=self.orders.digest,
+            configuration_version=self.configuration_version,
+        )
+        return [SendTo(relay.asker, ack)]
+
+    def _merge(
+        self,
+        now_s: float,
+        envelope: Envelope,
+        updates: tuple[MemberUpdate, ...],
+    ) -> list[Action]:
+        actions: list[Action] = []
+        for update in updates:
+            is_claim = _is_claim(envelope, update)
+            if self.table.merge(now_s, update, is_claim):
+                passed_on = self._fanout.pass_on(update, envelope.sender)
+                actions.extend(passed_on)
+            elif is_claim and self.table.outranks(update):
+                # Whoever is held for something worse than it says, or for an
+                # earlier boot, must hear it to raise its incarnation.
+                known = self.table.records[update.instance].update
+                actions.append(SendTo(envelope.sender, known))
+        return actions
+
+    def _ping(self, instance: str, number: int) -> SendTo:
+        load = self._gossip.load_for(instance)
+        ping = Ping(
+            number=number,
+            updates=load.updates,
+            orders=load.orders,
+            orders_digest=self.orders.digest,
+            configuration_version=self.configuration_version,
+        )
+        return SendTo(instance, ping)
+
+    def _ack(self, instance: str, number: int) -> SendTo:
+        load = self._gossip.load_for(instance)
+        ack = Ack(
+            number=number,
+            subject=self.table.me.instance,
+            updates=load.updates,
+            orders=load.orders,
+            orders_digest=self.orders.digest,
+            configuration_version=self.configuration_version,
+        )
+        return SendTo(instance, ack)
+
+
+def _is_claim(envelope: Envelope, update: MemberUpdate) -> bool:
+    return (envelope.sender, envelope.boot_id) == (
+        update.instance,
+        update.boot_id,
+    )
--- /dev/null
+++ b/bergamotturn/process/order_rows.py
@@ -0,0 +1,122 @@
+"""Keeps operators' orders in the table, under ``orders/<target>``.
+
+Orders are merged with the rows by the rule that instances use among each
+other. Nothing waits for the table: what could not be written is written
+after a later read.
+"""
+
+from random import Random
+from typing import Final, final
+
+import msgspec
+
+from ..connection.peer_messages import OrderUpdate
+from ..connection.store_events import (
+    Row,
+    RowScan,
+    RowWrite,
+    StoreOutcome,
+    StoreStatus,
+    next_operation_id,
+)
+from .service_orders import ServiceOrders, outranks
+
+__all__ = ('OrderRows',)
+
+_PREFIX: Final = 'orders/'
+#: Instances that repair a row after one read, on average: one could fail.
+_REPAIRS: Final = 2
+_ENCODER: Final = msgspec.json.Encoder()
+_DECODER: Final = msgspec.json.Decoder(OrderUpdate)
+
+
+@final
+class OrderRows:
+    """Decides what to read and to write."""
+
+    __slots__ = ('_orders', '_owner', '_random', '_scan_id', '_versions')
+
+    def __init__(
+        self, orders: ServiceOrders, owner: str, random: Random
+    ) -> None:
+        """Keep ``orders``; outcomes go to channel ``owner``."""
+        self._orders = orders
+        self._owner = owner
+        self._random = random
+        self._scan_id = 0
+        self._versions: dict[str, int] = {}
+
+    def scan(self) -> RowScan:
+        """Return a read of all rows; an earlier one no longer counts."""
+        self._scan_id = next_operation_id()
+        return RowScan(
+            operation_id=self._scan_id, owner=self._owner, prefix=_PREFIX
+        )
+
+    def write(self, order: OrderUpdate) -> RowWrite:
+        """Return the write of ``order``."""
+        row_key = _PREFIX + order.target
+        return RowWrite(
+            operation_id=next_operation_id(),
+            owner=self._owner,
+            row_key=row_key,
+            value=_ENCODER.encode(order),
+            expected_version=self._versions.get(row_key, 0),
+        )
+
+    def take(
+        self, outcome: StoreOutcome, instance: str, members: int
+    ) -> tuple[list[OrderUpdate], list[RowWrite]]:
+        """Take an outcome of this module's operations.
+
+        :param members: number of instances that may repair rows.
+        :returns: orders found in the table, and what to write to it.
+        """
+        found = {}
+        for row in outcome.rows:
+            order = self._read(row)
+            if order is not None:
+                found[order.target] = order
+        if outcome.status == StoreStatus.conflict:
+            stale = [
+                known
+                for target in found
+                if self._outranks(known := self._orders.get(target), found)
+            ]
+            return list(found.values()), [self.write(order) for order in stale]
+        if outcome.operation_id != self._scan_id or not _is_read(outcome):
+            return [], []
+        writes = [
+            self.write(order)
+            for order in self._orders.orders
+            if self._outranks(order, found)
+            and self._is_mine(order, instance, members)
+        ]
+        return list(found.values()), writes
+
+    def _read(self, row: Row) -> OrderUpdate | None:
+        if not row.row_key.startswith(_PREFIX):
+            return None
+        self._versions[row.row_key] = row.row_version
+        try:
+            order = _DECODER.decode(row.value)
+        except msgspec.DecodeError:
+            return None
+        return order if row.row_key == _PREFIX + order.target else None
+
+    def _outranks(
+        self, order: OrderUpdate | None, found: dict[str, OrderUpdate]
+    ) -> bool:
+        if order is None:
+            return False
+        row = found.get(order.target)
+        return row is None or outranks(order, row)
+
+    def _is_mine(self, order: OrderUpdate, instance: str, members: int) -> bool:
+        if order.accepted_by == instance:
+            return True
+        return self._random.random() * members < _REPAIRS
+
+
+def _is_read(outcome: StoreOutcome) -> bool:
+    return outcome.status in {StoreStatus.found, StoreStatus.absent}
--- /dev/null
+++ b/bergamotturn/request/cost.py
@@ -0,0 +1,60 @@
+"""Cost and class of a request, in tokens and KV memory."""
+
+from collections.abc import Iterable
+from typing import Final
+
+from ..connection.peer_messages import AskClass, Cost
+from ..version.configuration import EndpointSettings, Policy
+
+__all__ = (
+    'classify',
+    'cost_of',
+    'group_size',
+    'largest_kv_tokens',
+    'prompt_tokens_of',
+)
+
+_CHARACTERS_PER_TOKEN: Final = 4
+
+
+def prompt_tokens_of(prompt: str) -> int:
+    """Return the tokens of ``prompt``: one for 4 characters, rounded up."""
+    return -(-len(prompt) // _CHARACTERS_PER_TOKEN)
+
+
+def cost_of(prompt_tokens: int, max_tokens: int) -> Cost:
+    """Return what a request may take: KV memory for prompt and output."""
+    return Cost(
+        prompt_tokens=prompt_tokens,
+        output_tokens=max_tokens,
+        kv_tokens=prompt_tokens + max_tokens,
+    )
+
+
+def largest_kv_tokens(endpoints: Iterable[EndpointSettings]) -> int:
+    """Return the KV memory of the largest of ``endpoints``, 0 for none."""
+    return max((endpoint.kv_tokens for endpoint in endpoints), default=0)
+
+
+def classify(
+    cost: Cost, policy: Policy, endpoints: Iterable[EndpointSettings]
+) -> str:
+    """Return the class of a request, one of :class:`AskClass`.
+
+    :param endpoints: all endpoints of the deployment.
+    """
+    if cost.kv_tokens > largest_kv_tokens(endpoints):
+        return AskClass.group
+    if cost.prompt_tokens > policy.long_prompt_tokens:
+        return AskClass.long
+    return AskClass.short
+
+
+def group_size(cost: Cost, kv_tokens: int) -> int:
+    """Return how many engines of ``kv_tokens`` hold the request, at least 1.
+
+    :returns: 0 when engines have no KV memory, so that none can hold it.
+    """
+    if kv_tokens <= 0:
+        return 0
+    return max(1, -(-cost.kv_tokens // kv_tokens))
