--- a/bergamotturn/process/lease.py
+++ b/bergamotturn/process/lease.py
@@ -259,14 +259,20 @@
     def ask_promises(
         self, now_s: float, members: frozenset[str], number: int
     ) -> list[LeaseAction]:
-        """Start a round of promises while the table does not answer."""
+        """Ask for promises while the table does not answer.
+
+        Within a round those who have not answered are asked again, since one
+        lost message would cost the whole round.
+        """
         if not self.failing or not self.is_valid(now_s):
             return []
         asked = self.promises
-        if asked is not None and now_s - asked.asked_s < _PERIOD_S:
+        if asked is None or now_s - asked.asked_s >= _PERIOD_S:
+            asked = _Promises(number, now_s, set(members))
+            self.promises = asked
+        if not asked.missing:
             return []
-        self.promises = _Promises(number, now_s, set(members))
-        return [AskPromises(members, number, self.epoch)]
+        return [AskPromises(frozenset(asked.missing), asked.number, self.epoch)]
 
     def promised(self, now_s: float, sender: str, number: int) -> None:
         """Extend the lease when the last missing promise has come.
--- /dev/null
+++ b/features/admission.feature
@@ -0,0 +1,120 @@
+Feature: Endpoint admission
+  Guards against more work at a cold endpoint than it bears, and against permits, groups
+  and streams that are never released.
+
+  Scenario: The cold limit holds through pauses, deaths, outages and late messages
+    Guards against two coordinators, or a new one that forgets the old one's permits,
+    together starting more work at a cold endpoint than it bears.
+    When 9 instances press an endpoint that ignores fencing in 100 fuzzed histories
+    And 9 instances press an endpoint that checks fencing in 100 fuzzed histories
+    Then no history had more work at the cold endpoint than its limit
+    And no history had a grant after one of a newer holder
+    And the histories had cold starts, warm starts and changes of holder
+
+  Scenario: A paused holder that wakes grants nothing
+    Guards against a holder that trusts its lease after standing still.
+    Given 9 instances with a coordinator
+    When the coordinator is paused for 9 s
+    And 20 s pass
+    Then another instance has granted since
+    And no grant came after one of a newer holder
+
+  Scenario: Nobody takes over while the table is down
+    Guards against a second coordinator that no table write has made.
+    Given 9 instances with a coordinator
+    When the table goes down
+    And the coordinator is killed
+    And 30 s pass
+    Then no instance holds the lease
+    When the table comes up
+    And 14 s pass
+    Then another instance has granted since
+
+  Scenario: A holder goes on without the table when all members promise
+    Guards against a table outage that stops all work at cold endpoints.
+    Given 9 instances with a coordinator
+    When the table goes down
+    And 60 s pass
+    Then the coordinator has granted in the last 10 s
+
+  Scenario: A holder stops without the table when a member does not promise
+    Guards against an extension that one member, able to take over, knows nothing of.
+    Given 9 instances with a coordinator
+    When another instance is paused for 60 s
+    And the table goes down
+    And 30 s pass
+    Then the coordinator has granted nothing in the last 10 s
+
+  Scenario: A new coordinator counts the old one's permits
+    Guards against a ledger that starts empty while old work still runs.
+    Given 9 instances with a coordinator
+    And streams that last up to 60 s
+    When 20 s pass
+    And the coordinator is killed
+    And 40 s pass
+    Then the cold endpoint never had more work than its limit
+    And another instance holds the lease
+
+  Scenario Outline: A lost answer to a lease write is read back
+    Guards against a takeover whose winner never learns that it won.
+    Given a candidate whose takeover write got no answer and <effect>
+    When the table answers again
+    Then the candidate holds the lease under epoch 1 <times> after its next operations
+    Examples:
+      | effect     | times |
+      | took place | once  |
+      | was lost   | once  |
+
+  Scenario: Shorts go before longs and longs leave a reserve
+    Guards against long prompts that take the room that short ones need.
+    Given a coordinator of a warm engine that is full
+    When a long and then a short ask for a permit
+    And one permit is released
+    Then the short is granted and the long waits
+    And longs never get more than 80% of the KV memory
+
+  Scenario: Workspaces share by weight
+    Guards against a busy workspace that starves a small one.
+    Given a coordinator of a warm engine that is full
+    When workspaces of weight 3 and 1 queue 40 asks each
+    And 40 permits become free one by one
+    Then workspace "three" got 28 to 32 of them
+
+  Scenario: Permits whose grant was lost lapse only by an engine's list
+    Guards against a permit that is forgotten while its work may still arrive, or kept for good.
+    Given a coordinator of a cold engine with one granted permit
+    When a list from 1 s after the grant shows no work
+    Then 1 permit is counted
+    When a list from 2 s after the grant shows no work
+    Then 0 permits are counted
+
+  Scenario: An instance refuses what it may not use
+    Guards against starts under a late, an old or a mismatched grant.
+    Given an instance that has an ask under way
+    Then a grant that arrives after the start limit is given back
+    And a grant under an older epoch is given back
+    And work does not start on another engine start, nor after the limit
+    And without a coordinator only a warm engine gets work, by the fixed share
+
+  Scenario: Groups of engines are all or nothing
+    Guards against two groups that each hold half of what the other needs, and permits left behind.
+    When groups reserve overlapping engines in 60 fuzzed histories
+    Then every group got its engines and all permits were released
+
+  Scenario: Orphaned streams are found and no others
+    Guards against streams that hold memory for good, and against cancelling live ones.
+    Given a stream list with streams of alive, dead, restarted and unknown owners
+    Then the dead owner's stream is cancelled at once
+    And the restarted and the unknown owner's streams are cancelled after 2.5 s
+    And exactly one alive member is responsible for each endpoint
+
+  Scenario: The components carry permits, cancels and outages
+    Guards against wiring that loses an event, and a component that fails on an endpoint that is down.
+    Given the components with stand-ins for table, peers and engines
+    When an ask is made after 16 s
+    Then it is granted with epoch 1 and the engine knows the epoch
+    And a stream of a dead owner is cancelled at the engine
+    When the engine is down and an ask is made
+    Then it is not granted
+    And an ask at a plain service is granted
+    And no handler has failed
--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,667 @@
+"""Steps on leases, coordinators, permits, groups and orphans."""
+
+from collections import Counter
+
+import msgspec
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from bergamotturn.connection.engine_control import (
+    EngineLoad,
+    EngineStatus,
+    EngineStream,
+)
+from bergamotturn.connection.peer_messages import (
+    AskClass,
+    CoordinatorAnnounce,
+    Cost,
+    EndpointIncarnation,
+    MemberState,
+    PermitAsk,
+    PermitBusy,
+    PermitGrant,
+    PermitRelease,
+)
+from bergamotturn.connection.store_events import StoreOutcome, StoreStatus
+from bergamotturn.process.actions import SendTo
+from bergamotturn.process.admission import Coordinator
+from bergamotturn.process.lease import (
+    Identity,
+    Lease,
+    LeaseTaken,
+    ReadLease,
+    WriteLease,
+)
+from bergamotturn.process.ledger import CoordinatorTerms
+from bergamotturn.process.orphans import Orphans, rank_instances
+from bergamotturn.process.permits import Granted, Permits, Refused, may_start
+from features.support.admission_wiring import Wiring
+from features.support.admission_world import Table, World, member, terms
+from features.support.group_world import GroupWorld
+
+_INCARNATION = EndpointIncarnation('start', 1)
+_TABLE_MODES = ('up', 'up', 'down', 'refused', 'lost', 'late')
+
+
+def _run_machine(machine, examples, steps):
+    """Run a state machine with the same histories each time."""
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=steps,
+            derandomize=True,
+            deadline=None,
+            database=None,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def _admission_machine(checks_fencing, totals):
+    class AdmissionMachine(RuleBasedStateMachine):
+        @initialize(seed=st.integers(0, 10**6))
+        def start(self, seed):
+            self.world = World(seed, checks_fencing=checks_fencing)
+            self.world.run(15)
+
+        @rule(seconds=st.floats(0.1, 6))
+        def run_on(self, seconds):
+            self.world.run(seconds)
+
+        @rule(number=st.integers(0, 8), seconds=st.floats(0.5, 12))
+        def pause(self, number, seconds):
+            self.world.pause(f'node-{number}', seconds)
+
+        @rule(seconds=st.floats(0.5, 12))
+        def pause_holders(self, seconds):
+            for node in self.world.holders():
+                self.world.pause(node.name, seconds)
+            self.world.run(seconds / 2)
+
+        @rule()
+        def kill_holders(self):
+            for node in self.world.holders():
+                self.world.kill(node.name)
+            self.world.run(5)
+
+        @rule(number=st.integers(0, 8))
+        def kill(self, number):
+            self.world.kill(f'node-{number}')
+
+        @rule()
+        def restart_all(self):
+            for name in self.world.nodes:
+                self.world.restart(name)
+
+        @rule(mode=st.sampled_from(_TABLE_MODES))
+        def change_table(self, mode):
+            self.world.table.mode = mode
+            self.world.run(2)
+
+        @rule(seconds=st.floats(1, 5), longest_s=st.sampled_from((2, 8, 30)))
+        def make_late(self, seconds, longest_s):
+            self.world.late_until_s = self.world.now_s + seconds
+            self.world.longest_stream_s = longest_s
+
+        @rule(restarted=st.booleans())
+        def turn_cold(self, restarted):
+            self.world.turn_cold(restarted=restarted)
+            self.world.run(0.05)
+
+        @rule()
+        def warm_up(self):
+            self.world.engine.is_warm = True
+            self.world.run(2)
+
+        @rule(is_down=st.booleans())
+        def change_engine(self, is_down):
+            self.world.engine.is_down = is_down
+
+        @invariant()
+        def holds(self):
+            assert not self.world.breaches, self.world.breaches
+
+        def teardown(self):
+            totals.update(self.world.counts)
+
+    return AdmissionMachine
+
+
+@when(
+    '{nodes:d} instances press an endpoint that {kind} fencing '
+    'in {examples:d} fuzzed histories'
+)
+def press_endpoint(context, nodes, kind, examples):
+    """Run the state machine; a breach fails this step with its history."""
+    assert nodes == 9
+    if not hasattr(context, 'totals'):
+        context.totals = Counter()
+    totals = Counter()
+    _run_machine(_admission_machine(kind == 'checks', totals), examples, 25)
+    context.totals += totals
+    print(kind, dict(totals))
+
+
+@then('no history had more work at the cold endpoint than its limit')
+@then('no history had a grant after one of a newer holder')
+def machine_passed(context):
+    """The machine's invariant has checked both after each step."""
+    assert context.totals
+
+
+@then('the histories had cold starts, warm starts and changes of holder')
+def machine_was_busy(context):
+    """Check that the histories reach what they are about."""
+    for kind in ('cold starts', 'warm starts', 'granting holders'):
+        assert context.totals[kind] > 100, context.totals
+
+
+@given('{nodes:d} instances with a coordinator')
+def start_world(context, nodes):
+    """Run until somebody grants."""
+    context.world = World(7, nodes=nodes)
+    context.world.run(20)
+    (context.holder,) = context.world.holders()
+    context.epoch = context.world.granted_epoch
+    assert context.epoch == 1
+
+
+@given('streams that last up to {seconds:d} s')
+def long_streams(context, seconds):
+    """Let work outlast a takeover."""
+    context.world.longest_stream_s = seconds
+
+
+@when('the coordinator is paused for {seconds:d} s')
+def pause_coordinator(context, seconds):
+    """Stop the holder's process."""
+    context.world.pause(context.holder.name, seconds)
+
+
+@when('another instance is paused for {seconds:d} s')
+def pause_another(context, seconds):
+    """Stop a process that does not hold the lease."""
+    others = set(context.world.nodes) - {context.holder.name}
+    context.world.pause(min(others), seconds)
+
+
+@when('the coordinator is killed')
+def kill_coordinator(context):
+    """End the holder's process."""
+    context.world.kill(context.holder.name)
+
+
+@when('{seconds:d} s pass')
+def time_passes(context, seconds):
+    """Run on, and count the grants of the last 10 s."""
+    context.world.run(max(0, seconds - 10))
+    before = context.world.counts['grants']
+    context.world.run(min(10, seconds))
+    context.late_grants = context.world.counts['grants'] - before
+
+
+@when('the table goes down')
+def table_down(context):
+    """Leave operations without an answer and without effect."""
+    context.world.table.mode = 'down'
+
+
+@when('the table comes up')
+def table_up(context):
+    """Answer again."""
+    context.world.table.mode = 'up'
+
+
+@then('another instance has granted since')
+def another_granted(context):
+    """The highest epoch that granted is a later one."""
+    assert context.world.granted_epoch > context.epoch
+
+
+@then('no grant came after one of a newer holder')
+@then('the cold endpoint never had more work than its limit')
+def no_breach(context):
+    """The world notes each breach."""
+    assert not context.world.breaches, context.world.breaches
+
+
+@then('no instance holds the lease')
+def nobody_holds(context):
+    """Neither in the table's eyes nor in its own."""
+    assert not context.world.holders()
+
+
+@then('another instance holds the lease')
+def another_holds(context):
+    """Exactly one does."""
+    (holder,) = context.world.holders()
+    assert holder is not context.holder
+
+
+@then('the coordinator has granted in the last 10 s')
+def still_granting(context):
+    """The holder is the same and works."""
+    assert context.world.holders() == [context.holder]
+    assert context.late_grants > 0
+
+
+@then('the coordinator has granted nothing in the last 10 s')
+def not_granting(context):
+    """Nobody grants at the cold endpoint."""
+    assert context.late_grants == 0
+    assert context.world.counts['grants'] > 0
+
+
+@given('a candidate whose takeover write got no answer and {effect}')
+def lost_takeover(context, effect):
+    """Observe an absent row, write, and lose the answer."""
+    context.lease = Lease(Identity('a', 'boot'), 0)
+    context.lease.watch(0, ('a', 'b'))
+    context.lease_table = Table()
+    context.now_s = 0
+    unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
+    while context.now_s < 20:
+        context.now_s += 0.5
+        for action in context.lease.tick(context.now_s):
+            outcome = context.lease_table.apply(action)
+            for write in context.lease.row_read(context.now_s, outcome):
+                assert isinstance(write, WriteLease)
+                if effect == 'took place':
+                    context.lease_table.apply(write)
+                context.lease.row_written(context.now_s + 0.4, unknown)
+                return
+    raise AssertionError('no takeover in 20 s')
+
+
+@when('the table answers again')
+def answers_again(context):
+    """Carry out what the lease asks for."""
+    context.taken = []
+    for _ in range(10):
+        context.now_s += 0.5
+        pending = context.lease.tick(context.now_s)
+        while pending:
+            action = pending.pop()
+            if isinstance(action, LeaseTaken):
+                context.taken.append(action)
+                continue
+            outcome = context.lease_table.apply(action)
+            is_read = isinstance(action, ReadLease)
+            take = context.lease.row_written
+            take = context.lease.row_read if is_read else take
+            pending += take(context.now_s, outcome)
+
+
+@then(
+    'the candidate holds the lease under epoch 1 once after its next operations'
+)
+def holds_once(context):
+    """It neither lost the row nor took it over twice."""
+    assert [taken.epoch for taken in context.taken] == [1]
+    assert context.lease.epoch == 1
+    assert context.lease.may_grant(context.now_s)
+
+
+def _ask(number, workspace='one', work_class=AskClass.short, kv_tokens=1000):
+    return PermitAsk(
+        ask_id=f'ask-{number}',
+        endpoint='engine',
+        workspace=workspace,
+        work_class=work_class,
+        cost=Cost(1000, 0, kv_tokens),
+        wait_s=1000,
+    )
+
+
+def _coordinator(is_warm, **changes):
+    """Return a recovered coordinator at second 10."""
+    known = terms(**changes)
+    weights = {'three': 3, 'one': 1}
+    known = CoordinatorTerms(known.endpoint, known.policy, weights)
+    coordinator = Coordinator(known, 1, 5)
+    coordinator.load_known(10, EngineLoad(9, ()))
+    coordinator.status_known(9, EngineStatus(_INCARNATION, is_warm))
+    return coordinator
+
+
+def _granted(actions):
+    return [
+        action.message
+        for action in actions
+        if isinstance(action, SendTo)
+        and isinstance(action.message, PermitGrant)
+    ]
+
+
+def _release(coordinator, now_s, grant):
+    release = PermitRelease(
+        permit_id=grant.permit_id,
+        endpoint='engine',
+        used=True,
+        tokens_served=1000,
+    )
+    coordinator.release(now_s, release)
+    return _granted(coordinator.serve(now_s, may_grant=True))
+
+
+@given('a coordinator of a warm engine that is full')
+def full_engine(context):
+    """Grant as many permits as the engine bears."""
+    context.coordinator = _coordinator(True, warm_requests=4)
+    for number in range(4):
+        assert not context.coordinator.ask(10, 'a', 'boot', _ask(number))
+    context.grants = _granted(context.coordinator.serve(10, may_grant=True))
+    assert len(context.grants) == 4
+
+
+@when('a long and then a short ask for a permit')
+def long_then_short(context):
+    """Queue the long first."""
+    long_ask = _ask('long', work_class=AskClass.long, kv_tokens=40_000)
+    for ask in (long_ask, _ask('short')):
+        assert not context.coordinator.ask(11, 'a', 'boot', ask)
+
+
+@when('one permit is released')
+def release_one(context):
+    """Make room for one request."""
+    context.newest = _release(context.coordinator, 12, context.grants.pop())
+
+
+@then('the short is granted and the long waits')
+def short_first(context):
+    """The order of arrival does not count between the classes."""
+    assert [grant.ask_id for grant in context.newest] == ['ask-short']
+
+
+@then('longs never get more than 80% of the KV memory')
+def longs_leave_reserve(context):
+    """Two longs of 45% each exceed the share."""
+    coordinator = _coordinator(True)
+    for number in range(2):
+        ask = _ask(number, work_class=AskClass.long, kv_tokens=45_000)
+        coordinator.ask(10, 'a', 'boot', ask)
+    assert len(_granted(coordinator.serve(10, may_grant=True))) == 1
+
+
+@when('workspaces of weight 3 and 1 queue 40 asks each')
+def queue_by_workspace(context):
+    """Both always have an ask waiting."""
+    for number in range(40):
+        for workspace in ('three', 'one'):
+            ask = _ask(f'{workspace}-{number}', workspace)
+            assert not context.coordinator.ask(11, 'a', 'boot', ask)
+
+
+@when('40 permits become free one by one')
+def free_permits(context):
+    """Each release lets one ask through."""
+    context.served = []
+    held = context.grants
+    for _ in range(40):
+        (grant,) = _release(context.coordinator, 12, held.pop(0))
+        context.served.append(grant.ask_id)
+        held.append(grant)
+
+
+@then('workspace "three" got 28 to 32 of them')
+def shared_by_weight(context):
+    """Three quarters of 40, within a turn."""
+    got = sum(ask_id.startswith('ask-three') for ask_id in context.served)
+    assert 28 <= got <= 32, got
+
+
+@given('a coordinator of a cold engine with one granted permit')
+def one_granted(context):
+    """Grant at second 10; nothing is heard of it again."""
+    context.coordinator = _coordinator(False)
+    context.coordinator.ask(10, 'a', 'boot', _ask(1))
+    assert len(_granted(context.coordinator.serve(10, may_grant=True))) == 1
+
+
+@when('a list from {seconds:d} s after the grant shows no work')
+def empty_list(context, seconds):
+    """Give the coordinator a lagging report."""
+    context.coordinator.load_known(13, EngineLoad(10 + seconds, ()))
+
+
+@then('{number:d} permit is counted')
+@then('{number:d} permits are counted')
+def permits_counted(context, number):
+    """Look at the ledger's sum."""
+    assert context.coordinator.usage().requests == number
+
+
+@given('an instance that has an ask under way')
+def ask_under_way(context):
+    """Ask the coordinator with epoch 5 at second 100."""
+    context.permits = Permits()
+    context.permits.configure([terms().endpoint])
+    context.permits.members_known(('own', 'other'), 2)
+    announce = CoordinatorAnnounce(endpoint='engine', instance='other', epoch=5)
+    context.permits.coordinator_known(announce)
+    assert context.permits.ask(100, _ask(1)) == [SendTo('other', _ask(1))]
+
+
+def _grant(epoch, start_s=1):
+    return PermitGrant(
+        ask_id='ask-1',
+        permit_id=f'{epoch}:ask-1',
+        endpoint='engine',
+        epoch=epoch,
+        start_s=start_s,
+        incarnation=_INCARNATION,
+    )
+
+
+def _gives_back(actions):
+    releases = [act.message for act in actions if isinstance(act, SendTo)]
+    granted = [act for act in actions if isinstance(act, Granted)]
+    return not granted and [item.used for item in releases] == [False]
+
+
+@then('a grant under an older epoch is given back')
+def old_epoch(context):
+    """Epoch 5 was seen."""
+    ask_under_way(context)
+    assert _gives_back(context.permits.grant(100.1, 'old', _grant(4)))
+
+
+@then('a grant that arrives after the start limit is given back')
+def late_grant(context):
+    """The limit counts from before the ask left."""
+    actions = context.permits.grant(101, 'other', _grant(5))
+    assert _gives_back(actions)
+    assert any(isinstance(action, Refused) for action in actions)
+    assert _gives_back(context.permits.grant(101, 'other', _grant(5)))
+
+
+@then('work does not start on another engine start, nor after the limit')
+def start_checks(context):
+    """Check each condition apart."""
+    same = EngineStatus(_INCARNATION, is_warm=False)
+    other = EngineStatus(EndpointIncarnation('start', 2), is_warm=False)
+    assert may_start(_grant(5), 100, 100.9, same)
+    assert not may_start(_grant(5), 100, 101, same)
+    assert not may_start(_grant(5), 100, 100.9, other)
+    assert not may_start(_grant(5), 100, 100.9, None)
+
+
+@then('without a coordinator only a warm engine gets work, by the fixed share')
+def fixed_share(context):
+    """12 warm requests, half of them for 2 instances: 3 each."""
+    context.permits.members_known(('own',), 2)
+    taken = [context.permits.ask(100, _ask(n))[0] for n in range(2, 6)]
+    assert [type(answer) for answer in taken] == [*(Granted,) * 3, Refused]
+    grant = taken[0].grant
+    warm = EngineStatus(_INCARNATION, is_warm=True)
+    cold = EngineStatus(_INCARNATION, is_warm=False)
+    assert may_start(grant, 100, 100.5, warm)
+    assert not may_start(grant, 100, 100.5, cold)
+    release = PermitRelease(
+        permit_id=grant.permit_id,
+        endpoint='engine',
+        used=False,
+        incarnation=_INCARNATION,
+    )
+    context.permits.give_back(100.5, release)
+    (answer,) = context.permits.ask(100.6, _ask(7))
+    assert isinstance(answer, Refused)
+
+
+@when('groups reserve overlapping engines in {examples:d} fuzzed histories')
+def run_groups(context, examples):
+    """Run the state machine; its end checks that nothing hangs."""
+    context.groups_done = Counter()
+
+    class GroupMachine(RuleBasedStateMachine):
+        @initialize(seed=st.integers(0, 10**6))
+        def start(self, seed):
+            self.world = GroupWorld(seed)
+
+        @rule(engines=st.sets(st.integers(0, 3), min_size=2))
+        def add(self, engines):
+            if len(self.world.groups) < 8:
+                self.world.add([f'engine-{number}' for number in engines])
+
+        @rule(seconds=st.floats(0.01, 2))
+        def run_on(self, seconds):
+            self.world.run(seconds)
+
+        @rule(number=st.integers(0, 7))
+        def end(self, number):
+            self.world.end(number)
+
+        def teardown(self):
+            self.world.finish()
+            context.groups_done.update(self.world.counts)
+
+    _run_machine(GroupMachine, examples, 20)
+    print(dict(context.groups_done))
+
+
+@then('every group got its engines and all permits were released')
+def groups_done(context):
+    """The machine's end has checked each history."""
+    assert context.groups_done['ready'] > 50, context.groups_done
+    assert context.groups_done['refused'] > 50, context.groups_done
+
+
+@given(
+    'a stream list with streams of alive, dead, restarted and unknown owners'
+)
+def stream_list(context):
+    """Name streams after their owners' state."""
+    context.members = [
+        member('alive', 'boot', MemberState.alive),
+        member('dead', 'boot', MemberState.dead),
+        member('restarted', 'new-boot', MemberState.alive),
+    ]
+    owners = ('alive', 'dead', 'restarted', 'unknown')
+    context.streams = [
+        EngineStream(owner, f'{owner}/boot', 10) for owner in owners
+    ]
+    context.orphans = Orphans()
+
+
+def _found(context, now_s):
+    found = context.orphans.find(now_s, context.streams, context.members)
+    return {stream.stream_id for stream in found}
+
+
+@then("the dead owner's stream is cancelled at once")
+def dead_at_once(context):
+    """Membership has waited long enough already."""
+    assert _found(context, 100) == {'dead'}
+
+
+@then("the restarted and the unknown owner's streams are cancelled after 2.5 s")
+def others_later(context):
+    """A new boot may be ahead of the own view."""
+    assert _found(context, 102.4) == {'dead'}
+    assert _found(context, 102.5) == {'dead', 'restarted', 'unknown'}
+
+
+@then('exactly one alive member is responsible for each endpoint')
+def one_responsible(context):
+    """The order does not depend on the order of the members, and spreads."""
+    names = [f'node-{number}' for number in range(9)]
+    first = {}
+    for number in range(50):
+        endpoint = f'engine-{number}'
+        first[endpoint] = rank_instances(endpoint, names)[0]
+        assert rank_instances(endpoint, names[::-1])[0] == first[endpoint]
+    assert len(set(first.values())) >= 7
+
+
+@given('the components with stand-ins for table, peers and engines')
+def start_wiring(context):
+    """Wire the three components of one instance on a simulated clock."""
+    context.wiring = Wiring()
+    context.add_cleanup(context.wiring.close)
+
+
+@when('an ask is made after {seconds:d} s')
+def ask_after(context, seconds):
+    """Let the instance take the lease and recover first."""
+    context.wiring.run(seconds)
+    context.answer = context.wiring.ask(_ask(1))
+
+
+@then('it is granted with epoch 1 and the engine knows the epoch')
+def granted_by_component(context):
+    """Check the grant, the engine's epoch and what others were told."""
+    assert isinstance(context.answer, PermitGrant), context.answer
+    assert context.answer.epoch == 1
+    assert context.answer.incarnation == _INCARNATION
+    assert context.wiring.outside.fence_epoch == 1
+    known = [
+        (announce.endpoint, announce.instance, announce.epoch)
+        for announce in context.wiring.outside.announces
+    ]
+    assert known == [('engine', 'own', 1), ('service', 'own', 1)], known
+
+
+@then('a stream of a dead owner is cancelled at the engine')
+def cancelled_by_component(context):
+    """Slashes in the id are escaped; the own stream stays."""
+    cancels = context.wiring.outside.cancels
+    assert cancels == {'/streams/gone%2F1', '/groups/gone%2F1'}, cancels
+
+
+@when('the engine is down and an ask is made')
+def ask_when_down(context):
+    """Refuse all connections for a while first."""
+    context.wiring.outside.is_down = True
+    context.wiring.run(3)
+    context.answer = context.wiring.ask(_ask(2))
+
+
+@then('it is not granted')
+def not_granted(context):
+    """A refusal or silence will do."""
+    assert not isinstance(context.answer, PermitGrant)
+    assert context.answer is None or isinstance(context.answer, PermitBusy)
+
+
+@then('an ask at a plain service is granted')
+def service_granted(context):
+    """A plain service has no status to wait for."""
+    ask = msgspec.structs.replace(_ask(3), endpoint='service')
+    answer = context.wiring.ask(ask)
+    assert isinstance(answer, PermitGrant), answer
+
+
+@then('no handler has failed')
+def no_handler_failed(context):
+    """Circuits reports failures as events."""
+    assert not context.wiring.outside.failures
--- /dev/null
+++ b/features/support/admission_wiring.py
@@ -0,0 +1,210 @@
+"""The admission components of one instance with stand-ins around them."""
+
+import heapq
+from itertools import count
+from unittest import mock
+
+import msgspec
+from circuits import Component, Event, handler
+
+from bergamotturn.connection.exchange import (
+    Address,
+    exchange_data,
+    exchange_end,
+    exchange_failed,
+    exchange_head,
+)
+from bergamotturn.connection.peer_messages import (
+    CHANNELS,
+    Envelope,
+    MemberState,
+    peer_message,
+)
+from bergamotturn.connection.store_events import store_outcome
+from bergamotturn.process.admission_task import AdmissionTask
+from bergamotturn.process.events import (
+    MemberView,
+    configuration_changed,
+    members_changed,
+)
+from bergamotturn.process.lease import LeaseRow, ReadLease, WriteLease
+from bergamotturn.process.orphan_task import OrphanTask
+from bergamotturn.process.permits_task import PermitsTask, ask_permit
+from bergamotturn.version.configuration import Configuration
+from bergamotturn.version.settings import PlatformSettings, Settings
+
+from .admission_world import NOWHERE, Table, member, terms
+
+_TASKS = ('admission_task', 'permits_task', 'orphan_task')
+
+
+class Clock:
+    """Timers and the monotonic clock, moved by hand."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+        self._order = count()
+        self._due: list[tuple[float, int, Event, str]] = []
+
+    def call_after(self, delay_s: float, event: Event, channel: str) -> int:
+        """Keep an event until its time."""
+        number = next(self._order)
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._due, (due_s, number, event, channel))
+        return number
+
+    def step(self, app: Component) -> None:
+        """Move on to the next deadline and fire it."""
+        self.now_s, _, event, channel = heapq.heappop(self._due)
+        app.fire(event, channel)
+
+
+class Outside(Component):
+    """Table, peers, engine and requests."""
+
+    channel = 'outside'
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = Table()
+        self.is_down = False
+        self.fence_epoch = 0
+        self.cancels: set[str] = set()
+        self.announces: tuple = ()
+        self.answers: list = []
+        self.failures: list = []
+
+    @handler('store_operation', channel='stores')
+    def on_store_operation(self, operation) -> None:
+        """Carry out the operation on the lease row."""
+        action = ReadLease()
+        if hasattr(operation, 'value'):
+            row = msgspec.json.decode(operation.value, type=LeaseRow)
+            action = WriteLease(row, operation.expected_version)
+        outcome = msgspec.structs.replace(
+            self.table.apply(action), operation_id=operation.operation_id
+        )
+        self.fire(store_outcome(outcome), operation.owner)
+
+    @handler('send_message', channel='peers')
+    def on_send_message(self, instance, message) -> None:
+        """Deliver messages to the own instance; the others are silent."""
+        if instance == 'own':
+            envelope = Envelope('own', 'boot', message)
+            self.fire(peer_message(envelope), CHANNELS[type(message)])
+
+    @handler('start_exchange', channel='http_client')
+    def on_start_exchange(self, exchange) -> None:
+        """Answer as the engine."""
+        if self.is_down:
+            failed = exchange_failed(exchange, 'refused', False)
+            self.fire(failed, exchange.owner)
+            return
+        body = self.answer(exchange)
+        status = 200 if body else 204
+        self.fire(exchange_head(exchange, status, ()), exchange.owner)
+        for part in (body[:10], body[10:]):
+            self.fire(exchange_data(exchange, part), exchange.owner)
+        self.fire(exchange_end(exchange), exchange.owner)
+
+    def answer(self, exchange) -> bytes:
+        """Return the body of the engine's answer."""
+        if exchange.method == 'DELETE':
+            self.cancels.add(exchange.path)
+        if exchange.path == '/fence':
+            self.fence_epoch = msgspec.json.decode(exchange.body)['epoch']
+        if exchange.path == '/status':
+            return b'{"start_id": "start", "cold_count": 1, "state": "cold"}'
+        if exchange.path == '/load':
+            owners = ['own'] if self.cancels else ['own', 'gone']
+            return _load_report(owners)
+        return b''
+
+    @handler('permit_granted', 'permit_refused', channel='requests')
+    def on_permit(self, answer) -> None:
+        """Keep the answer."""
+        self.answers.append(answer)
+
+    @handler('coordinators_changed', channel='*')
+    def on_coordinators_changed(self, announces) -> None:
+        """Keep who coordinates."""
+        self.announces = announces
+
+    @handler('exception', channel='*')
+    def on_exception(self, *details, **named) -> None:
+        """Keep what a handler failed with."""
+        self.failures.append(details)
+
+
+def _load_report(owners: list[str]) -> bytes:
+    streams = [
+        {'stream_id': f'{owner}/1', 'owner': f'{owner}/boot', 'kv_tokens': 1}
+        for owner in owners
+    ]
+    return msgspec.json.encode({'age_s': 0.5, 'streams': streams})
+
+
+class Wiring:
+    """An instance alone with the stand-ins."""
+
+    def __init__(self) -> None:
+        self.clock = Clock()
+        self._patches = [
+            mock.patch(
+                f'bergamotturn.process.{task}.monotonic',
+                lambda: self.clock.now_s,
+            )
+            for task in _TASKS
+        ]
+        for patch in self._patches:
+            patch.start()
+        settings = Settings(
+            instance='own',
+            data_centre='a',
+            caller_address=NOWHERE,
+            operator_address=NOWHERE,
+            peer_address=NOWHERE,
+            platform=PlatformSettings(
+                table=NOWHERE, objects=NOWHERE, instance_list=NOWHERE
+            ),
+            operator_token_digest='',
+        )
+        self.outside = Outside()
+        for task in (AdmissionTask, PermitsTask, OrphanTask):
+            task(settings, 'boot', self.clock).register(self.outside)
+        configuration = Configuration(
+            endpoints=(
+                terms(address=Address('127.0.0.1', 2)).endpoint,
+                terms(name='service', kv_tokens=0).endpoint,
+            )
+        )
+        members = (
+            member('own', 'boot', MemberState.alive),
+            member('gone', 'boot', MemberState.dead),
+        )
+        self.outside.fire(configuration_changed(1, configuration), '*')
+        self.outside.fire(members_changed(MemberView(members)), '*')
+        self._flush()
+
+    def close(self) -> None:
+        """Give the modules their clock back."""
+        for patch in self._patches:
+            patch.stop()
+
+    def run(self, seconds: float) -> None:
+        """Let the time pass."""
+        until_s = self.clock.now_s + seconds
+        while self.clock.now_s < until_s:
+            self.clock.step(self.outside)
+            self._flush()
+
+    def ask(self, ask):
+        """Return the answer to an ask, if one comes within 2 s."""
+        self.outside.answers.clear()
+        self.outside.fire(ask_permit(ask), 'permits')
+        self.run(2)
+        return self.outside.answers[0] if self.outside.answers else None
+
+    def _flush(self) -> None:
+        while len(self.outside):
+            self.outside.flush()
--- /dev/null
+++ b/features/support/admission_world.py
@@ -0,0 +1,543 @@
+"""Nine instances, a table and one engine on a simulated clock.
+
+The instances run the program's own decision classes; the engine here is the
+oracle. Each instance has its own clock offset, so that a comparison of two
+instances' clocks shows.
+"""
+
+import heapq
+from bisect import bisect_right
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+
+from bergamotturn.connection.engine_control import (
+    EngineLoad,
+    EngineStatus,
+    EngineStream,
+)
+from bergamotturn.connection.exchange import Address
+from bergamotturn.connection.peer_messages import (
+    AskClass,
+    Cost,
+    EndpointIncarnation,
+    Envelope,
+    MemberState,
+    MemberUpdate,
+    PermitAsk,
+    PermitBusy,
+    PermitGrant,
+    PermitRelease,
+)
+from bergamotturn.connection.store_events import Row, StoreOutcome, StoreStatus
+from bergamotturn.process.actions import SendTo
+from bergamotturn.process.admission_duty import (
+    AskLoad,
+    AskStatus,
+    Duty,
+    GiveEpoch,
+)
+from bergamotturn.process.lease import (
+    Identity,
+    ReadLease,
+    WriteLease,
+    encode_lease_row,
+)
+from bergamotturn.process.ledger import CoordinatorTerms
+from bergamotturn.process.permits import Granted, Permits, Refused, may_start
+from bergamotturn.version.configuration import EndpointSettings, Policy
+
+NOWHERE = Address('127.0.0.1', 1)
+TICK_S = 0.25
+TABLE_TIMEOUT_S = 1
+#: Longest transit of a request: below the coordinator's margin, beyond which
+#: the page promises nothing.
+TRANSIT_S = 0.4
+
+
+def member(instance: str, boot_id: str, state: int) -> MemberUpdate:
+    """Return a member with addresses that are never dialled."""
+    return MemberUpdate(
+        instance=instance,
+        boot_id=boot_id,
+        data_centre='a',
+        incarnation=1,
+        state=state,
+        caller_address=NOWHERE,
+        peer_address=NOWHERE,
+        operator_address=NOWHERE,
+    )
+
+
+def terms(**changes: object) -> CoordinatorTerms:
+    """Return the terms of an engine that bears two requests when cold."""
+    endpoint = EndpointSettings(
+        **{
+            'name': 'engine',
+            'address': NOWHERE,
+            'data_centre': 'a',
+            'serves': 'letters',
+            'kv_tokens': 100_000,
+            'warm_requests': 12,
+            'cold_requests': 2,
+            'cold_kv_tokens': 8000,
+            **changes,
+        }
+    )
+    return CoordinatorTerms(endpoint, Policy(), {})
+
+
+@dataclass
+class Stream:
+    """Work at the engine."""
+
+    stream: EngineStream
+    started_cold: bool
+
+
+@dataclass
+class Engine:
+    """The endpoint, as the oracle sees it."""
+
+    terms: CoordinatorTerms
+    checks_fencing: bool
+    incarnation: EndpointIncarnation = EndpointIncarnation('start-0', 0)
+    is_warm: bool = False
+    is_down: bool = False
+    epoch: int = 0
+    streams: dict[str, Stream] = field(default_factory=dict)
+    history: list[tuple[float, tuple[EngineStream, ...]]] = field(
+        default_factory=lambda: [(-1000, ())]
+    )
+
+    def changed(self, now_s: float) -> None:
+        """Keep what a lagging report will show."""
+        shown = tuple(work.stream for work in self.streams.values())
+        self.history = [*self.history[-500:], (now_s, shown)]
+
+    def at(self, time_s: float) -> tuple[EngineStream, ...]:
+        """Return the streams as they were."""
+        place = bisect_right(self.history, time_s, key=lambda seen: seen[0])
+        return self.history[max(0, place - 1)][1]
+
+    def accepts(self, grant: PermitGrant) -> bool:
+        """Return whether a start under ``grant`` is let in."""
+        if self.is_down:
+            return False
+        if not self.checks_fencing:
+            return True
+        current = grant.epoch >= self.epoch
+        return current and grant.incarnation == self.incarnation
+
+    def cold_work(self) -> tuple[int, int]:
+        """Return requests and KV tokens that were started while cold."""
+        cold = [work for work in self.streams.values() if work.started_cold]
+        return len(cold), sum(work.stream.kv_tokens for work in cold)
+
+
+@dataclass
+class Table:
+    """One row and the faults of its service."""
+
+    mode: str = 'up'
+    row: Row | None = None
+
+    def apply(self, action: ReadLease | WriteLease) -> StoreOutcome:
+        """Carry out one operation."""
+        rows = (self.row,) if self.row else ()
+        if isinstance(action, ReadLease):
+            status = StoreStatus.found if rows else StoreStatus.absent
+            return StoreOutcome(operation_id=0, status=status, rows=rows)
+        version = self.row.row_version if self.row else 0
+        if version != action.expected_version:
+            return StoreOutcome(
+                operation_id=0, status=StoreStatus.conflict, rows=rows
+            )
+        content = encode_lease_row(action.row)
+        self.row = Row('lease/engine', version + 1, content)
+        return StoreOutcome(
+            operation_id=0,
+            status=StoreStatus.written,
+            row_version=version + 1,
+        )
+
+
+class Node:
+    """One instance: its duty, its permits and its requests."""
+
+    def __init__(self, world: 'World', name: str) -> None:
+        self.world = world
+        self.name = name
+        self.boots = 0
+        self.is_alive = False
+        self.paused_until_s = 0.0
+        self.changed_s = 0.0
+        self.start()
+
+    def start(self) -> None:
+        """Boot anew with empty memory."""
+        self.boots += 1
+        self.is_alive = True
+        self.paused_until_s = 0
+        self.offset_s = self.world.random.uniform(0, 5000)
+        self.boot_id = f'boot-{self.boots}'
+        identity = Identity(self.name, self.boot_id)
+        self.duty = Duty(identity, self.world.engine.terms, self.now_s)
+        self.permits = Permits()
+        self.permits.configure([self.world.engine.terms.endpoint])
+        self.asked: dict[str, tuple[float, int]] = {}
+        self.world.after(self.world.random.uniform(0, TICK_S), self, self.tick)
+        self.world.after(0.1, self, self.see_members)
+        self.world.after(0.2, self, self.press)
+
+    @property
+    def now_s(self) -> float:
+        """Return this instance's own monotonic clock."""
+        return self.world.now_s + self.offset_s
+
+    @property
+    def is_paused(self) -> bool:
+        """Return whether the process stands still."""
+        return self.paused_until_s > self.world.now_s
+
+    def tick(self) -> None:
+        """Run the periodic work."""
+        self.world.after(TICK_S, self, self.tick)
+        self.act(self.duty.tick(self.now_s))
+        self.take(self.permits.tick(self.now_s))
+
+    def see_members(self) -> None:
+        """Take the members as the gossip shows them by now."""
+        self.world.after(0.5, self, self.see_members)
+        members = self.world.members(self)
+        self.duty.members_known(self.now_s, members)
+        alive = [
+            known.instance
+            for known in members
+            if known.state != MemberState.dead
+        ]
+        self.permits.members_known(alive, len(members))
+
+    def press(self) -> None:
+        """Ask for one more permit and come back soon."""
+        random = self.world.random
+        self.world.after(random.uniform(0.1, 0.9), self, self.press)
+        if not self.world.is_pressing:
+            return
+        number = next(self.world.numbers)
+        cost = Cost(1000, 100, random.choice((1000, 2500, 6000)))
+        ask = PermitAsk(
+            ask_id=f'{self.name}/{self.boot_id}/{number}',
+            endpoint='engine',
+            workspace=random.choice(('one', 'two')),
+            work_class=AskClass.short,
+            cost=cost,
+            wait_s=random.choice((0.5, 4)),
+        )
+        self.asked[ask.ask_id] = (self.now_s, cost.kv_tokens)
+        self.take(self.permits.ask(self.now_s, ask))
+
+    def receive(self, envelope: Envelope) -> None:
+        """Take a message from an instance."""
+        message = envelope.message
+        if isinstance(message, PermitGrant):
+            self.take(self.permits.grant(self.now_s, envelope.sender, message))
+        elif isinstance(message, PermitBusy):
+            self.take(self.permits.busy(self.now_s, envelope.sender, message))
+        else:
+            self.act(self.duty.message(self.now_s, envelope))
+
+    def act(self, actions: list) -> None:
+        """Carry out a duty's actions."""
+        for action in actions:
+            if isinstance(action, SendTo):
+                self.world.note_grant(self, action)
+                self.world.send(self, action)
+            elif isinstance(action, (ReadLease, WriteLease)):
+                self.world.operate(self, action)
+            else:
+                self.world.call_engine(self, action)
+        if self.duty.announce is not None:
+            self.permits.coordinator_known(self.duty.announce)
+
+    def take(self, actions: list) -> None:
+        """Carry out the actions of the permits."""
+        for action in actions:
+            if isinstance(action, SendTo):
+                self.world.send(self, action)
+            elif isinstance(action, Granted):
+                grant = action.grant
+                self.world.after(0.002, self, lambda: self.begin(grant))
+            elif isinstance(action, Refused):
+                self.asked.pop(action.busy.ask_id, None)
+
+    def begin(self, grant: PermitGrant) -> None:
+        """Ask for the status and send the work on the same connection."""
+        world = self.world
+        engine = world.engine
+        asked_s, kv_tokens = self.asked.pop(grant.ask_id)
+        status = EngineStatus(engine.incarnation, engine.is_warm)
+        if engine.is_down or not may_start(grant, asked_s, self.now_s, status):
+            self.end(grant, engine.incarnation)
+            return
+        owner = f'{self.name}/{self.boot_id}'
+        stream = EngineStream(grant.ask_id, owner, kv_tokens)
+        if not engine.checks_fencing:
+            world.arrive(self, grant, stream)
+            return
+        transit_s = world.random.uniform(0, TRANSIT_S)
+        world.later(transit_s, lambda: world.arrive(self, grant, stream))
+
+    def end(
+        self, grant: PermitGrant, seen: EndpointIncarnation | None = None
+    ) -> None:
+        """Give the permit back."""
+        release = PermitRelease(
+            permit_id=grant.permit_id,
+            endpoint='engine',
+            used=seen is None,
+            incarnation=seen,
+        )
+        self.take(self.permits.give_back(self.now_s, release))
+
+
+class World:
+    """Everything, on one heap of events."""
+
+    def __init__(
+        self, seed: int, *, checks_fencing: bool = False, nodes: int = 9
+    ) -> None:
+        self.random = Random(seed)
+        self.now_s = 0.0
+        self.numbers = count(1)
+        self.counts: Counter[str] = Counter()
+        self.breaches: list[str] = []
+        self.granted_epoch = 0
+        self.is_pressing = True
+        self.late_until_s = 0.0
+        self.longest_stream_s = 4.0
+        self.table = Table()
+        self.engine = Engine(terms(), checks_fencing)
+        self._order = count()
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.nodes: dict[str, Node] = {}
+        for number in range(nodes):
+            name = f'node-{number}'
+            self.nodes[name] = Node(self, name)
+
+    def run(self, seconds: float) -> None:
+        """Let the time pass."""
+        until_s = self.now_s + seconds
+        while self._heap and self._heap[0][0] <= until_s:
+            self.now_s, _, call = heapq.heappop(self._heap)
+            call()
+        self.now_s = until_s
+
+    def later(self, delay_s: float, call: Callable[[], None]) -> None:
+        """Call after a time, whoever lives."""
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._heap, (due_s, next(self._order), call))
+
+    def after(
+        self, delay_s: float, node: Node, call: Callable[[], None]
+    ) -> None:
+        """Call in one boot of an instance; a pause holds the call up."""
+        boots = node.boots
+
+        def run() -> None:
+            if not node.is_alive or node.boots != boots:
+                return
+            if node.is_paused:
+                wake_s = node.paused_until_s - self.now_s
+                self.later(wake_s + self.random.uniform(0, 0.01), run)
+                return
+            call()
+
+        self.later(delay_s, run)
+
+    def members(self, viewer: Node) -> list[MemberUpdate]:
+        """Return the members; a change shows after 3.5 s."""
+        shown = []
+        for node in self.nodes.values():
+            gone = not node.is_alive or node.is_paused
+            late = self.now_s - node.changed_s > 3.5
+            dead = gone and late and node is not viewer
+            state = MemberState.dead if dead else MemberState.alive
+            shown.append(member(node.name, node.boot_id, state))
+        return shown
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Stop a process for a time."""
+        node = self.nodes[name]
+        node.paused_until_s = self.now_s + seconds
+        node.changed_s = self.now_s
+
+    def kill(self, name: str) -> None:
+        """End a process."""
+        node = self.nodes[name]
+        node.is_alive = False
+        node.changed_s = self.now_s
+
+    def restart(self, name: str) -> None:
+        """Start a dead process again."""
+        if not self.nodes[name].is_alive:
+            self.nodes[name].start()
+
+    def holders(self) -> list[Node]:
+        """Return the instances that believe to hold the lease."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.is_alive and node.duty.coordinator is not None
+        ]
+
+    def send(self, sender: Node, action: SendTo) -> None:
+        """Deliver a message, perhaps late or not at all."""
+        random = self.random
+        if random.random() < 0.01:
+            return
+        delay_s = random.uniform(0, 0.005)
+        if self.now_s < self.late_until_s and sender.name != action.instance:
+            delay_s = random.uniform(0, 6)
+        envelope = Envelope(sender.name, sender.boot_id, action.message)
+        target = self.nodes[action.instance]
+
+        def deliver() -> None:
+            self.after(0, target, lambda: target.receive(envelope))
+
+        self.later(delay_s, deliver)
+
+    def note_grant(self, node: Node, action: SendTo) -> None:
+        """Check that no grant follows one of a newer holder."""
+        if not isinstance(action.message, PermitGrant):
+            return
+        epoch = action.message.epoch
+        self.counts['grants'] += 1
+        if epoch > self.granted_epoch:
+            self.counts['granting holders'] += 1
+            self.granted_epoch = epoch
+        elif epoch < self.granted_epoch:
+            self.breaches.append(f'{node.name} grants under epoch {epoch}')
+
+    def operate(self, node: Node, action: ReadLease | WriteLease) -> None:
+        """Carry out a table operation with the faults of the moment."""
+        mode = self.table.mode
+        delay_s = self.random.uniform(0.001, 0.01)
+        unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
+        if mode == 'up':
+            self.later(
+                delay_s,
+                lambda: self._answer(
+                    node, action, self.table.apply(action), delay_s
+                ),
+            )
+            return
+        if mode == 'refused':
+            refused = StoreOutcome(operation_id=0, status=StoreStatus.refused)
+            self._answer(node, action, refused, delay_s)
+            return
+        if mode == 'lost':
+            self.later(delay_s, lambda: self.table.apply(action))
+        if mode == 'late':
+            held_s = self.random.uniform(0, 8)
+            self.later(held_s, lambda: self.table.apply(action))
+        self._answer(node, action, unknown, TABLE_TIMEOUT_S)
+
+    def call_engine(
+        self, node: Node, action: AskStatus | AskLoad | GiveEpoch
+    ) -> None:
+        """Carry out a control call."""
+        asked_s = node.now_s
+        self.after(
+            self.random.uniform(0.001, 0.01),
+            node,
+            lambda: self._engine_answers(node, action, asked_s),
+        )
+
+    def arrive(
+        self, node: Node, grant: PermitGrant, stream: EngineStream
+    ) -> None:
+        """Let work reach the engine, and check the bound."""
+        engine = self.engine
+        if not engine.accepts(grant):
+            self.after(0, node, lambda: node.end(grant, engine.incarnation))
+            return
+        engine.streams[stream.stream_id] = Stream(stream, not engine.is_warm)
+        engine.changed(self.now_s)
+        self.counts['warm starts' if engine.is_warm else 'cold starts'] += 1
+        requests, kv_tokens = engine.cold_work()
+        limits = engine.terms.endpoint
+        if requests > limits.cold_requests or kv_tokens > limits.cold_kv_tokens:
+            self.breaches.append(
+                f'{requests} requests, {kv_tokens} KV tokens at a cold engine'
+            )
+        lasts_s = self.random.uniform(0.2, self.longest_stream_s)
+        self.later(lasts_s, lambda: self._finish(node, grant))
+
+    def turn_cold(self, *, restarted: bool) -> None:
+        """Turn the engine cold without a word; a restart ends its work."""
+        engine = self.engine
+        known = engine.incarnation
+        engine.is_warm = False
+        engine.incarnation = EndpointIncarnation(
+            known.start_id, known.cold_count + 1
+        )
+        if restarted:
+            engine.incarnation = EndpointIncarnation(
+                f'start-{next(self.numbers)}', 0
+            )
+            engine.epoch = 0
+            engine.streams.clear()
+            engine.changed(self.now_s)
+
+    def _finish(self, node: Node, grant: PermitGrant) -> None:
+        if self.engine.streams.pop(grant.ask_id, None) is not None:
+            self.engine.changed(self.now_s)
+        self.after(0.001, node, lambda: node.end(grant))
+
+    def _answer(
+        self,
+        node: Node,
+        action: ReadLease | WriteLease,
+        outcome: StoreOutcome,
+        delay_s: float,
+    ) -> None:
+        duty = node.duty
+        take = duty.row_written
+        if isinstance(action, ReadLease):
+            take = duty.row_read
+        self.after(delay_s, node, lambda: node.act(take(node.now_s, outcome)))
+
+    def _engine_answers(
+        self,
+        node: Node,
+        action: AskStatus | AskLoad | GiveEpoch,
+        asked_s: float,
+    ) -> None:
+        engine = self.engine
+        duty = node.duty
+        if isinstance(action, GiveEpoch):
+            if not engine.is_down:
+                engine.epoch = max(engine.epoch, action.epoch)
+                duty.epoch_answered(action.epoch)
+        elif isinstance(action, AskStatus):
+            status = EngineStatus(engine.incarnation, engine.is_warm)
+            seen = None if engine.is_down else status
+            self.after(
+                0.005,
+                node,
+                lambda: node.act(
+                    duty.status_answered(node.now_s, asked_s, seen)
+                ),
+            )
+        elif not engine.is_down:
+            age_s = self.random.uniform(0, 1)
+            shown = engine.at(self.now_s - age_s)
+            load = EngineLoad(asked_s - age_s, shown)
+            self.after(
+                0.005,
+                node,
+                lambda: node.act(duty.load_answered(node.now_s, load)),
+            )
