--- a/bergamotturn/process/endpoint_knowledge.py
+++ b/bergamotturn/process/endpoint_knowledge.py
@@ -1,21 +1,15 @@
 """What this instance knows of the endpoints, as input to routing."""
 
-from collections import OrderedDict
 from collections.abc import Iterable
-from hashlib import sha256
 from typing import Final, final
 
 from ..connection.peer_messages import Cost
 from ..version.configuration import Configuration, EndpointSettings
 from .events import OrderView
+from .prefix_hints import PrefixHints
 from .routing import Candidate, excluded_endpoints
 
-__all__ = ('EndpointKnowledge', 'prefix_digest')
-
-#: Engines cache prompts by the digest of this many first characters.
-_PREFIX_CHARACTERS: Final = 1024
-#: Prefixes remembered for each endpoint; an engine's own cache holds fewer.
-_PREFIXES: Final = 512
+__all__ = ('EndpointKnowledge',)
 
 _NEVER: Final = float('-inf')
 
@@ -27,7 +21,6 @@
         'expected_wait_s',
         'failed_s',
         'prefill_tokens',
-        'prefixes',
         'reported_s',
         'requests',
     )
@@ -38,21 +31,20 @@
         self.expected_wait_s: float = 0
         self.reported_s = _NEVER
         self.failed_s = _NEVER
-        #: Prompt tokens by prefix digest, the latest used last.
-        self.prefixes: OrderedDict[str, int] = OrderedDict()
-
-    def add_prefix(self, digest: str, prompt_tokens: int) -> None:
-        self.prefixes[digest] = prompt_tokens
-        self.prefixes.move_to_end(digest)
-        if len(self.prefixes) > _PREFIXES:
-            self.prefixes.popitem(last=False)
 
 
 @final
 class EndpointKnowledge:
     """Collects reports and makes the candidates for one choice."""
 
-    __slots__ = ('_configuration', '_excluded', '_known', '_leaving', '_orders')
+    __slots__ = (
+        '_configuration',
+        '_excluded',
+        '_hints',
+        '_known',
+        '_leaving',
+        '_orders',
+    )
 
     def __init__(self) -> None:
         """Start without a configuration."""
@@ -61,6 +53,7 @@
         self._leaving: tuple[str, ...] = ()
         self._excluded: frozenset[str] = frozenset()
         self._known: dict[str, _Known] = {}
+        self._hints = PrefixHints()
 
     def configure(self, configuration: Configuration) -> None:
         """Take the configuration in force."""
@@ -71,12 +64,12 @@
         }
         self._exclude()
 
-    def set_orders(self, orders: OrderView) -> None:
+    def take_orders(self, orders: OrderView) -> None:
         """Take the operators' orders."""
         self._orders = orders
         self._exclude()
 
-    def set_leaving(self, leaving: Iterable[str]) -> None:
+    def take_leaving(self, leaving: Iterable[str]) -> None:
         """Take the names of leaving endpoints."""
         self._leaving = tuple(leaving)
         self._exclude()
@@ -93,9 +86,8 @@
 
     def first_token(self, endpoint: str, cost: Cost, digest: str) -> None:
         """Note that a prompt was processed and its prefix is cached."""
-        known = self._of(endpoint)
-        known.prefill_tokens -= cost.prompt_tokens
-        known.add_prefix(digest, cost.prompt_tokens)
+        self._of(endpoint).prefill_tokens -= cost.prompt_tokens
+        self._hints.note(endpoint, digest, cached=True)
 
     def ended(self, endpoint: str, cost: Cost, *, had_text: bool) -> None:
         """Note that a request is no longer there."""
@@ -114,9 +106,11 @@
         """Note that the endpoint did not answer as it should."""
         self._of(endpoint).failed_s = now_s
 
-    def cache_forgot(self, endpoint: str, digest: str) -> None:
-        """Take a cache event: the prefix is no longer cached."""
-        self._of(endpoint).prefixes.pop(digest, None)
+    def cache_changed(
+        self, endpoint: str, digest: str, *, cached: bool
+    ) -> None:
+        """Take a cache event."""
+        self._hints.note(endpoint, digest, cached=cached)
 
     def candidates(self, deployment: str, digest: str) -> tuple[Candidate, ...]:
         """Return all endpoints of ``deployment``."""
@@ -135,7 +129,7 @@
             expected_wait_s=known.expected_wait_s,
             reported_s=known.reported_s,
             failed_s=known.failed_s,
-            cached_tokens=known.prefixes.get(digest, 0),
+            cached_tokens=self._hints.cached_tokens(endpoint.name, digest),
         )
 
     def _exclude(self) -> None:
@@ -149,8 +143,3 @@
             known = _Known()
             self._known[endpoint] = known
         return known
-
-
-def prefix_digest(prompt: str) -> str:
-    """Return the digest by which engines name the prompt's prefix."""
-    return sha256(prompt[:_PREFIX_CHARACTERS].encode()).hexdigest()
--- a/bergamotturn/request/actions.py
+++ b/bergamotturn/request/actions.py
@@ -6,6 +6,7 @@
 
 from ..connection.peer_messages import PermitGrant, PermitRelease
 from ..errors import Failure
+from .answer import EndChunk
 
 __all__ = (
     'Action',
@@ -109,8 +110,7 @@
 class FinishAnswer(_Action, frozen=True, eq=False):
     """Tell the caller that its answer is whole."""
 
-    finish_reason: str
-    output_tokens: int
+    end: EndChunk
 
 
 @final
--- a/bergamotturn/request/lifecycle.py
+++ b/bergamotturn/request/lifecycle.py
@@ -44,7 +44,7 @@
 from .answer import Action as AnswerStep
 from .calls import ChatCall
 
-__all__ = ('ChatRequest', 'PlacedRequest', 'RequestPhase')
+__all__ = ('RequestLifecycle', 'PlacedRequest', 'RequestPhase')
 
 #: Longest wait in one coordinator's queue while other endpoints are left.
 _QUEUE_WAIT_S: Final = 2
@@ -235,7 +235,7 @@
 
 
 @final
-class ChatRequest(PlacedRequest):
+class RequestLifecycle(PlacedRequest):
     """Runs one chat call on the endpoints that it is placed at.
 
     :param resumable_elsewhere: whether another engine makes the same tokens.
@@ -338,7 +338,7 @@
     def _complete(self, step: Complete) -> Sequence[Action]:
         release = _release(self._grants[0], self._tokens_served())
         actions = (
-            FinishAnswer(step.end.finish_reason, step.end.output_tokens),
+            FinishAnswer(step.end),
             ReturnPermit(release),
             *self._free_members(),
         )
--- a/bergamotturn/request/live.py
+++ b/bergamotturn/request/live.py
@@ -12,7 +12,7 @@
 )
 from .chat_reply import ChatReply
 from .group import GroupReservation
-from .lifecycle import ChatRequest
+from .lifecycle import RequestLifecycle
 
 __all__ = ('ExchangeUse', 'LiveRequest', 'UseKind')
 
@@ -58,6 +58,7 @@
     :ivar asked_s: monotonic time before each open ask left.
     :ivar connection: exchange whose connection answered the status check.
     :ivar stream: exchange that carries the answer, 0 for none.
+    :ivar reservations: reservations made so far; their ids must differ.
     :ivar group_engines: engines that share the prompt.
     :ivar incarnation: what the status check showed.
     :ivar working_at: endpoint that the current start was sent to.
@@ -65,13 +66,14 @@
     :ivar last_text_s: when the latest text went to the caller.
     """
 
-    request: ChatRequest
+    request: RequestLifecycle
     reply: ChatReply
     work_class: str
     cost: Cost
     timer: int
     asked_s: dict[str, float] = field(default_factory=dict)
     reservation: GroupReservation | None = None
+    reservations: int = 0
     group_engines: int = 1
     connection: int = 0
     stream: int = 0
--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -29,7 +29,8 @@
 )
 from bergamotturn.process.lease import LeaseRow, ReadLease, WriteLease
 from bergamotturn.process.orphan_task import OrphanTask
-from bergamotturn.process.permits_task import PermitsTask, ask_permit
+from bergamotturn.process.permit_events import ask_permit
+from bergamotturn.process.permits_task import PermitsTask
 from bergamotturn.version.configuration import Configuration
 from bergamotturn.version.settings import PlatformSettings, Settings
 
@@ -201,7 +202,7 @@
     def ask(self, ask):
         """Return the answer to an ask, if one comes within 2 s."""
         self.outside.answers.clear()
-        self.outside.fire(ask_permit(ask), 'permits')
+        self.outside.fire(ask_permit(ask, 'requests'), 'permits')
         self.run(2)
         return self.outside.answers[0] if self.outside.answers else None
 
