Ping the member longest out of touch on every tick in small fleets

Cause: in 600 simulated deaths among nine members the slowest was seen by all after 3.94 s, close to the limit of 4 s.

Ruled out: a faster ping rate, which costs bytes at every size.

Change: random pings only with more than 16 other members.

Conclusion: kept; large fleets still need the random half to spread news.

--- a/bergamotturn/process/ping_target.py
+++ b/bergamotturn/process/ping_target.py
@@ -13,6 +13,10 @@
 #: One ping in so many goes to a dead member or an unanswered seed, so that
 #: the two sides of a healed partition find each other.
 _TICKS_PER_DEAD_PING: Final = 8
+#: Random pings spread news in a large fleet. In a small one they only delay
+#: the first ping after a death: in 600 simulated deaths among nine members
+#: the slowest was seen after 3.94 s with them and after 3.56 s without.
+_SMALL_FLEET: Final = 16
 
 
 @final
@@ -39,7 +43,7 @@
             return self._random.choice(lost)
         if not targets:
             return None
-        if ticks % 2:
+        if ticks % 2 and len(targets) > _SMALL_FLEET:
             return self._random.choice(targets)
         # Whoever was out of touch longest comes first: this passes through
         # all members, and finds a death sooner than a fixed order does.
