--- /dev/null
+++ b/features/standins/platform.py
@@ -0,0 +1,203 @@
+"""The platform: table service, object store and instance list.
+
+Run as ``python -m features.standins.platform TABLE OBJECTS LIST``, one port
+for each service. Each takes its own faults at ``POST /_faults``.
+"""
+
+import asyncio
+import sys
+from base64 import b64decode
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
+from itertools import count
+from time import monotonic
+from typing import Final, final
+
+import msgspec
+from aiohttp import web
+
+from .serving import Listener, json_answer, read_body, run_forever
+
+__all__ = ('InstanceList', 'ObjectStore', 'TableService', 'main')
+
+_ABSENT: Final = 404
+_CONFLICT: Final = 409
+_REFUSED: Final = 503
+#: Longer than any client waits for an answer.
+_SILENT_S: Final = 60
+_Operation = Callable[[str, bytes], web.Response]
+
+
+@final
+@dataclass(slots=True)
+class _Outage:
+    """A fault in force.
+
+    :param fault: ``refuse``, ``silent``, ``slow``, ``lose_answers`` or none.
+    :param every: the fault meets each call whose number this divides.
+    """
+
+    fault: str = ''
+    for_s: float = 3600
+    delay_s: float = 1
+    every: int = 1
+
+
+class _Service:
+    """What the platform's services have in common: outages."""
+
+    def __init__(self, port: int, *routes: web.RouteDef) -> None:
+        self._outage = _Outage()
+        self._until_s = monotonic()
+        self._calls = count(1)
+        self._counts = {'GET': 0, 'PUT': 0}
+        faults = web.post('/_faults', self._set_fault)
+        facts = web.get('/_facts', self._facts)
+        self.listener = Listener([faults, facts, *routes], port)
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        self._outage = _Outage(**await read_body(request))
+        self._until_s = monotonic() + self._outage.for_s
+        return web.Response(status=204)
+
+    async def _facts(self, _: web.Request) -> web.Response:
+        return json_answer(self._counts)
+
+    def _fault(self) -> str:
+        if monotonic() >= self._until_s:
+            return ''
+        if next(self._calls) % self._outage.every:
+            return ''
+        return self._outage.fault
+
+    async def _carry_out(
+        self, operation: _Operation, request: web.Request
+    ) -> web.StreamResponse:
+        """Run ``operation`` under the outage in force.
+
+        A slow write takes effect even when its caller has gone, so that a
+        caller's timeout leaves the outcome open.
+        """
+        self._counts[request.method] += 1
+        body = await request.read()
+        fault = self._fault()
+        if fault == 'silent':
+            await asyncio.sleep(_SILENT_S)
+        if fault in {'refuse', 'silent'}:
+            return json_answer({'error': 'unavailable'}, _REFUSED)
+        if fault == 'slow':
+            await asyncio.sleep(self._outage.delay_s)
+        key = request.match_info.get('key', request.query.get('prefix', ''))
+        answer = operation(key, body)
+        if fault == 'lose_answers' and request.method == 'PUT':
+            request.transport.abort()
+        return answer
+
+
+@final
+class _Row(msgspec.Struct, frozen=True):
+    row_version: int = 0
+    value: str = ''
+
+
+@final
+class TableService(_Service):
+    """Rows with versions, written under a condition."""
+
+    def __init__(self, port: int) -> None:
+        """Start with an empty table."""
+        self._rows: dict[str, _Row] = {}
+        super().__init__(
+            port,
+            web.get('/rows', partial(self._carry_out, self._scan)),
+            web.get('/rows/{key:.+}', partial(self._carry_out, self._read)),
+            web.put('/rows/{key:.+}', partial(self._carry_out, self._write)),
+        )
+
+    def _scan(self, prefix: str, _: bytes) -> web.Response:
+        rows = [
+            {'row_key': key, 'row_version': row.row_version, 'value': row.value}
+            for key, row in sorted(self._rows.items())
+            if key.startswith(prefix)
+        ]
+        return json_answer({'rows': rows})
+
+    def _read(self, key: str, _: bytes) -> web.Response:
+        if key not in self._rows:
+            return json_answer({'error': 'absent'}, _ABSENT)
+        return json_answer(self._rows[key])
+
+    def _write(self, key: str, body: bytes) -> web.Response:
+        ask = msgspec.json.decode(body)
+        b64decode(ask['value'], validate=True)
+        row = self._rows.get(key, _Row())
+        if row.row_version != ask['expected_version']:
+            return json_answer(row, _CONFLICT)
+        self._rows[key] = _Row(row.row_version + 1, ask['value'])
+        return json_answer({'row_version': row.row_version + 1})
+
+
+@final
+class ObjectStore(_Service):
+    """Objects by key."""
+
+    def __init__(self, port: int) -> None:
+        """Start with no objects."""
+        self._objects: dict[str, bytes] = {}
+        super().__init__(
+            port,
+            web.get('/objects/{key:.+}', partial(self._carry_out, self._read)),
+            web.put('/objects/{key:.+}', partial(self._carry_out, self._write)),
+        )
+
+    def _read(self, key: str, _: bytes) -> web.Response:
+        if key not in self._objects:
+            return json_answer({'error': 'absent'}, _ABSENT)
+        return web.Response(body=self._objects[key])
+
+    def _write(self, key: str, body: bytes) -> web.Response:
+        self._objects[key] = body
+        return web.Response(status=204)
+
+
+@final
+class InstanceList(_Service):
+    """The list of instances and endpoints, ``lag_s`` late."""
+
+    def __init__(self, port: int, lag_s: float = 2) -> None:
+        """Start with an empty list; the first one set is shown at once."""
+        self._lag_s = lag_s
+        self._versions = deque([(-lag_s, b'{"instances":[],"endpoints":[]}')])
+        super().__init__(
+            port,
+            web.get('/instances', partial(self._carry_out, self._read)),
+            web.put('/_instances', self._set_list),
+        )
+
+    async def _set_list(self, request: web.Request) -> web.Response:
+        """Take the list as it is now."""
+        is_first = self._versions[-1][0] < 0
+        at_s = 0 if is_first else monotonic()
+        self._versions.append((at_s, await request.read()))
+        return web.Response(status=204)
+
+    def _read(self, _: str, _body: bytes) -> web.Response:
+        then_s = monotonic() - self._lag_s
+        while len(self._versions) > 1 and self._versions[1][0] <= then_s:
+            self._versions.popleft()
+        return json_answer(msgspec.Raw(self._versions[0][1]))
+
+
+def main() -> None:
+    """Serve on the three ports of the arguments."""
+    ports = map(int, sys.argv[1:])
+    kinds = (TableService, ObjectStore, InstanceList)
+    run_forever(
+        lambda: [kind(port).listener for kind, port in zip(kinds, ports)]
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Runner, load tool and benchmarks that tests and tools share."""
