--- a/features/standins/engine.py
+++ b/features/standins/engine.py
@@ -6,51 +6,56 @@
 
 import asyncio
 import sys
-from base64 import b64decode, b64encode
-from dataclasses import asdict
+from contextlib import suppress
+from functools import partial
 from pathlib import Path
 from time import monotonic, time_ns
-from typing import Final, final
+from typing import Any, Final, final
 
 import msgspec
 from aiohttp import web
 
+from features.support.engine_settings import EngineSettings
+from features.support.prompts import prompt_facts, token_text
+
 from . import engine_model
-from .serving import Listener, json_answer, read_body, run_forever
+from .serving import Listener, json_answer, read_body, run
 
 __all__ = ('Engine', 'main')
 
 _HEARTBEAT_S: Final = 0.5
 #: Longest time between two looks at the clock while idle.
 _IDLE_S: Final = 0.25
-_NOT_FOUND: Final = 404
 
 
 @final
 class Engine:
     """One engine with its own port."""
 
-    def __init__(self, settings: engine_model.EngineSettings) -> None:
+    def __init__(self, settings: EngineSettings) -> None:
         """Start the model; a new process has new start ids."""
         boot = str(time_ns())
         self._model = engine_model.EngineModel(settings, monotonic(), boot)
         self._moved = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
+        model = self._model
+        stream_path = '/streams/{stream_id:.+}'
+        group_path = '/groups/{group_id:.+}'
         routes = [
-            web.get('/status', self._status),
-            web.get('/load', self._load),
+            web.get('/status', partial(self._show, model.status)),
+            web.get('/load', partial(self._show, model.load)),
+            web.get('/cache-events', partial(self._show, model.cache_events)),
+            web.get('/_facts', partial(self._show, model.facts)),
             web.post('/streams', self._start),
-            web.get('/streams/{id:.+}', self._resume),
-            web.delete('/streams/{id:.+}', self._cancel),
-            web.post('/fence', self._fence),
-            web.post('/groups', self._hold_group),
-            web.delete('/groups/{id:.+}', self._free_group),
-            web.get('/cache-events', self._cache_events),
-            web.post('/orders', self._order),
+            web.get(stream_path, self._resume),
+            web.delete(stream_path, partial(self._change, model.cancel)),
+            web.post('/fence', partial(self._change, model.fence)),
+            web.post('/groups', partial(self._change, model.hold_group)),
+            web.delete(group_path, partial(self._change, model.free_group)),
+            web.post('/orders', partial(self._change, model.order)),
+            web.post('/kv/import', partial(self._change, model.import_kv)),
             web.post('/kv/export', self._export),
-            web.post('/kv/import', self._import),
             web.post('/_faults', self._fault),
-            web.get('/_facts', self._facts),
         ]
         self.listener = Listener(routes, settings.port)
         self._refresh()
@@ -68,26 +73,26 @@
             max(0, min(due_s - now_s, _IDLE_S)), self._refresh
         )
 
-    async def _status(self, _: web.Request) -> web.Response:
-        return json_answer(self._model.status(monotonic()))
+    async def _show(self, read: Any, request: web.Request) -> web.Response:
+        return json_answer(read(monotonic(), **request.query))
 
-    async def _load(self, _: web.Request) -> web.Response:
-        return json_answer(self._model.load(monotonic()))
+    async def _change(self, change: Any, request: web.Request) -> web.Response:
+        body = await read_body(request) if request.can_read_body else {}
+        return self._answer(change(monotonic(), **request.match_info, **body))
 
     async def _start(self, request: web.Request) -> web.StreamResponse:
         ask = await read_body(request, engine_model.StreamAsk)
-        facts = engine_model.prompt_facts(ask.prompt)
-        refusal = self._model.start(monotonic(), ask, facts)
+        refusal = self._model.start(monotonic(), ask, prompt_facts(ask.prompt))
         if refusal:
             return self._answer(refusal)
         self._refresh()
         return await self._send(request, ask.stream_id, 0)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
-        stream_id = request.match_info['id']
+        stream_id = request.match_info['stream_id']
         offset = int(request.query.get('offset', '0'))
         if stream_id not in self._model.streams:
-            return json_answer({'error': 'unknown_stream'}, _NOT_FOUND)
+            return json_answer({'error': 'unknown_stream'}, 404)
         return await self._send(request, stream_id, offset)
 
     async def _send(
@@ -97,12 +102,9 @@
         response.content_type = 'text/event-stream'
         stream = self._model.streams[stream_id]
         stream.count_reader(monotonic(), 1)
-        try:
+        with suppress(ConnectionError):
             await self._relay(request, response, stream, offset)
-        except ConnectionError:
-            return response
-        finally:
-            stream.count_reader(monotonic(), -1)
+        stream.count_reader(monotonic(), -1)
         return response
 
     async def _relay(
@@ -128,42 +130,13 @@
                 return
             await self._moved.wait()
 
-    async def _cancel(self, request: web.Request) -> web.Response:
-        self._model.cancel(monotonic(), request.match_info['id'])
-        return self._answer('')
-
-    async def _fence(self, request: web.Request) -> web.Response:
-        self._model.fence(monotonic(), **await read_body(request))
-        return self._answer('')
-
-    async def _hold_group(self, request: web.Request) -> web.Response:
-        ask = await read_body(request)
-        return self._answer(self._model.hold_group(monotonic(), **ask))
-
-    async def _free_group(self, request: web.Request) -> web.Response:
-        self._model.free_group(monotonic(), request.match_info['id'])
-        return self._answer('')
-
-    async def _cache_events(self, request: web.Request) -> web.Response:
-        after = int(request.query.get('after', '0'))
-        events = self._model.cache_events(monotonic(), after)
-        return json_answer({'events': events})
-
-    async def _order(self, request: web.Request) -> web.Response:
-        order = await read_body(request)
-        return self._answer(self._model.order(monotonic(), **order))
-
     async def _export(self, request: web.Request) -> web.Response:
         blob = self._model.export_kv(**await read_body(request))
         if not blob:
-            return json_answer({'error': 'unknown_stream'}, _NOT_FOUND)
-        return json_answer({'blob': b64encode(blob).decode()})
-
-    async def _import(self, request: web.Request) -> web.Response:
-        blob = b64decode((await read_body(request))['blob'])
-        return self._answer(self._model.import_kv(monotonic(), blob))
+            return json_answer({'error': 'unknown_stream'}, 404)
+        return json_answer({'blob': blob})
 
-    def _answer(self, refusal: str) -> web.Response:
+    def _answer(self, refusal: str | None = None) -> web.Response:
         self._refresh()
         if not refusal:
             return web.Response(status=204)
@@ -172,18 +145,8 @@
         status = 503 if refusal in {'full', 'fell_over'} else 409
         return json_answer({'error': refusal}, status)
 
-    async def _facts(self, _: web.Request) -> web.Response:
-        facts = asdict(self._model.record)
-        facts['kv_used_tokens'] = self._model.kv_used_tokens
-        return json_answer(facts)
-
     async def _fault(self, request: web.Request) -> web.Response:
-        """Carry out a fault.
-
-        ``freeze`` lets ``most`` connections (all when absent) go silent;
-        ``restart`` closes the port and loses all work, for ``for_s``;
-        ``turn_cold`` and ``leave`` change the model's state.
-        """
+        """Carry out a fault; ``most`` and ``for_s`` limit a few of them."""
         fault = await read_body(request)
         if fault['fault'] == 'freeze':
             frozen = self.listener.freeze(fault.get('most'))
@@ -195,34 +158,29 @@
             await self.listener.start()
         elif fault['fault'] == 'turn_cold':
             self._model.turn_cold(monotonic())
-        else:
+        elif fault['fault'] == 'leave':
             self._model.record.left_at_s = monotonic()
-        return self._answer('')
+        return self._answer()
 
 
 def main() -> None:
     """Serve the engines described in the file of the first argument."""
     content = Path(sys.argv[1]).read_bytes()
-    shape = list[engine_model.EngineSettings]
-    described = msgspec.json.decode(content, type=shape)
-    run_forever(lambda: [Engine(each).listener for each in described])
+    described = msgspec.json.decode(content, type=list[EngineSettings])
+    run(lambda: [Engine(each).listener for each in described])
 
 
 def _events_from(stream: engine_model.Stream, offset: int) -> bytes:
     """Return the events of the tokens from ``offset`` on, and of the end."""
     digest, made = stream.facts.digest, stream.made_tokens
     events = [
-        {'offset': place, 'text': engine_model.token_text(digest, place)}
+        {'offset': place, 'text': token_text(digest, place)}
         for place in range(offset, made)
     ]
     if stream.finish_reason:
-        end = {
-            'offset': made,
-            'finish_reason': stream.finish_reason,
-            'prompt_tokens': stream.facts.prompt_tokens,
-            'output_tokens': made,
-        }
-        events.append(end)
+        end = {'offset': made, 'finish_reason': stream.finish_reason}
+        end['prompt_tokens'] = stream.facts.prompt_tokens
+        events.append({**end, 'output_tokens': made})
     encoded = map(msgspec.json.encode, events)
     return b''.join(b'data: %b\n\n' % event for event in encoded)
 
--- a/features/standins/engine_model.py
+++ b/features/standins/engine_model.py
@@ -5,66 +5,20 @@
 in order of priority, as engines with continuous batching do.
 """
 
+from base64 import b64decode, b64encode
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
-from hashlib import sha256
-from typing import Final, final
+from dataclasses import asdict, dataclass, field
+from typing import Any, Final, final
 
 import msgspec
 
-__all__ = ('EngineModel', 'EngineSettings', 'Stream', 'prompt_facts')
+from features.support.engine_settings import EngineSettings
+from features.support.prompts import BLOCK_TOKENS, PromptFacts, answer_tokens
+
+__all__ = ('EngineModel', 'Stream', 'StreamAsk')
 
-CHARACTERS_PER_TOKEN: Final = 4
-_BLOCK_CHARACTERS: Final = 1024
-_BLOCK_TOKENS: Final = _BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
-#: Prefixes longer than this are not cached; it bounds the cost of hashing.
-_CACHED_CHARACTERS: Final = 64 * _BLOCK_CHARACTERS
 #: Engines keep a stream without a reader this long, since it may resume.
 _UNREAD_S: Final = 60
-_LONGEST_ANSWER_TOKENS: Final = 400
-
-
-@final
-class EngineSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """What distinguishes one engine from another.
-
-    :param chunk_tokens: most prompt tokens prefilled in one step.
-    :param decode_step_s: shortest step, the time between two tokens.
-    :param cold_slowdown: factor on the step time in cold start.
-    :param cache_gap_every: each event whose number it divides is lost.
-    """
-
-    name: str
-    port: int = 0
-    kv_tokens: int = 400_000
-    warm_requests: int = 32
-    waiting_requests: int = 64
-    cold_requests: int = 2
-    cold_kv_tokens: int = 8000
-    cold_s: float = 5
-    cold_slowdown: float = 3
-    start_cold: bool = False
-    prefill_tokens_per_s: float = 20_000
-    decode_step_s: float = 0.02
-    chunk_tokens: int = 512
-    cache_tokens: int = 60_000
-    load_lag_s: float = 1
-    cache_lag_s: float = 1
-    cache_gap_every: int = 7
-    checks_fencing: bool = False
-
-
-@final
-class PromptFacts(msgspec.Struct, frozen=True):
-    """What the model needs of a prompt's text.
-
-    :param blocks: chained digests of the blocks of 1,024 characters; the
-        first is the prefix digest that cache events name.
-    """
-
-    digest: str
-    prompt_tokens: int
-    blocks: tuple[str, ...] = ()
 
 
 @final
@@ -159,12 +113,7 @@
 @final
 @dataclass(slots=True)
 class EngineRecord:
-    """What the model counts for the checks of a test.
-
-    :param cold_requests_high: most requests in flight, counted at each
-        arrival while cold; older work from before the turn is included.
-    :param arrivals_s: times at which work was taken.
-    """
+    """What the model counts; the highs while cold are taken at arrivals."""
 
     cold_requests_high: int = 0
     cold_kv_tokens_high: int = 0
@@ -176,6 +125,11 @@
     arrivals_s: list[float] = field(default_factory=list)
     left_at_s: float | None = None
 
+    def note_cold(self, requests: int, kv_tokens: int) -> None:
+        """Keep the highest work in flight while cold."""
+        self.cold_requests_high = max(self.cold_requests_high, requests)
+        self.cold_kv_tokens_high = max(self.cold_kv_tokens_high, kv_tokens)
+
 
 @final
 class EngineModel:
@@ -216,14 +170,21 @@
         identity = {'start_id': self.start_id, 'cold_count': self.cold_count}
         return {**identity, 'state': state}
 
+    def facts(self, _: float) -> dict[str, Any]:
+        """Return what the model counted."""
+        return {**asdict(self.record), 'kv_used_tokens': self.kv_used_tokens}
+
     def start(self, now_s: float, ask: StreamAsk, facts: PromptFacts) -> str:
         """Take a stream; a repeat of one that is known changes nothing."""
         self.advance(now_s)
         if ask.stream_id in self.streams:
             return ''
-        refusal = self._refusal(ask)
-        if refusal:
-            return refusal
+        if self.settings.checks_fencing:
+            if ask.epoch < self.epoch:
+                return 'stale_epoch'
+            asked = (ask.start_id, ask.cold_count)
+            if asked != (self.start_id, self.cold_count):
+                return 'wrong_incarnation'
         self.fence(now_s, ask.epoch)
         kept = msgspec.structs.replace(ask, prompt='')
         return self._take(now_s, Stream(kept, facts, facts.prompt_tokens))
@@ -277,8 +238,7 @@
     def restart(self, now_s: float) -> None:
         """Drop everything and start again, cold."""
         self.record.starts += 1
-        number = self.record.starts
-        self.start_id = f'{self._stem}-{number}'
+        self.start_id = f'{self._stem}-{self.cold_count}'
         self._clear()
         self.turn_cold(now_s)
 
@@ -288,36 +248,31 @@
         self._forget_snapshots(now_s)
         oldest = self._snapshots[0]
         as_of_s = max(now_s - self.settings.load_lag_s, oldest.at_s)
-        is_cold = as_of_s < oldest.cold_until_s
-        return msgspec.structs.replace(
-            oldest.report,
-            age_s=now_s - as_of_s,
-            state='cold' if is_cold else 'warm',
-        )
+        state = 'cold' if as_of_s < oldest.cold_until_s else 'warm'
+        age_s = now_s - as_of_s
+        return msgspec.structs.replace(oldest.report, age_s=age_s, state=state)
 
-    def cache_events(self, now_s: float, after: int) -> list[CacheEvent]:
+    def cache_events(self, now_s: float, after: str) -> dict[str, Any]:
         """Return the cache events that can be seen now, with their gaps."""
         until_s = now_s - self.settings.cache_lag_s
         gap = self.settings.cache_gap_every
-        return [
-            event
-            for event in self._events[after:]
-            if event.at_s <= until_s and event.number % gap
-        ]
+        seen = self._events[int(after) :]
+        seen = [each for each in seen if each.at_s <= until_s]
+        return {'events': [each for each in seen if each.number % gap]}
 
-    def export_kv(self, stream_id: str) -> bytes:
+    def export_kv(self, stream_id: str) -> str:
         """Return a stream's cache and position, nothing when unknown."""
         stream = self.streams.get(stream_id)
         if stream is None or not stream.made_tokens:
-            return b''
+            return ''
         exported = (stream.ask, stream.facts, 0, stream.made_tokens)
-        return msgspec.json.encode(exported)
+        return b64encode(msgspec.json.encode(exported)).decode()
 
-    def import_kv(self, now_s: float, blob: bytes) -> str:
+    def import_kv(self, now_s: float, blob: str) -> str:
         """Continue an exported stream here, without prefill."""
         self.advance(now_s)
         shape = tuple[StreamAsk, PromptFacts, int, int]
-        exported = msgspec.json.decode(blob, type=shape)
+        exported = msgspec.json.decode(b64decode(blob), type=shape)
         return self._take(now_s, Stream(*exported))
 
     def advance(self, now_s: float) -> None:
@@ -336,15 +291,6 @@
         self._cache: OrderedDict[str, PromptFacts] = OrderedDict()
         self.step_end_s: float | None = None
 
-    def _refusal(self, ask: StreamAsk) -> str:
-        if not self.settings.checks_fencing:
-            return ''
-        if ask.epoch < self.epoch:
-            return 'stale_epoch'
-        asked = (ask.start_id, ask.cold_count)
-        same = asked == (self.start_id, self.cold_count)
-        return '' if same else 'wrong_incarnation'
-
     def _take(self, now_s: float, stream: Stream) -> str:
         too_large = stream.kv_tokens > self.settings.kv_tokens
         if too_large or len(self._waiting) >= self.settings.waiting_requests:
@@ -362,12 +308,9 @@
         if now_s < self._cold_until_s:
             streams = (*self._running, *self._waiting)
             works = (*streams, *self._groups.values())
-            requests = len(works)
             kv_tokens = sum(work.kv_tokens for work in works)
-            record.cold_requests_high = max(record.cold_requests_high, requests)
-            most = max(record.cold_kv_tokens_high, kv_tokens)
-            record.cold_kv_tokens_high = most
-            too_many = requests > limits.cold_requests
+            record.note_cold(len(works), kv_tokens)
+            too_many = len(works) > limits.cold_requests
             if too_many or kv_tokens > limits.cold_kv_tokens:
                 record.falls += 1
                 self.restart(now_s)
@@ -380,8 +323,7 @@
         while self._waiting and self._fits(self._waiting[0]):
             stream = self._waiting.pop(0)
             self._running.append(stream)
-            if stream.prefill_left:
-                stream.prefill_left -= self._cached_tokens(stream.facts)
+            stream.prefill_left -= self._cached_tokens(stream)
         if self.step_end_s is None and self._running:
             self._begin_step(now_s)
         self._note(now_s)
@@ -391,13 +333,14 @@
         has_place = len(self._running) < self.settings.warm_requests
         return has_place and stream.kv_tokens <= free
 
-    def _cached_tokens(self, facts: PromptFacts) -> int:
-        if not facts.blocks or facts.blocks[0] not in self._cache:
+    def _cached_tokens(self, stream: Stream) -> int:
+        blocks = stream.facts.blocks
+        if not stream.prefill_left or blocks[0] not in self._cache:
             return 0
-        self._cache.move_to_end(facts.blocks[0])
-        known = self._cache[facts.blocks[0]].blocks
-        common = len(set(known).intersection(facts.blocks))
-        return min(common * _BLOCK_TOKENS, facts.prompt_tokens - 1)
+        self._cache.move_to_end(blocks[0])
+        known = self._cache[blocks[0]].blocks
+        common = len(set(known).intersection(blocks))
+        return min(common * BLOCK_TOKENS, stream.prefill_left - 1)
 
     def _begin_step(self, now_s: float) -> None:
         budget = float(self.settings.chunk_tokens)
@@ -419,9 +362,8 @@
     def _finish_step(self, now_s: float) -> None:
         ended = [each for each in self._running if self._step(now_s, each)]
         for stream in ended:
-            natural = answer_tokens(stream.facts.digest)
-            at_end = stream.output_tokens == natural
-            stream.finish_reason = 'stop' if at_end else 'length'
+            whole = stream.output_tokens == answer_tokens(stream.facts.digest)
+            stream.finish_reason = 'stop' if whole else 'length'
             stream.unread_since_s = now_s
             self._running.remove(stream)
         self.step_end_s = None
@@ -437,36 +379,31 @@
         stream.prefill_left -= prefilled
         if stream.prefill_left:
             return False
-        if prefilled and stream.facts.blocks:
+        if prefilled:
             self._remember(now_s, stream.facts)
         stream.made_tokens += 1
         return stream.made_tokens >= stream.output_tokens
 
     def _remember(self, now_s: float, facts: PromptFacts) -> None:
-        if facts.blocks[0] not in self._cache:
-            self._publish(now_s, facts.blocks[0], cached=True)
+        is_new = facts.blocks[0] not in self._cache
         self._cache[facts.blocks[0]] = facts
         self._cache.move_to_end(facts.blocks[0])
-        limit = self.settings.cache_tokens // _BLOCK_TOKENS
+        if is_new:
+            self._publish(now_s, facts.blocks[0])
+        limit = self.settings.cache_tokens // BLOCK_TOKENS
         while sum(len(each.blocks) for each in self._cache.values()) > limit:
-            evicted = next(iter(self._cache))
-            self._cache.pop(evicted)
-            self._publish(now_s, evicted, cached=False)
+            self._publish(now_s, self._cache.popitem(last=False)[0])
 
-    def _publish(self, now_s: float, digest: str, *, cached: bool) -> None:
+    def _publish(self, now_s: float, digest: str) -> None:
         number = len(self._events) + 1
+        cached = digest in self._cache
         self._events.append(CacheEvent(number, digest, cached, now_s))
 
     def _drop_unread(self, now_s: float) -> None:
-        since_s = now_s - _UNREAD_S
-        dropped = [
-            stream_id
-            for stream_id, stream in self.streams.items()
-            if not stream.readers and stream.unread_since_s < since_s
-        ]
-        for stream_id in dropped:
-            self.record.unread_drops += self._drop(stream_id)
-            self._settle(now_s)
+        for stream_id, stream in tuple(self.streams.items()):
+            if not stream.readers and now_s - stream.unread_since_s > _UNREAD_S:
+                self.record.unread_drops += self._drop(stream_id)
+                self._settle(now_s)
 
     def _drop(self, stream_id: str) -> bool:
         """Forget a stream; return whether it still ran."""
@@ -499,29 +436,3 @@
         then_s = now_s - self.settings.load_lag_s
         while len(self._snapshots) > 1 and self._snapshots[1].at_s <= then_s:
             self._snapshots.popleft()
-
-
-def prompt_facts(prompt: str) -> PromptFacts:
-    """Return what the model needs of ``prompt``."""
-    chain = sha256()
-    blocks = []
-    cached = min(len(prompt), _CACHED_CHARACTERS)
-    for start in range(0, cached, _BLOCK_CHARACTERS):
-        chain.update(prompt[start : start + _BLOCK_CHARACTERS].encode())
-        blocks.append(chain.hexdigest())
-    prompt_tokens = -(-len(prompt) // CHARACTERS_PER_TOKEN)
-    digest = sha256(prompt.encode()).hexdigest()
-    return PromptFacts(digest, prompt_tokens, tuple(blocks))
-
-
-def answer_tokens(digest: str, max_tokens: int = _LONGEST_ANSWER_TOKENS) -> int:
-    """Return how many tokens the answer to a prompt has."""
-    natural = 1 + int(digest[:8], 16) % _LONGEST_ANSWER_TOKENS
-    return max(1, min(natural, max_tokens))
-
-
-def token_text(digest: str, offset: int) -> str:
-    """Return the token at ``offset`` of the answer to a prompt."""
-    token_digest = sha256(f'{digest}/{offset}'.encode()).hexdigest()
-    word = token_digest[:6]
-    return f'{word} '
--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -1,7 +1,8 @@
 """The platform: table service, object store and instance list.
 
 Run as ``python -m features.standins.platform TABLE OBJECTS LIST``, one port
-for each service. Each takes its own faults at ``POST /_faults``.
+for each service. Each takes its own faults: ``refuse``, ``silent``, ``slow``
+and ``lose_answers`` (after a write took effect).
 """
 
 import asyncio
@@ -9,69 +10,32 @@
 from base64 import b64decode
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from functools import partial
-from itertools import count
 from time import monotonic
 from typing import Final, final
 
 import msgspec
 from aiohttp import web
 
-from .serving import Listener, json_answer, read_body, run_forever
+from .serving import FaultyService, json_answer, run
 
 __all__ = ('InstanceList', 'ObjectStore', 'TableService', 'main')
 
-_ABSENT: Final = 404
-_CONFLICT: Final = 409
-_REFUSED: Final = 503
 #: Longer than any client waits for an answer.
 _SILENT_S: Final = 60
 _Operation = Callable[[str, bytes], web.Response]
 
 
-@final
-@dataclass(slots=True)
-class _Outage:
-    """A fault in force.
-
-    :param fault: ``refuse``, ``silent``, ``slow``, ``lose_answers`` or none.
-    :param every: the fault meets each call whose number this divides.
-    """
-
-    fault: str = ''
-    for_s: float = 3600
-    delay_s: float = 1
-    every: int = 1
-
-
-class _Service:
+class _Service(FaultyService):
     """What the platform's services have in common: outages."""
 
     def __init__(self, port: int, *routes: web.RouteDef) -> None:
-        self._outage = _Outage()
-        self._until_s = monotonic()
-        self._calls = count(1)
         self._counts = {'GET': 0, 'PUT': 0}
-        faults = web.post('/_faults', self._set_fault)
-        facts = web.get('/_facts', self._facts)
-        self.listener = Listener([faults, facts, *routes], port)
-
-    async def _set_fault(self, request: web.Request) -> web.Response:
-        self._outage = _Outage(**await read_body(request))
-        self._until_s = monotonic() + self._outage.for_s
-        return web.Response(status=204)
+        super().__init__(port, web.get('/_facts', self._facts), *routes)
 
     async def _facts(self, _: web.Request) -> web.Response:
         return json_answer(self._counts)
 
-    def _fault(self) -> str:
-        if monotonic() >= self._until_s:
-            return ''
-        if next(self._calls) % self._outage.every:
-            return ''
-        return self._outage.fault
-
     async def _carry_out(
         self, operation: _Operation, request: web.Request
     ) -> web.StreamResponse:
@@ -82,13 +46,13 @@
         """
         self._counts[request.method] += 1
         body = await request.read()
-        fault = self._fault()
+        fault = self.fault.meet()
         if fault == 'silent':
             await asyncio.sleep(_SILENT_S)
         if fault in {'refuse', 'silent'}:
-            return json_answer({'error': 'unavailable'}, _REFUSED)
+            return json_answer({'error': 'unavailable'}, 503)
         if fault == 'slow':
-            await asyncio.sleep(self._outage.delay_s)
+            await asyncio.sleep(self.fault.delay_s)
         key = request.match_info.get('key', request.query.get('prefix', ''))
         answer = operation(key, body)
         if fault == 'lose_answers' and request.method == 'PUT':
@@ -126,7 +90,7 @@
 
     def _read(self, key: str, _: bytes) -> web.Response:
         if key not in self._rows:
-            return json_answer({'error': 'absent'}, _ABSENT)
+            return json_answer({'error': 'absent'}, 404)
         return json_answer(self._rows[key])
 
     def _write(self, key: str, body: bytes) -> web.Response:
@@ -134,7 +98,7 @@
         b64decode(ask['value'], validate=True)
         row = self._rows.get(key, _Row())
         if row.row_version != ask['expected_version']:
-            return json_answer(row, _CONFLICT)
+            return json_answer(row, 409)
         self._rows[key] = _Row(row.row_version + 1, ask['value'])
         return json_answer({'row_version': row.row_version + 1})
 
@@ -154,7 +118,7 @@
 
     def _read(self, key: str, _: bytes) -> web.Response:
         if key not in self._objects:
-            return json_answer({'error': 'absent'}, _ABSENT)
+            return json_answer({'error': 'absent'}, 404)
         return web.Response(body=self._objects[key])
 
     def _write(self, key: str, body: bytes) -> web.Response:
@@ -194,9 +158,7 @@
     """Serve on the three ports of the arguments."""
     ports = map(int, sys.argv[1:])
     kinds = (TableService, ObjectStore, InstanceList)
-    run_forever(
-        lambda: [kind(port).listener for kind, port in zip(kinds, ports)]
-    )
+    run(lambda: [kind(port).listener for kind, port in zip(kinds, ports)])
 
 
 if __name__ == '__main__':
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -1,16 +1,17 @@
-"""Listening sockets of the stand-ins, whose connections can go silent."""
+"""Listening sockets of the stand-ins, and the faults that they share."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from time import monotonic
 from typing import Any, Final, final
 from weakref import WeakSet
 
 import msgspec
 from aiohttp import web
 
-__all__ = ('Listener', 'json_answer', 'read_body', 'run_forever')
+__all__ = ('FaultyService', 'Listener', 'json_answer', 'read_body', 'run')
 
-_HOST: Final = '127.0.0.1'
 _BODY_LIMIT_BYTES: Final = 33_554_432
 #: How often a silent connection is checked for its peer's end.
 _SILENT_CHECK_S: Final = 0.2
@@ -19,13 +20,12 @@
 
 @final
 class Listener:
-    """One port and its open connections."""
+    """One port and its open connections, which can go silent."""
 
     def __init__(self, routes: list[web.RouteDef], port: int) -> None:
         """Prepare to serve ``routes``."""
         self._app = web.Application(
-            client_max_size=_BODY_LIMIT_BYTES,
-            middlewares=[self._guard],
+            client_max_size=_BODY_LIMIT_BYTES, middlewares=[self._guard]
         )
         self._app.add_routes(routes)
         self._port = port
@@ -38,7 +38,7 @@
         if self._site is None:
             await self._runner.setup()
         self._site = web.TCPSite(
-            self._runner, _HOST, self._port, reuse_address=True, backlog=512
+            self._runner, '127.0.0.1', self._port, backlog=512
         )
         await self._site.start()
 
@@ -81,6 +81,45 @@
         return response
 
 
+@final
+@dataclass(slots=True)
+class Fault:
+    """A fault that meets calls for ``for_s``, at most ``count`` of them.
+
+    :param every: the fault meets each call whose number this divides.
+    """
+
+    fault: str = ''
+    for_s: float = 3600
+    delay_s: float = 1
+    every: int = 1
+    count: int = 1_000_000
+    calls: int = 0
+    set_s: float = field(default_factory=monotonic)
+
+    def meet(self) -> str:
+        """Return the fault that meets the next call, if any."""
+        self.calls += 1
+        if self.calls % self.every or monotonic() > self.set_s + self.for_s:
+            return ''
+        self.count -= 1
+        return self.fault if self.count >= 0 else ''
+
+
+class FaultyService:
+    """A service that takes faults at ``POST /_faults``."""
+
+    def __init__(self, port: int, *routes: web.RouteDef) -> None:
+        """Start without a fault."""
+        self.fault = Fault()
+        faults = web.post('/_faults', self._set_fault)
+        self.listener = Listener([faults, *routes], port)
+
+    async def _set_fault(self, request: web.Request) -> web.Response:
+        self.fault = Fault(**await read_body(request))
+        return web.Response(status=204)
+
+
 def json_answer(content: Any, status: int = 200) -> web.Response:
     """Return ``content`` as a JSON answer."""
     body = msgspec.json.encode(content)
@@ -90,14 +129,11 @@
 
 
 async def read_body(request: web.Request, shape: Any = dict) -> Any:
-    """Return the JSON body as ``shape``.
-
-    :raises ValueError: when the body has another shape.
-    """
+    """Return the JSON body as ``shape``, or raise a ValueError."""
     return msgspec.json.decode(await request.read(), type=shape)
 
 
-def run_forever(make: Callable[[], list[Listener]]) -> None:
+def run(make: Callable[[], list[Listener]]) -> None:
     """Serve the listeners that ``make`` returns until the process ends."""
     asyncio.run(_serve(make))
 
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -18,8 +18,8 @@
     encode_configuration,
 )
 from bergamotturn.version.settings import PlatformSettings, Settings
-from features.standins.engine_model import EngineSettings
 
+from .engine_settings import EngineSettings
 from .http_call import HttpAnswer, call, is_listening
 from .plan import (
     DATA_CENTRES,
--- a/features/support/plan.py
+++ b/features/support/plan.py
@@ -15,7 +15,8 @@
     Workspace,
 )
 from bergamotturn.version.settings import PlatformSettings, Settings
-from features.standins.engine_model import EngineSettings
+
+from .engine_settings import EngineSettings
 
 __all__ = (
     'DATA_CENTRES',
