--- /dev/null
+++ b/bergamotturn/connection/web_server.py
@@ -0,0 +1,291 @@
+"""What the callers' and the operators' listener share: an HTTP server."""
+
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from socket import socket
+from typing import Final
+
+import msgspec
+from circuits import Event, handler
+from circuits.web.events import request, response
+from circuits.web.http import HTTP
+from circuits.web.wrappers import Request, Response
+
+from ..errors import ErrorKind, Failure, answer_for
+from ..process.metrics import REFUSALS
+from ..process.timers import Timers
+from ..request.error_body import encode_failure
+from ..version.settings import Limits, TlsSettings
+from .exchange import Address, Header
+from .guarded_server import GuardedServer
+from .input_guard import (
+    CompleteRequest,
+    InputGuard,
+    encode_refusal,
+)
+from .polled_component import PolledComponent
+
+__all__ = ('WebCall', 'WebServer')
+
+_JSON: Final = 'application/json'
+
+
+@dataclass(slots=True, eq=False)
+class WebCall:
+    """One request and the state of its answer.
+
+    :param response: the library's response; its headers may be set until the
+        answer begins.
+    :ivar has_begun: whether the head of the answer was handed on.
+    :ivar is_streamed: whether the answer comes in parts.
+    :ivar is_complete: whether nothing more will be added to the answer.
+    :ivar waiting: parts that came before the head was written.
+    """
+
+    sock: socket
+    request: CompleteRequest
+    response: Response
+    has_begun: bool = False
+    is_streamed: bool = False
+    is_head_written: bool = False
+    is_complete: bool = False
+    waiting: list[bytes] = field(default_factory=list)
+
+
+class _AnsweringServer(PolledComponent):
+    """The answering half of a server."""
+
+    channel = 'web'
+
+    def __init__(
+        self,
+        address: Address,
+        limits: Limits,
+        timers: Timers,
+        tls: TlsSettings | None = None,
+    ) -> None:
+        """Listen on ``address``."""
+        super().__init__()
+        self._timers = timers
+        self._calls: dict[socket, WebCall] = {}
+        self._server = GuardedServer(
+            address, self.channel, timers, limits.buffered_bytes, tls
+        ).register(self)
+        self._guard = InputGuard(
+            self.channel, self._server, limits, timers
+        ).register(self)
+        self._http = _plain_http(self._server, self.channel).register(self)
+
+    def _answer(
+        self,
+        call: WebCall,
+        status: int,
+        content: bytes,
+        headers: tuple[Header, ...] = (),
+    ) -> None:
+        """Answer ``call`` with a whole body."""
+        if call.has_begun:
+            return
+        call.has_begun = True
+        call.is_complete = True
+        self._set_head(call, status, headers)
+        call.response.body = content
+        self.fire(response(call.response))
+
+    def _answer_json(
+        self, call: WebCall, content: object, status: int = HTTPStatus.OK
+    ) -> None:
+        """Answer ``call`` with ``content`` as JSON."""
+        self._answer(
+            call,
+            status,
+            msgspec.json.encode(content),
+            (Header('Content-Type', _JSON),),
+        )
+
+    def _answer_failure(self, call: WebCall, failure: Failure) -> None:
+        """Answer ``call`` with ``failure``; nothing of an answer was sent."""
+        REFUSALS.labels(failure.kind.value).inc()
+        answer = answer_for(failure.kind)
+        headers = [Header('Content-Type', _JSON)]
+        if answer.retry_after_s:
+            headers.append(Header('Retry-After', str(answer.retry_after_s)))
+        self._answer(
+            call, answer.status, encode_failure(failure), tuple(headers)
+        )
+
+    def _begin_stream(
+        self, call: WebCall, status: int, headers: tuple[Header, ...]
+    ) -> None:
+        """Begin an answer in parts."""
+        if call.has_begun:
+            return
+        call.has_begun = True
+        call.is_streamed = True
+        self._set_head(call, status, headers)
+        call.response.stream = True
+        # Neither bytes nor a list: the library then sends the head at once,
+        # without a length, and leaves the rest to us.
+        call.response.body = ()
+        self.fire(response(call.response))
+
+    def _push(self, call: WebCall, data: bytes) -> None:
+        """Send a part of a streamed answer."""
+        if call.is_complete:
+            return
+        if call.is_head_written:
+            self._write_part(call, data)
+            return
+        call.waiting.append(data)
+
+    def _write_part(self, call: WebCall, data: bytes) -> None:
+        if not data or call.request.method == 'HEAD':
+            return
+        if call.response.chunked:
+            data = b'%x\r\n%b\r\n' % (len(data), data)
+        self._server.write(call.sock, data)
+
+    def _end_stream(self, call: WebCall) -> None:
+        """Complete a streamed answer."""
+        if call.is_complete:
+            return
+        call.is_complete = True
+        if call.is_head_written:
+            self._finish_stream(call)
+
+    def _cut(self, call: WebCall) -> None:
+        """End a streamed answer so that it is not taken for a whole one."""
+        if call.is_complete:
+            return
+        call.is_complete = True
+        self._calls.pop(call.sock, None)
+        self._server.close(call.sock)
+
+    def _set_head(
+        self, call: WebCall, status: int, headers: tuple[Header, ...]
+    ) -> None:
+        call.response.status = status
+        for header in headers:
+            call.response.headers.add_header(header.name, header.value)
+
+    @handler('response_success')
+    def _on_response_success(self, handled: Event, outcome: object) -> None:
+        web_response = handled.args[0]
+        call = self._calls.get(web_response.request.sock)
+        if call is None or call.response is not web_response:
+            return
+        call.is_head_written = True
+        if not call.is_streamed:
+            if call.request.method == 'HEAD' and web_response.close:
+                self._server.close(call.sock)
+            self._release(call)
+            return
+        self._write_part(call, b''.join(call.waiting))
+        call.waiting.clear()
+        if call.is_complete:
+            self._finish_stream(call)
+
+    def _finish_stream(self, call: WebCall) -> None:
+        if call.response.chunked and call.request.method != 'HEAD':
+            self._server.write(call.sock, b'0\r\n\r\n')
+        if call.response.close:
+            self._server.close(call.sock)
+        self._release(call)
+
+    def _release(self, call: WebCall) -> None:
+        self._calls.pop(call.sock, None)
+        self._guard.release(call.sock)
+
+
+class WebServer(_AnsweringServer):
+    """An HTTP server that serves complete, well-formed requests.
+
+    A listener derives from it, has a channel of its own and answers each call
+    now or later by :meth:`_answer`, :meth:`_answer_failure`, or
+    :meth:`_begin_stream`, :meth:`_push` and :meth:`_end_stream`::
+
+        class PingListener(WebServer):
+            channel = 'ping'
+
+            def _serve(self, call):
+                if call.request.path != '/ping':
+                    self._answer_failure(call, Failure(ErrorKind.unknown_path))
+                    return
+                self._answer_json(call, {'alive': True})
+
+    The library writes heads and whole answers. Parts of a stream go straight
+    to the socket's buffer, since each event of the library's own way costs as
+    much as the rest of relaying a token.
+    """
+
+    def _serve(self, call: WebCall) -> None:
+        """Answer ``call``, or see to it that it is answered later."""
+        self._answer_failure(call, Failure(ErrorKind.unknown_path))
+
+    def _abandon(self, call: WebCall) -> None:
+        """Note that the caller of the unanswered ``call`` is gone."""
+
+    @handler('request_completed')
+    def _on_request_completed(
+        self, sock: socket, completed: CompleteRequest
+    ) -> None:
+        try:
+            # The library redirects unusual paths; calls keep their own.
+            web_request = Request(
+                sock,
+                completed.method,
+                protocol=(1, completed.minor_version),
+                server=self._server,
+            )
+        except OSError:
+            # The caller reset the connection meanwhile.
+            self._server.abort(sock)
+            return
+        web_response = Response(web_request)
+        web_response.close = completed.closes
+        self._calls[sock] = WebCall(sock, completed, web_response)
+        self.fire(request(web_request, web_response))
+
+    @handler('request')
+    def _on_request(self, web_request: Request, web_response: Response) -> bool:
+        call = self._calls.get(web_request.sock)
+        if call is not None and call.response is web_response:
+            self._serve(call)
+        # The library answers nothing by itself.
+        return True
+
+    @handler('httperror')
+    def _on_httperror(
+        self,
+        web_request: Request,
+        web_response: Response,
+        code: int | None = None,
+        **details: object,
+    ) -> None:
+        # What the library reports here is a fault of this process; the trace
+        # is on standard error.
+        sock = web_request.sock
+        call = self._calls.pop(sock, None)
+        if call is not None and not call.is_complete:
+            self._abandon(call)
+        if call is not None and call.is_streamed:
+            self._server.abort(sock)
+            return
+        self._server.say_farewell(
+            sock, encode_refusal(Failure(ErrorKind.internal))
+        )
+
+    @handler('disconnect')
+    def _on_disconnect(self, sock: socket) -> None:
+        call = self._calls.pop(sock, None)
+        if call is not None and not call.is_complete:
+            call.is_complete = True
+            self._abandon(call)
+
+
+def _plain_http(server: GuardedServer, channel: str) -> HTTP:
+    """Return the library's protocol without its parser and error pages."""
+    http = HTTP(server, channel=channel)
+    for replaced in ('read', 'ready', 'exception', 'httperror'):
+        http.removeHandler(getattr(http, f'_on_{replaced}'))
+    return http
