--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -2,11 +2,9 @@
 
 import signal
 from base64 import b64encode
-from datetime import datetime, timezone
-from hashlib import sha256
 from pathlib import Path
 from tempfile import TemporaryDirectory
-from time import monotonic, sleep
+from time import monotonic, sleep, time
 from typing import Any, Final, Self, final
 from urllib.parse import quote
 
@@ -18,6 +16,14 @@
     encode_configuration,
 )
 from bergamotturn.version.settings import PlatformSettings, Settings
+from bergamotturn.version.version_row import (
+    VERSION_ROW_KEY,
+    AcceptedVersion,
+    VersionRow,
+    configuration_digest,
+    configuration_object_key,
+    encode_version_row,
+)
 
 from .engine_settings import EngineSettings
 from .http_call import HttpAnswer, call, is_listening
@@ -234,21 +240,19 @@
     def put_configuration(self, configuration: Configuration) -> None:
         """Put the first version straight into the platform's stores."""
         content = encode_configuration(configuration)
-        digest = sha256(content).hexdigest()
-        key = f'configuration/{digest}'
-        row = {
-            'version_number': 1,
-            'object_key': key,
-            'digest': digest,
-            'author': 'cluster',
-            'accepted_at': datetime.now(timezone.utc).isoformat(),
-        }
-        write = {
-            'value': b64encode(msgspec.json.encode(row)).decode(),
-            'expected_version': 0,
-        }
+        digest = configuration_digest(content)
+        key = configuration_object_key(digest)
+        accepted = AcceptedVersion(
+            version_number=1,
+            digest=digest,
+            token='first',
+            author='cluster',
+            accepted_unix_s=time(),
+        )
+        row = encode_version_row(VersionRow((accepted,)))
+        write = {'value': b64encode(row).decode(), 'expected_version': 0}
         object_path = f'/objects/{quote(key, safe="")}'
-        row_path = f'/rows/{quote("configuration/current", safe="")}'
+        row_path = f'/rows/{quote(VERSION_ROW_KEY, safe="")}'
         _check(call(self.platform.objects, 'PUT', object_path, content))
         _check(call(self.platform.table, 'PUT', row_path, write))
 
