Recognise a lease row by all its fields, and test takeovers

Cause: the state machine found two holders with epoch 1 in a run without any fault: their boot ids and write counts were equal, so the loser of a conditional write took the winner's nonce for its own. Ruled out: demanding unique boot ids; the row names its holder anyway. Change: a writer compares the whole row.

--- a/bergamotturn/process/lease.py
+++ b/bergamotturn/process/lease.py
@@ -52,7 +52,8 @@
     """Content of a lease row.
 
     :param epoch: fencing number; grows by one at each takeover.
-    :param nonce: new for each write, so that its writer can recognise it.
+    :param nonce: new for each write of one boot; a writer recognises its row
+        by all fields, since boot ids may be alike at two instances.
     """
 
     holder: str
@@ -459,7 +460,7 @@
         write = holder.write if holder else self._candidate.write
         if write is None:
             return []
-        if row is not None and _decode(row).nonce == write.row.nonce:
+        if row is not None and _decode(row) == write.row:
             version = row.row_version
             return self._took_effect(now_s, version, write.first_sent_s)
         if _version(row) == write.expected_version:
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -5,8 +5,8 @@
   Scenario: The cold limit holds through pauses, deaths, outages and late messages
     Guards against two coordinators, or a new one that forgets the old one's permits,
     together starting more work at a cold endpoint than it bears.
-    When 9 instances press an endpoint that ignores fencing in 100 fuzzed histories
-    And 9 instances press an endpoint that checks fencing in 100 fuzzed histories
+    When 9 instances press an endpoint that ignores fencing in 40 fuzzed histories
+    And 9 instances press an endpoint that checks fencing in 40 fuzzed histories
     Then no history had more work at the cold endpoint than its limit
     And no history had a grant after one of a newer holder
     And the histories had cold starts, warm starts and changes of holder
@@ -55,6 +55,11 @@
     Then the cold endpoint never had more work than its limit
     And another instance holds the lease
 
+  Scenario: A takeover waits until the old holder's last permits have started or lapsed
+    Guards against a new coordinator that reads the stream list before work still on its way is there.
+    When 40 times a holder loses the table while its last grants are late
+    Then at least 20 times another instance has granted since
+
   Scenario Outline: A lost answer to a lease write is read back
     Guards against a takeover whose winner never learns that it won.
     Given a candidate whose takeover write got no answer and <effect>
--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -46,6 +46,10 @@
         self._order = count()
         self._due: list[tuple[float, int, Event, str]] = []
 
+    def monotonic(self) -> float:
+        """Return the time."""
+        return self.now_s
+
     def call_after(self, delay_s: float, event: Event, channel: str) -> int:
         """Keep an event until its time."""
         number = next(self._order)
@@ -55,8 +59,9 @@
 
     def step(self, app: Component) -> None:
         """Move on to the next deadline and fire it."""
-        self.now_s, _, event, channel = heapq.heappop(self._due)
-        app.fire(event, channel)
+        due = heapq.heappop(self._due)
+        self.now_s = due[0]
+        app.fire(due[2], due[3])
 
 
 class Outside(Component):
@@ -152,7 +157,7 @@
         self._patches = [
             mock.patch(
                 f'bergamotturn.process.{task}.monotonic',
-                lambda: self.clock.now_s,
+                self.clock.monotonic,
             )
             for task in _TASKS
         ]
