Leave out pauses without losing pings under way

Cause: after a gap between two ticks all pings under way were forgotten, so that an instance whose loop is always slow would never suspect anybody.

Change: deadlines move by the gap; only the first tick after a pause judges nobody.

--- a/bergamotturn/process/member_table.py
+++ b/bergamotturn/process/member_table.py
@@ -140,6 +140,11 @@
         )
         self.revision += 1
 
+    def delay(self, by_s: float) -> None:
+        """Leave out ``by_s`` in which this instance did not run."""
+        for record in self.records.values():
+            record.changed_s += by_s
+
     def outranks(self, update: MemberUpdate) -> bool:
         """Return whether more is known than ``update`` says."""
         record = self.records.get(update.instance)
--- a/bergamotturn/process/membership.py
+++ b/bergamotturn/process/membership.py
@@ -63,6 +63,7 @@
         self._target = PingTarget(self.table, contacts, random)
         self._ticks = 0
         self._ticked_s: float | None = None
+        self._is_paused = False
         self._fanout = Fanout(self.table, self._gossip, random)
 
     def tick(self, now_s: float) -> list[Action]:
@@ -70,16 +71,14 @@
 
         :param now_s: monotonic time; called every :data:`TICK_S`.
         """
-        self._allow_for_pause(now_s)
         self._ticks += 1
         self._fanout.refill()
-        actions: list[Action] = [
-            ReplaceLink(instance)
-            for instance in self._probes.take_silent(now_s)
-        ]
-        actions.extend(self._judge_probes(now_s))
-        actions.extend(self._judge_suspects(now_s))
-        self.table.forget_gone(now_s)
+        actions: list[Action] = []
+        if self._runs_steadily(now_s):
+            actions.extend(map(ReplaceLink, self._probes.take_silent(now_s)))
+            actions.extend(self._judge_probes(now_s))
+            actions.extend(self._judge_suspects(now_s))
+            self.table.forget_gone(now_s)
         target = self._target.choose(self._ticks)
         if target is not None:
             number = self._probes.start(now_s, target)
@@ -133,15 +132,21 @@
         self.table.claim_again(state=MemberState.leaving)
         return self._fanout.tell(self.table.me, ())
 
-    def _allow_for_pause(self, now_s: float) -> None:
-        """Move deadlines when this instance itself did not run."""
-        ticked_s = self._ticked_s
+    def _runs_steadily(self, now_s: float) -> bool:
+        """Leave out time in which this instance itself did not run.
+
+        :returns: false on the first tick after a pause, when answers may
+            still lie unread; an instance that is always slow judges others
+            all the same.
+        """
+        gap_s = 0 if self._ticked_s is None else now_s - self._ticked_s
         self._ticked_s = now_s
-        if ticked_s is None or now_s - ticked_s <= _PAUSE_S:
-            return
-        self._probes.restart()
-        for record in self.table.records.values():
-            record.changed_s += now_s - ticked_s
+        was_paused = self._is_paused
+        self._is_paused = gap_s > _PAUSE_S
+        if self._is_paused:
+            self._probes.delay(gap_s - TICK_S)
+            self.table.delay(gap_s - TICK_S)
+        return was_paused or not self._is_paused
 
     def _judge_probes(self, now_s: float) -> list[Action]:
         actions: list[Action] = []
--- a/bergamotturn/process/probes.py
+++ b/bergamotturn/process/probes.py
@@ -96,7 +96,9 @@
             self._silent_since_s.pop(instance)
         return silent
 
-    def restart(self) -> None:
-        """Forget all pings: this instance was paused and took no answers."""
-        self._pending.clear()
-        self._silent_since_s.clear()
+    def delay(self, by_s: float) -> None:
+        """Leave out ``by_s`` in which this instance did not run."""
+        for probe in self._pending.values():
+            probe.sent_s += by_s
+        for instance in self._silent_since_s:
+            self._silent_since_s[instance] += by_s
