--- /dev/null
+++ b/features/steps/entries_steps.py
@@ -0,0 +1,154 @@
+"""Steps on the addresses given to callers and on the planned stop."""
+
+import signal
+import subprocess
+import sys
+from random import Random
+
+from behave import given, then
+from hypothesis import strategies as st
+from msgspec.structs import replace
+
+from bergamotturn.connection.peer_messages import MemberState
+from bergamotturn.process.entry_choice import EntryChoice
+from bergamotturn.process.events import MemberView
+from bergamotturn.process.shutdown import Shutdown
+from bergamotturn.version.configuration import Policy
+from features.simulated_fleet import (
+    centre_of,
+    for_any,
+    name_of,
+    orders_out,
+    own_update,
+)
+
+_CHOICE = EntryChoice('entry-000', 'west-0')
+_COUNT = 4
+_FOR_ANY = for_any(
+    150,
+    st.lists(st.integers(0, 3), min_size=1, max_size=9),
+    st.sets(st.integers(0, 8)),
+    st.sets(st.integers(0, 2)),
+    st.integers(0, 999),
+)
+# Runs the task alone, with a leaving phase of 2 seconds.
+_PROCESS = """
+from types import SimpleNamespace
+from circuits import Component, handler
+from bergamotturn.process.shutdown import Shutdown
+from bergamotturn.process.shutdown_task import ShutdownTask
+from bergamotturn.process.timers import Timers
+
+class Phases(Component):
+    @handler('started', 'shutdown_phase_changed', channel='*')
+    def _on_phase(self, phase):
+        print(phase if isinstance(phase, str) else 'started', flush=True)
+
+root = Phases()
+task = ShutdownTask(SimpleNamespace(instance='a'), 'b', Timers().register(root))
+task._shutdown = Shutdown(0, 1)
+task.register(root)
+root.run()
+"""
+
+
+@then(
+    'any view and orders give only alive, not ordered out instances, '
+    'near ones first, while there are any'
+)
+@_FOR_ANY
+def only_in_service(context, states, out, centres_out, seed):
+    members = _members(states)
+    good = [
+        member
+        for number, member in enumerate(members)
+        if member.state == MemberState.alive
+        and number not in out
+        and number % 3 not in centres_out
+    ]
+    chosen = _ask(members, out, centres_out, seed)
+    if not good:
+        return
+    assert len(set(chosen)) == len(chosen) == min(_COUNT, len(good))
+    centres = {member.caller_address: member.data_centre for member in good}
+    assert set(chosen) <= set(centres)
+    is_far = [centres[address] != 'west-0' for address in chosen]
+    assert is_far == sorted(is_far)
+    near = sum(member.data_centre == 'west-0' for member in good)
+    assert is_far.count(False) == min(_COUNT, near)
+
+
+@then('any view and orders give at least one address')
+@_FOR_ANY
+def always_some(context, states, out, centres_out, seed):
+    members = _members(states)
+    chosen = _ask(members, out, centres_out, seed)
+    assert chosen
+    dead = {
+        member.caller_address
+        for member in members[1:]
+        if member.state >= MemberState.suspect
+    }
+    assert not dead & set(chosen)
+
+
+@then('an idle instance is preferred 10 to 1 to one with 9 calls in flight')
+def idle_first(context):
+    members = [own_update(0), replace(own_update(3), in_flight=9)]
+    firsts = [_ask(members, (), (), seed)[0] for seed in range(100)]
+    idle = firsts.count(members[0].caller_address)
+    assert 85 <= idle <= 95, idle
+
+
+@then('it is leaving for entry_answer_s + 2 seconds, then draining, then ended')
+def phases(context):
+    stops = Shutdown(5, 120), Shutdown(5, 120)
+    for stop in stops:
+        stop.take_in_flight(2)
+        assert not stop.advance(1000)
+        assert stop.request_stop(100)
+        assert not stop.request_stop(106)
+        assert not stop.advance(106.9) and stop.phase == 'leaving'
+        assert stop.advance(107) and stop.phase == 'draining'
+        assert not stop.advance(120)
+    stops[0].take_in_flight(0)
+    assert stops[0].advance(120.1) and stops[0].phase == 'ended'
+    # The other's requests never end, and a shorter limit changes nothing.
+    stops[1].allow(1, 10)
+    assert not stops[1].advance(226.9)
+    assert stops[1].advance(227) and stops[1].phase == 'ended'
+
+
+@given('a process that runs the shutdown task with short limits')
+def start_process(context):
+    context.process = subprocess.Popen(
+        (sys.executable, '-c', _PROCESS), stdout=subprocess.PIPE, text=True
+    )
+    context.add_cleanup(context.process.kill)
+    assert context.process.stdout.readline() == 'started\n'
+
+
+@then('after two SIGTERMs it tells all phases and exits 0')
+def ends_well(context):
+    context.process.send_signal(signal.SIGTERM)
+    assert context.process.stdout.readline() == 'leaving\n'
+    context.process.send_signal(signal.SIGTERM)
+    output, _ = context.process.communicate(timeout=30)
+    assert output.split() == ['draining', 'ended'], output
+    assert context.process.returncode == 0
+
+
+def _members(states):
+    return [
+        replace(own_update(number), state=state)
+        for number, state in enumerate(states)
+    ]
+
+
+def _ask(members, out, centres_out, seed):
+    orders = orders_out(
+        *(f'instance/{name_of(number)}' for number in out),
+        *(f'data_centre/{centre_of(centre)}' for centre in centres_out),
+    )
+    view = MemberView(tuple(members))
+    return _CHOICE.choose(view, orders, Policy(), _COUNT, Random(seed))
