Test the stand-ins, and repair restarts and freezes

Cause: nothing showed that the stand-ins are as unkind as the real systems. Seen by the tests: a first restart of an engine kept its start id, and a freeze of all connections also froze the one that ordered it. Change: features/standins.feature with 25 scenarios, each naming the failure it guards against; start ids count on from the boot; the ordering connection is left out of a freeze. Conclusion: usable; the load tool is tested against a trial entry only.

--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,156 @@
+Feature: Stand-ins for the outside systems
+  A stand-in that is kinder than the real system would let a fault of the daemon pass.
+
+  Scenario: Of two writes that expect the same version one takes effect
+    Guards against a table that loses an update, which would let two holders share a lease.
+    Given stand-ins of the platform and a plain service run
+    When two writers write the row "lease/x" and both expect version 0
+    Then one has version 1 and the other is told the winner's row
+
+  Scenario: A write whose answer is lost has taken effect
+    Guards against a stand-in that drops such a write, so that reading back by token is never needed.
+    Given stand-ins of the platform and a plain service run
+    And the table stand-in has the fault "lose_answers"
+    When "mine" is written to the row "lease/x" expecting version 0
+    Then the writer has no answer
+    And the row "lease/x" holds "mine" at version 1
+
+  Scenario: A refused write has no effect
+    Guards against a 503 after the effect, which would make "not run" answers untrue.
+    Given stand-ins of the platform and a plain service run
+    And the table stand-in has the fault "refuse"
+    When "mine" is written to the row "lease/x" expecting version 0
+    Then the writer is told status 503
+    And the row "lease/x" is absent after the fault ends
+
+  Scenario: A slow write takes effect after its writer has given up
+    Guards against a stand-in that forgets the write with its connection, so that late effects never happen.
+    Given stand-ins of the platform and a plain service run
+    And the table stand-in has the fault "slow"
+    When "mine" is written to the row "lease/x" expecting version 0
+    Then the writer has no answer
+    And the row "lease/x" holds "mine" at version 1 within 2 s
+
+  Scenario: The instance list shows a change late
+    Guards against a list without lag, which would hide routing to leaving endpoints.
+    Given stand-ins of the platform and a plain service run
+    When the endpoint "postings-0" starts to leave
+    Then the list shows it as "live" at once and as "leaving" within 3 s
+
+  Scenario: A plain service that loses its answer has run the call
+    Guards against a fault before the execution, which could not show a call that ran twice.
+    Given stand-ins of the platform and a plain service run
+    When the plain service loses its answer to the key "fee-1"
+    Then the key "fee-1" was run 1 time
+    And a repeat of the key "fee-1" raises the count to 2
+
+  Scenario: A resumed stream has the same text
+    Guards against answers that depend on the attempt, which no check of a caller's bytes could tell from mixed ones.
+    Given stand-ins of the platform and an engine run
+    When a stream of 30 tokens is read to its token 10 and resumed there
+    Then both parts together are the expected answer
+
+  Scenario: A frozen connection is silent while new ones work
+    Guards against a freeze that ends the connection, which the daemon would notice without its silence timer.
+    Given stand-ins of the platform and an engine run
+    When a stream's connection is frozen in the middle
+    Then it brings no byte for 1 s and stays open
+    And a new connection resumes the stream to its end
+
+  Scenario: A restarted engine has a new start id and none of its streams
+    Guards against connections that survive a restart, on which work would reach the wrong start.
+    Given stand-ins of the platform and an engine run
+    When the engine restarts with a stream open
+    Then the stream's connection ends early
+    And the engine is cold, with a new start id, and does not know the stream
+
+  Scenario: A cold engine falls over when it is given too much
+    Guards against a model that queues the excess, so that a breach of the cold limit costs nothing.
+    Given an engine model in cold start that bears 2 requests
+    When 3 streams start at once
+    Then the third falls over, no stream is left and the engine is cold again
+    And its record shows 3 requests in flight while cold
+
+  Scenario: An engine that turns cold without warning keeps its streams
+    Guards against counting work from before the turn as a fall, which no coordinator can avoid.
+    Given a warm engine model with 4 streams
+    When it turns cold without warning
+    Then its start id is the same, its cold count has grown and 4 streams run on
+
+  Scenario: Cold steps are slower
+    Guards against a cold start that no measurement can see.
+    Then a cold model takes longer to a first token than a warm one
+
+  Scenario: Group memory is held until it is freed
+    Guards against members that forget their part, so that memory lost for good would not show.
+    Given a warm engine model with 1000 tokens of memory
+    When a group holds 800 tokens
+    Then another group of 300 tokens is refused
+    And a stream that needs 300 tokens waits
+    And the report shows the group with its owner
+    And the stream runs once the group is freed, twice over
+
+  Scenario: A stream with members holds its equal share
+    Guards against a leader that needs the memory of the whole prompt, which no engine has.
+    Then of a prompt of 900 tokens with 2 members the leader holds a third
+
+  Scenario: The load report lags
+    Guards against reports that are always fresh, on which no instance would overrun an engine.
+    Given a warm engine model with 4 streams
+    Then a report after 0.5 s shows none of them and one after 2 s shows 4
+
+  Scenario Outline: Fencing is checked only by engines that check it
+    Guards against one kind of engine alone, under which half of the rules are untested.
+    Given an engine model that <checks> fencing, fenced at 5
+    When a stream with epoch 4 starts
+    Then the engine model answers "<answer>"
+
+    Examples:
+      | checks  | answer      |
+      | checks  | stale_epoch |
+      | ignores |             |
+
+  Scenario: Fencing refuses another incarnation
+    Guards against work that was meant for an earlier start of an engine.
+    Given an engine model that checks fencing, fenced at 5
+    When a stream for another start id starts with epoch 5
+    Then the engine model answers "wrong_incarnation"
+
+  Scenario: Cancel frees memory, and a second one does nothing
+    Guards against orphans whose memory is lost for good.
+    Given a warm engine model with 4 streams
+    When each is cancelled twice
+    Then no memory is held and 4 cancels are counted
+
+  Scenario: A stream that nobody reads ends after a minute
+    Guards against an engine that cleans up at once and so hides the daemon's own duty, or never.
+    Given a warm engine model with 1 stream that never ends
+    Then it still runs after 59 s without a reader and not after 62 s
+
+  Scenario: A better priority is prefilled first
+    Guards against a queue in order of arrival, beside which priorities would seem useless.
+    Given a warm engine model
+    When a long prompt of priority 1 starts and a short one of priority 0 follows
+    Then the short one has its first token before the long one
+
+  Scenario: A cached prefix shortens the prefill, and its events come late and with gaps
+    Guards against exact cache events, on which the daemon could rely.
+    Given a warm engine model
+    Then the second prompt with a common prefix has its first token sooner
+    And cache events come after their lag, without each seventh
+
+  Scenario: An exported stream goes on elsewhere
+    Guards against a transfer that restarts the answer.
+    Given a warm engine model with 4 streams
+    When one is exported and imported by another engine
+    Then its answer goes on there from its position without a prefill
+
+  Scenario: The load tool's checks find what they are for
+    Guards against a check that passes whatever it is given.
+    Then a key that ran twice, one that was answered and did not run and one that ran "not run" are found
+    And an overrun, a wrong answer and one without an end are found
+
+  Scenario: A failed run leaves no process behind
+    Guards against daemons and stand-ins that outlive an aborted run.
+    When the body of a run raises an error with a paused process
+    Then none of the run's processes is left
--- a/features/standins/engine.py
+++ b/features/standins/engine.py
@@ -34,8 +34,7 @@
 
     def __init__(self, settings: EngineSettings) -> None:
         """Start the model; a new process has new start ids."""
-        boot = str(time_ns())
-        self._model = engine_model.EngineModel(settings, monotonic(), boot)
+        self._model = engine_model.EngineModel(settings, monotonic(), time_ns())
         self._moved = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
         model = self._model
@@ -149,8 +148,8 @@
         """Carry out a fault; ``most`` and ``for_s`` limit a few of them."""
         fault = await read_body(request)
         if fault['fault'] == 'freeze':
-            frozen = self.listener.freeze(fault.get('most'))
-            return json_answer({'frozen': frozen})
+            most = fault.get('most')
+            return json_answer(self.listener.freeze(request.transport, most))
         if fault['fault'] == 'restart':
             await self.listener.stop()
             await asyncio.sleep(fault.get('for_s', 0))
--- a/features/standins/engine_model.py
+++ b/features/standins/engine_model.py
@@ -118,7 +118,6 @@
     cold_requests_high: int = 0
     cold_kv_tokens_high: int = 0
     falls: int = 0
-    starts: int = 0
     cancels: int = 0
     unread_drops: int = 0
     orders: list[tuple[str, str]] = field(default_factory=list)
@@ -140,13 +139,13 @@
     """
 
     def __init__(
-        self, settings: EngineSettings, now_s: float, boot: str = ''
+        self, settings: EngineSettings, now_s: float, boot: int = 0
     ) -> None:
-        """Start the engine; ``boot`` makes its start ids unique."""
+        """Start the engine; its start ids count on from ``boot``."""
         self.settings = settings
         self.record = EngineRecord()
-        self._stem = f'{settings.name}-{boot}'
-        self.start_id = f'{self._stem}-0'
+        self._boot = boot
+        self.start_id = str(boot)
         self.cold_count = 0
         self.epoch = 0
         self._cold_until_s = now_s
@@ -237,8 +236,8 @@
 
     def restart(self, now_s: float) -> None:
         """Drop everything and start again, cold."""
-        self.record.starts += 1
-        self.start_id = f'{self._stem}-{self.cold_count}'
+        self._boot += 1
+        self.start_id = str(self._boot)
         self._clear()
         self.turn_cold(now_s)
 
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -52,9 +52,10 @@
         for transport in self._transports():
             transport.abort()
 
-    def freeze(self, most: int | None) -> int:
-        """Let up to ``most`` connections go silent for good."""
-        chosen = list(set(self._transports()) - set(self._frozen))[:most]
+    def freeze(self, but: Any, most: int | None) -> int:
+        """Let up to ``most`` connections go silent for good, not ``but``."""
+        others = set(self._transports()) - {but, *self._frozen}
+        chosen = list(others)[:most]
         self._frozen.update(chosen)
         return len(chosen)
 
