Expect the prompt as engines get it, with its role

Cause: the daemon sends each message as "role: text", and the answer follows from that text. Measured: not run against a daemon yet.

--- a/features/support/load.py
+++ b/features/support/load.py
@@ -186,7 +186,9 @@
                 await self._attempt(exchange, record)
         record.took_s = self._since(arrival.at_s)
         if record.outcome is Outcome.whole:
-            expected = answer_text(prompt, self._plan.max_tokens)
+            # Engines get each message with its role.
+            sent = f'user: {prompt}'
+            expected = answer_text(sent, self._plan.max_tokens)
             if exchange.text() != expected:
                 record.outcome = Outcome.wrong
         self.result.chats.append(record)
