--- a/features/support/load_plan.py
+++ b/features/support/load_plan.py
@@ -41,7 +41,7 @@
     """An open-loop load.
 
     :param shorts: lengths of most prompts.
-    :param middles: lengths of one prompt in ``middle_every``, 0 for none.
+    :param middles: lengths of one other in ``middle_every``, 0 for none.
     :param longs: lengths of one prompt in ``long_every``, 0 for none.
     :param scale: a prompt of ``n`` tokens is sent as ``n / scale`` tokens of
         four characters. At 1 a million tokens is 4 MB on each of its ways;
@@ -154,12 +154,14 @@
     # All are drawn each time, so that a run without longs has the same shorts.
     middle = plan.middles.draw(random)
     long = plan.longs.draw(random)
+    drawn_long = random.random()
+    drawn_middle = random.random()
     workspace = random.choice(plan.workspaces)
     prefix_number = random.randrange(_PREFIXES)
-    is_long = _is_each(number, plan.long_every)
+    is_long = _is_one_in(plan.long_every, drawn_long)
     if is_long:
         tokens = long
-    elif _is_each(number, plan.middle_every):
+    elif _is_one_in(plan.middle_every, drawn_middle):
         tokens = middle
     return Arrival(
         number=number,
@@ -171,8 +173,10 @@
     )
 
 
-def _is_each(number: int, every: int) -> bool:
-    return every > 0 and number % every == 0
+def _is_one_in(every: int, drawn: float) -> bool:
+    # Drawn rather than counted: each fiftieth of all requests would meet the
+    # same engine again and again under round robin.
+    return every > 0 and drawn * every < 1
 
 
 def _repeated(text: str, characters: int) -> str:
