Answer a call and a publication once when an outcome comes late

Cause: a publication that gave up while an operation was running answered a second time when the outcome came; a refused call finished twice. Change: an ended attempt waits for no operation. A call that arrives past its deadline is told deadline_exceeded, which claims nothing about attempts that it did not look for. A deadline while a kept result is read says that the call ran. Ruled out: relying on the component to forget the attempt, since the decision should hold by itself. Conclusion: each attempt is answered at most once.

--- a/bergamotturn/request/idempotency.py
+++ b/bergamotturn/request/idempotency.py
@@ -53,6 +53,7 @@
 _INLINE_BYTES: Final = 4096
 #: Creates that are tried before the caller is refused.
 _MAX_CREATES: Final = 3
+_UNREADABLE: Final = 'The call ran; its result cannot be read now.'
 _FIRST_RETRY_S: Final = 0.5
 _MAX_RETRY_S: Final = 30.0
 
@@ -160,6 +161,7 @@
 
     def _refuse(self, kind: ErrorKind, detail: str = '') -> list[Action]:
         self._phase = _Phase.ended
+        self._operation_id = 0
         return [Refuse(Failure(kind, detail)), Finish()]
 
     def _finish(self) -> list[Action]:
@@ -212,7 +214,9 @@
         serves as the read of an earlier attempt's row.
         """
         if now_s >= self._terms.deadline_s:
-            return self._refuse(ErrorKind.deadline_unreachable)
+            # Without a look at the row, nothing can be said of earlier
+            # attempts.
+            return self._refuse(ErrorKind.deadline_exceeded)
         return self._create()
 
     def give_up(self, failure: Failure) -> list[Action]:
@@ -332,10 +336,7 @@
         if outcome.status is StoreStatus.found:
             kept = decode_result(outcome.value)
         if kept is None:
-            return self._refuse(
-                ErrorKind.outcome_unknown,
-                'The call ran; its result cannot be read now.',
-            )
+            return self._refuse(ErrorKind.outcome_unknown, _UNREADABLE)
         self._phase = _Phase.ended
         return [Reply(kept), Finish()]
 
@@ -397,8 +398,10 @@
             return self._refuse_unconfirmed()
         if self._phase is _Phase.ready:
             return self.give_up(Failure(ErrorKind.deadline_unreachable))
-        if self._phase in {_Phase.sent, _Phase.fetching}:
+        if self._phase is _Phase.sent:
             return self._refuse(ErrorKind.outcome_unknown)
+        if self._phase is _Phase.fetching:
+            return self._refuse(ErrorKind.outcome_unknown, _UNREADABLE)
         return []
 
     def on_outcome(self, outcome: StoreOutcome, now_s: float) -> list[Action]:
--- a/bergamotturn/version/publication.py
+++ b/bergamotturn/version/publication.py
@@ -206,6 +206,7 @@
 
     def _win(self) -> list[PublicationAction]:
         self._phase = _Phase.ended
+        self._operation_id = 0
         number = self._version.version_number
         return [Settled(Ok(number), self._version)]
 
@@ -231,6 +232,7 @@
         self, kind: ErrorKind, detail: str = ''
     ) -> list[PublicationAction]:
         self._phase = _Phase.ended
+        self._operation_id = 0
         return [Settled(Error(Failure(kind, detail)))]
 
     def _write(self) -> list[PublicationAction]:
