--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes and histories that the steps run the decisions against."""
--- /dev/null
+++ b/features/support/idempotency_history.py
@@ -0,0 +1,408 @@
+"""One history of calls that may not be repeated, and what must hold after it.
+
+Three instances take the same few calls, some of them several times, while the
+stores lose answers, the service loses or delays calls, and instances are
+paused and killed. All choices come from a tape of bytes.
+"""
+
+from bergamotturn.connection.peer_messages import OrderUpdate
+from bergamotturn.connection.service_adapter import HttpService
+from bergamotturn.errors import ErrorKind, answer_for
+from bergamotturn.process.events import OrderView
+from bergamotturn.request.call_actions import (
+    CallTerms,
+    Finish,
+    Operate,
+    Refuse,
+    Reply,
+    Retry,
+)
+from bergamotturn.request.call_record import call_digest, call_row_key
+from bergamotturn.request.held_bytes import HeldBytes
+from bergamotturn.request.idempotency import IdempotentCall
+from bergamotturn.request.service_actions import (
+    AskPermit,
+    CancelExchange,
+    GiveBack,
+    StartExchange,
+)
+from bergamotturn.request.service_choice import ServiceChoice
+from bergamotturn.request.service_flow import FlowPlace, RecordedFlow
+
+from .samples import busy, call, fees, grant
+from .simulation import FakeStores, Process, Tape, World
+
+__all__ = ('CallHistory',)
+
+_CONFIGURATION = fees('fees-1', 'fees-2')
+_OUT = OrderView(
+    (
+        OrderUpdate(
+            target='endpoint/fees-1',
+            state='out',
+            order_count=1,
+            accepted_by='a',
+        ),
+    )
+)
+_KEEP_S = 604_800
+_UNIX_S = 1_800_000_000
+_MONTH_S = 2_592_000
+
+
+class _Submission:
+    """A call as one caller sent it, and what the caller was told."""
+
+    def __init__(self, number, instance, key, body, deadline_s):
+        self.call_id = f'{instance.name}/{instance.boot}/{number}'
+        self.instance = instance
+        self.boot = instance.boot
+        self.key = key
+        self.body = body
+        self.deadline_s = deadline_s
+        self.replies = []
+        self.flow = None
+        self.exchange_id = 0
+        self.permits = 0
+        self.start_by_s = 0
+
+    @property
+    def owner_lives(self):
+        return self.boot == self.instance.boot
+
+
+class CallHistory:
+    """Runs one tape."""
+
+    def __init__(self, data):
+        """Prepare the instances, the stores and the service."""
+        self.world = World(Tape(data))
+        self.stores = FakeStores(self.world)
+        self.instances = [Process(self.world, name) for name in 'abc']
+        self.choices = {}
+        self.skews_s = dict.fromkeys('abc', 0)
+        for instance in self.instances:
+            choice = ServiceChoice('west')
+            choice.on_configuration(_CONFIGURATION)
+            self.choices[instance.name] = FlowPlace(
+                'services', choice, HttpService(), 10_000, HeldBytes(10**6)
+            )
+        self.submissions = []
+        self.runs = []
+        self.bad_starts = []
+
+    def run(self):
+        """Let the history happen, then repeat each call twice in calm."""
+        tape = self.world.tape
+        for _ in range(tape.choose(3, 4, 5, 6)):
+            self.world.at(tape.delay(6), self._submit_from_tape)
+        for _ in range(tape.choose(0, 1, 2, 4)):
+            self.world.at(tape.delay(8), self._disturb)
+        self.world.run()
+        tape.end()
+        self.world.now_s += 60
+        keys = sorted({each.key for each in self.submissions})
+        for key in keys:
+            self._submit(self.instances[0], key, b'charge', 5)
+        self.world.run()
+        self.world.now_s += _KEEP_S + 60
+        for key in keys:
+            self._submit(self.instances[0], key, b'charge', 5)
+        self.world.run()
+
+    def faults(self):
+        """Return every rule that the history broke, in words."""
+        return [
+            *self.bad_starts,
+            *self._doubled_runs(),
+            *self._untrue_refusals(),
+            *self._wrong_results(),
+            *self._unanswered(),
+            *self._forgotten_results(),
+            *self._lost_permits(),
+        ]
+
+    def _submit_from_tape(self):
+        tape = self.world.tape
+        self._submit(
+            tape.choose(*self.instances),
+            tape.choose('k1', 'k1', 'k2'),
+            tape.choose(b'charge', b'charge', b'charge', b'other'),
+            tape.choose(4, 2, 1, 0.05),
+        )
+
+    def _submit(self, instance, key, body, patience_s):
+        deadline_s = self.world.now_s + patience_s
+        submission = _Submission(
+            len(self.submissions), instance, key, body, deadline_s
+        )
+        self.submissions.append(submission)
+        sent = call(
+            submission.call_id, deadline_s, body=body, idempotency_key=key
+        )
+        terms = CallTerms(
+            row_key=call_row_key('w', key),
+            digest=call_digest('POST', 'fees/charge', body),
+            token=submission.call_id,
+            instance=instance.name,
+            boot_id=str(instance.boot),
+            deadline_s=deadline_s,
+            unix_offset_s=_UNIX_S + self.skews_s[instance.name],
+            result_keep_s=_KEEP_S,
+            owner='services',
+        )
+        record = IdempotentCall(terms, self._owner_lives)
+        place = self.choices[instance.name]
+        submission.flow = RecordedFlow(sent, place, record)
+        instance.at(patience_s, self._step, submission, 'on_deadline')
+        self._step(submission, 'start')
+
+    def _owner_lives(self, name, boot_id):
+        # Members learn of a death up to 4 s late, and may take a paused
+        # instance for dead.
+        owner = next(each for each in self.instances if each.name == name)
+        died_s = owner.died_s.get(int(boot_id))
+        if died_s is not None:
+            return self.world.now_s < died_s + 4
+        return not self.world.tape.chance(20)
+
+    def _disturb(self):
+        instance = self.world.tape.choose(*self.instances)
+        disturb = self.world.tape.choose(
+            self._pause,
+            Process.kill,
+            self._take_down,
+            self._give_orders,
+            self._give_orders,
+            self._set_clock,
+        )
+        disturb(instance)
+
+    def _pause(self, instance):
+        instance.pause(self.world.tape.delay(12))
+
+    def _take_down(self, instance):
+        kind = self.world.tape.choose('rows', 'objects')
+        self.stores.take_down(kind, self.world.tape.delay(10))
+
+    def _give_orders(self, instance):
+        orders = self.world.tape.choose(_OUT, OrderView(()))
+        self.choices[instance.name].choice.on_orders(orders)
+
+    def _set_clock(self, instance):
+        skew_s = self.world.tape.choose(_MONTH_S, -_MONTH_S)
+        self.skews_s[instance.name] = skew_s
+
+    def _step(self, submission, method, *arguments):
+        """Call the flow as the component does and perform its actions."""
+        takes_time = method not in {'on_head', 'on_data', 'on_retry'}
+        times = (self.world.now_s,) if takes_time else ()
+        step = getattr(submission.flow, method)
+        for action in step(*arguments, *times):
+            self._perform(submission, action)
+
+    def _perform(self, submission, action):
+        performers = {
+            Refuse: self._note_reply,
+            Reply: self._note_reply,
+            Operate: self._operate,
+            Retry: self._retry,
+            AskPermit: self._answer_ask,
+            GiveBack: self._take_back,
+            StartExchange: self._serve,
+            CancelExchange: self._cancel,
+            Finish: self._finish,
+        }
+        performers[type(action)](submission, action)
+
+    def _note_reply(self, submission, action):
+        submission.replies.append((self.world.now_s, action))
+
+    def _operate(self, submission, action):
+        self.stores.submit(
+            submission.instance,
+            action.operation,
+            lambda outcome: self._step(submission, 'on_outcome', outcome),
+        )
+
+    def _retry(self, submission, action):
+        submission.instance.at(
+            action.delay_s, self._step, submission, 'on_retry'
+        )
+
+    def _take_back(self, submission, action):
+        submission.permits -= 1
+
+    def _cancel(self, submission, action):
+        submission.exchange_id = 0
+
+    def _finish(self, submission, action):
+        submission.flow.close()
+
+    def _answer_ask(self, submission, action):
+        tape = self.world.tape
+        ask = action.ask
+        # A coordinator adds the time in its queue to the permit's start.
+        start_s = tape.choose(1, 6)
+        submission.start_by_s = self.world.now_s + start_s
+        if tape.chance(30):
+            submission.instance.at(
+                0.002, self._step, submission, 'on_busy', busy(ask)
+            )
+            return
+        delay_s = tape.delay(3) if tape.chance(70) else 0.002
+        submission.instance.at(
+            delay_s, self._grant, submission, grant(ask, start_s)
+        )
+
+    def _grant(self, submission, granted):
+        submission.permits += 1
+        self._step(submission, 'on_granted', granted)
+
+    def _serve(self, submission, action):
+        tape = self.world.tape
+        exchange = action.exchange
+        submission.exchange_id = exchange.exchange_id
+        self._check_start(submission, exchange)
+        fate = tape.byte()
+        instance = submission.instance
+        if fate < 150:
+            self.world.at(
+                tape.delay(0.5), self._run, submission, exchange, True
+            )
+        elif fate < 180:
+            instance.at(0.002, self._report_failed, submission, exchange, False)
+        else:
+            # The call arrives, or not, and its answer is lost; it may still
+            # arrive long after the connection ended.
+            if fate < 235:
+                longest_s = 0.5 if fate < 210 else 20
+                self.world.at(
+                    tape.delay(longest_s),
+                    self._run,
+                    submission,
+                    exchange,
+                    False,
+                )
+            instance.at(
+                tape.delay(3), self._report_failed, submission, exchange, True
+            )
+
+    def _check_start(self, submission, exchange):
+        choice = self.choices[submission.instance.name].choice
+        ports = [
+            endpoint.address.port
+            for endpoint in _CONFIGURATION.endpoints
+            if choice.endpoint(endpoint.name) is not None
+        ]
+        start_by_s = min(submission.start_by_s, submission.deadline_s)
+        if self.world.now_s >= start_by_s:
+            self.bad_starts.append(f'{submission.call_id} started late')
+        if exchange.address.port not in ports:
+            self.bad_starts.append(f'{submission.call_id} went to one out')
+
+    def _run(self, submission, exchange, answered):
+        size = 6000 if submission.key == 'k2' else 40
+        body = f'{submission.call_id} {len(self.runs)} '.encode() * (size // 8)
+        self.runs.append((self.world.now_s, submission, body))
+        if answered:
+            submission.instance.at(
+                self.world.tape.delay(0.3),
+                self._report_answer,
+                submission,
+                exchange,
+                body,
+            )
+
+    def _report_answer(self, submission, exchange, body):
+        if submission.exchange_id == exchange.exchange_id:
+            submission.exchange_id = 0
+            self._step(submission, 'on_head', 200, ())
+            self._step(submission, 'on_data', body)
+            self._step(submission, 'on_end')
+
+    def _report_failed(self, submission, exchange, sent):
+        if submission.exchange_id == exchange.exchange_id:
+            submission.exchange_id = 0
+            self._step(submission, 'on_failed', sent)
+
+    def _doubled_runs(self):
+        keys = [submission.key for _, submission, _ in self.runs]
+        return [
+            f'{key} ran {keys.count(key)} times'
+            for key in set(keys)
+            if keys.count(key) > 1
+        ]
+
+    def _untrue_refusals(self):
+        return [
+            f'{submission.call_id} ran, but was told {action.failure}'
+            for submission in self.submissions
+            for told_s, action in submission.replies
+            if isinstance(action, Refuse)
+            and answer_for(action.failure.kind).not_run
+            and self._is_untrue(submission, action.failure.kind, told_s)
+        ]
+
+    def _is_untrue(self, submission, kind, told_s):
+        # Beyond its own attempt, a submission that saw the row answers for
+        # all attempts before it.
+        return any(
+            ran is submission
+            or (
+                kind is not ErrorKind.store_unavailable
+                and ran.key == submission.key
+                and ran_s <= told_s
+            )
+            for ran_s, ran, _ in self.runs
+        )
+
+    def _wrong_results(self):
+        made = {ran.key: (ran.body, body) for _, ran, body in self.runs}
+        for submission in self.submissions:
+            for _, action in submission.replies:
+                if isinstance(action, Reply) and made.get(submission.key) != (
+                    submission.body,
+                    action.kept.body,
+                ):
+                    yield f'{submission.call_id} got another result'
+
+    def _unanswered(self):
+        for submission in self.submissions:
+            told = len(submission.replies)
+            if told > 1 or (submission.owner_lives and not told):
+                yield f'{submission.call_id} was answered {told} times'
+
+    def _lost_permits(self):
+        return [
+            f'{submission.call_id} holds {submission.permits} permits'
+            for submission in self.submissions
+            if submission.permits and submission.owner_lives
+        ]
+
+    def _forgotten_results(self):
+        # A result that a caller got from an instance that still lives is
+        # kept, and expires without running again.
+        if any(self.skews_s.values()):
+            return
+        for key in sorted({each.key for each in self.submissions}):
+            calls = [each for each in self.submissions if each.key == key]
+            if any(map(self._is_kept, calls[:-2])):
+                yield from self._judge_probes(key, calls)
+
+    def _is_kept(self, submission):
+        return submission.owner_lives and any(
+            isinstance(action, Reply) for _, action in submission.replies
+        )
+
+    def _judge_probes(self, key, calls):
+        first, last = (each.replies[0][1] for each in calls[-2:])
+        if not isinstance(first, Reply) and not self._reused(calls, first):
+            yield f'{key} was forgotten: {first}'
+        if isinstance(last, Reply):
+            yield f'{key} did not expire'
+
+    def _reused(self, probes, first):
+        return first.failure.kind is ErrorKind.key_reused and any(
+            each.body != b'charge' for each in probes
+        )
--- /dev/null
+++ b/features/support/simulation.py
@@ -0,0 +1,183 @@
+"""Virtual time, a tape of choices, and a fake table and object store."""
+
+import heapq
+from itertools import count
+
+from bergamotturn.connection.store_events import (
+    ObjectRead,
+    ObjectWrite,
+    Row,
+    RowRead,
+    StoreOutcome,
+    StoreStatus,
+)
+
+__all__ = ('FakeStores', 'Process', 'Tape', 'World')
+
+
+class Tape:
+    """Choices of a history; past its end all choices are the mildest."""
+
+    def __init__(self, data):
+        self._rest = iter(data)
+
+    def byte(self):
+        return next(self._rest, 0)
+
+    def end(self):
+        self._rest = iter(())
+
+    def chance(self, part):
+        """Return true in ``part`` of 256 cases."""
+        return self.byte() >= 256 - part
+
+    def choose(self, *options):
+        """Return one of ``options``, the first one past the end."""
+        return options[self.byte() * len(options) // 256]
+
+    def delay(self, longest_s):
+        """Return a time up to ``longest_s``."""
+        return longest_s * self.byte() / 255
+
+
+class World:
+    """Virtual time and what is to happen."""
+
+    def __init__(self, tape):
+        """Start at 100 s, since 0 is nobody's clock."""
+        self.tape = tape
+        self.now_s = 100.0
+        self._numbers = count()
+        self._heap = []
+
+    def at(self, delay_s, call, *arguments):
+        due_s = self.now_s + max(0, delay_s)
+        heapq.heappush(
+            self._heap, (due_s, next(self._numbers), call, arguments)
+        )
+
+    def run(self, until_s=None):
+        """Let everything happen, or what is due by ``until_s``."""
+        while self._heap and (until_s is None or self._heap[0][0] <= until_s):
+            due_s, _, call, arguments = heapq.heappop(self._heap)
+            self.now_s = due_s
+            call(*arguments)
+
+
+class Process:
+    """A process that can be paused, killed and started again."""
+
+    def __init__(self, world, name):
+        self.world = world
+        self.name = name
+        self.boot = 1
+        self.died_s = {}
+        self._paused_until_s = 0
+
+    def at(self, delay_s, call, *arguments):
+        """Call after ``delay_s`` if this boot then lives, after any pause."""
+        self.world.at(delay_s, self._deliver, self.boot, call, arguments)
+
+    def pause(self, pause_s):
+        self._paused_until_s = self.world.now_s + pause_s
+
+    def kill(self):
+        self.died_s[self.boot] = self.world.now_s
+        self.boot += 1
+        self._paused_until_s = 0
+
+    def _deliver(self, boot, call, arguments):
+        if boot != self.boot:
+            return
+        left_s = self._paused_until_s - self.world.now_s
+        if left_s > 0:
+            self.world.at(left_s, self._deliver, boot, call, arguments)
+            return
+        call(*arguments)
+
+
+class FakeStores:
+    """Conditional writes with outages, lost and late answers."""
+
+    def __init__(self, world):
+        self.world = world
+        self.rows = {}
+        self.objects = {}
+        self.row_writes = []
+        self.down = {'rows': False, 'objects': False}
+
+    def take_down(self, kind, outage_s):
+        """Answer nothing well for ``outage_s``."""
+        self.down[kind] = True
+        self.world.at(outage_s, self.down.update, {kind: False})
+
+    def submit(self, process, operation, report):
+        """Carry ``operation`` out with a fate from the tape."""
+        kind = 'rows'
+        if isinstance(operation, ObjectRead | ObjectWrite):
+            kind = 'objects'
+        fate = self.world.tape.byte()
+        if self.down[kind]:
+            fate = self.world.tape.choose(180, 220, 180, 235)
+        self._meet(process, operation, report, fate)
+
+    def apply(self, operation):
+        """Let ``operation`` take effect and return its outcome."""
+        if isinstance(operation, ObjectWrite):
+            self.objects[operation.object_key] = operation.value
+            return self._outcome(operation, StoreStatus.written)
+        if isinstance(operation, ObjectRead):
+            value = self.objects.get(operation.object_key)
+            if value is None:
+                return self._outcome(operation, StoreStatus.absent)
+            return self._outcome(operation, StoreStatus.found, value=value)
+        row = self.rows.get(operation.row_key)
+        rows = () if row is None else (row,)
+        if isinstance(operation, RowRead):
+            status = StoreStatus.found if rows else StoreStatus.absent
+            return self._outcome(operation, status, rows=rows)
+        version = row.row_version if row else 0
+        if version != operation.expected_version:
+            return self._outcome(operation, StoreStatus.conflict, rows=rows)
+        row = Row(operation.row_key, version + 1, operation.value)
+        self.rows[operation.row_key] = row
+        self.row_writes.append(row)
+        return self._outcome(
+            operation, StoreStatus.written, row_version=version + 1
+        )
+
+    def _meet(self, process, operation, report, fate):
+        tape = self.world.tape
+        lost = self._outcome(operation, StoreStatus.unknown)
+        if fate < 170:
+            effect_s = 0.002 if fate < 150 else tape.delay(0.9)
+            self.world.at(effect_s, self._answer, process, operation, report)
+            return
+        if fate < 190:
+            refused = self._outcome(operation, StoreStatus.refused)
+            process.at(0.003, report, refused)
+            return
+        process.at(operation.timeout_s, report, lost)
+        if fate < 215:
+            self.world.at(0.002, self.apply, operation)
+        elif fate < 228:
+            return
+        elif fate < 244:
+            self.world.at(tape.delay(8), self.apply, operation)
+        else:
+            self.world.at(
+                tape.delay(0.9),
+                self._answer,
+                process,
+                operation,
+                report,
+                1 + tape.delay(4),
+            )
+
+    def _answer(self, process, operation, report, delay_s=0.002):
+        process.at(delay_s, report, self.apply(operation))
+
+    def _outcome(self, operation, status, **more):
+        return StoreOutcome(
+            operation_id=operation.operation_id, status=status, **more
+        )
