Let the loop go on at once when a deadline fired events

Cause: an event fired by a due deadline waited with the loop for the next outside event; the SIGTERM scenario hung in the phase 'leaving'. Ruled out: a lost signal; the handler ran and the tick event was queued. Measured: the scenario timed out after 30 s before and passes after. Conclusion: fixed at the source, for components without sockets too.

--- a/bergamotturn/process/timers.py
+++ b/bergamotturn/process/timers.py
@@ -44,11 +44,20 @@
 
     @handler('generate_events', priority=1)
     def _on_generate_events(self, event: Event) -> None:
-        now_s = monotonic()
+        has_fired = self._fire_due(monotonic())
+        if has_fired:
+            # The loop handles the fired events only after this wait.
+            event.reduce_time_left(0)
+        elif self._heap:
+            wait_s = self._heap[0][0] - monotonic()
+            event.reduce_time_left(max(0, wait_s))
+
+    def _fire_due(self, now_s: float) -> bool:
+        has_fired = False
         while self._heap and self._heap[0][0] <= now_s:
             _, number = heapq.heappop(self._heap)
             due = self._due.pop(number, None)
             if due is not None:
                 self.fire(due[0], due[1])
-        if self._heap:
-            event.reduce_time_left(max(0, self._heap[0][0] - now_s))
+                has_fired = True
+        return has_fired
