Say "not run" only of all attempts of a key

Cause: a refusal told 'not run' of its own submission; an earlier submission of the same Idempotency-Key may have run, and a caller that then takes a new key would charge twice. Ruled out: outcome_unknown for every refusal without the table, because this submission certainly was not sent and a repeat with the key is safe. Change: store_unavailable no longer says not_run; refusals of calls with a key that come before the record is read leave it out; the history check now asks every not_run answer about all attempts of the key. Conclusion: the flag speaks for the key.

--- a/bergamotturn/connection/caller_listener.py
+++ b/bergamotturn/connection/caller_listener.py
@@ -5,6 +5,7 @@
 from time import monotonic
 from typing import Final, final
 
+import msgspec
 from circuits import Event, handler
 
 from ..errors import ErrorKind, Failure
@@ -27,7 +28,7 @@
 from ..request.chat import error_event
 from ..version.configuration import Configuration
 from ..version.settings import Settings
-from .caller_routes import CallerRoutes, EntryChoice
+from .caller_routes import SERVICES_PATH, CallerRoutes, EntryChoice
 from .exchange import Header
 from .web_server import WebCall, WebServer
 
@@ -181,7 +182,7 @@
         call.response.close |= self._routes.is_draining
         routed = self._routes.route(call.request, call_id, monotonic())
         if isinstance(routed, Failure):
-            self._answer_failure(call, routed)
+            self._answer_failure(call, _with_earlier_runs(call, routed))
         elif isinstance(routed, ChatCall | ServiceCall):
             self._submit(call, routed)
         else:
@@ -221,3 +222,14 @@
     def _tell_in_flight(self) -> None:
         IN_FLIGHT.set(len(self._open))
         self.fire(in_flight_changed(len(self._open)), '*')
+
+
+def _with_earlier_runs(call: WebCall, failure: Failure) -> Failure:
+    """Return ``failure`` without a claim about earlier runs of a key.
+
+    The refusal comes before the key's record is read.
+    """
+    is_service = call.request.path.startswith(SERVICES_PATH)
+    if not is_service or not call.request.header('idempotency-key'):
+        return failure
+    return msgspec.structs.replace(failure, may_have_run=True)
--- a/bergamotturn/connection/caller_routes.py
+++ b/bergamotturn/connection/caller_routes.py
@@ -24,6 +24,7 @@
 from .input_guard import CompleteRequest
 
 __all__ = (
+    'SERVICES_PATH',
     'CallerRoutes',
     'Entries',
     'EntryChoice',
@@ -35,10 +36,12 @@
 #: Addresses in one answer to a lookup.
 _ENTRIES: Final = 4
 
+#: Root of the plain services.
+SERVICES_PATH: Final = '/v1/services/'
+
 _CHAT_PATH: Final = '/v1/chat/completions'
 _MODELS_PATH: Final = '/v1/models'
 _ENTRIES_PATH: Final = '/v1/entries'
-_SERVICES_PATH: Final = '/v1/services/'
 
 _KEY_CHARACTERS: Final = 200
 _REPEATABLE_METHODS: Final = frozenset(('GET', 'HEAD'))
@@ -158,7 +161,7 @@
         workspace = self._admit(request)
         if workspace.is_error():
             return workspace.error
-        if request.path.startswith(_SERVICES_PATH):
+        if request.path.startswith(SERVICES_PATH):
             return self._service_call(request, call_id, workspace.ok, now_s)
         if request.path == _CHAT_PATH:
             if request.method != 'POST':
@@ -229,7 +232,7 @@
         workspace: Workspace,
         now_s: float,
     ) -> ServiceCall | Failure:
-        rest = request.path.removeprefix(_SERVICES_PATH)
+        rest = request.path.removeprefix(SERVICES_PATH)
         name, _, path = rest.partition('/')
         service = self._index.services.get(unquote(name))
         if service is None:
--- a/bergamotturn/errors.py
+++ b/bergamotturn/errors.py
@@ -69,10 +69,13 @@
 
     :param kind: entry of the closed list.
     :param detail: one sentence; no secrets and no trace.
+    :param may_have_run: whether an earlier submission with the same
+        Idempotency-Key may have run, whatever the kind's usual answer says.
     """
 
     kind: ErrorKind
     detail: str = ''
+    may_have_run: bool = False
 
 
 ANSWERS: Final = MappingProxyType(
@@ -173,11 +176,13 @@
         ErrorKind.endpoint_failed: Answer(
             HTTPStatus.BAD_GATEWAY, 'The endpoint failed.'
         ),
+        # Without the table nobody knows whether an earlier submission with the
+        # same key ran, so this answer does not say that nothing did.
         ErrorKind.store_unavailable: Answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
-            'The table service does not answer.',
-            True,
-            5,
+            'The table service does not answer; nothing was sent. '
+            + 'Repeat later with the same key.',
+            retry_after_s=5,
         ),
         ErrorKind.configuration_invalid: Answer(
             HTTPStatus.UNPROCESSABLE_ENTITY,
--- a/bergamotturn/process/request_holder.py
+++ b/bergamotturn/process/request_holder.py
@@ -37,7 +37,6 @@
 from ..version.configuration import Configuration
 from ..version.settings import Settings
 from .endpoint_knowledge import EndpointKnowledge
-from .metrics import IN_FLIGHT
 from .permit_events import PERMITS_CHANNEL, ask_permit, give_back
 from .prefix_hints import prefix_digest
 from .routing import LeastWait, Need, RoutingPolicy, refusal_kind
@@ -112,7 +111,6 @@
         self._drop_exchange(live.stream)
         if live.reservation is not None:
             self._release_group(live.reservation.end())
-        IN_FLIGHT.set(len(self._live))
 
     def _release_group(self, actions: Iterable[GroupAction]) -> None:
         for action in actions:
--- a/bergamotturn/process/request_task.py
+++ b/bergamotturn/process/request_task.py
@@ -17,7 +17,7 @@
 from ..request.live import ExchangeUse, LiveRequest, UseKind
 from ..version.configuration import Configuration, Deployment
 from .events import OrderView
-from .metrics import IN_FLIGHT, REQUESTS, STREAM_EVENTS
+from .metrics import REQUESTS, STREAM_EVENTS
 from .permit_events import PERMITS_CHANNEL, give_back
 from .permits import may_start
 from .request_answers import CHAT
@@ -67,7 +67,6 @@
             ),
         )
         self._live[call.call_id] = live
-        IN_FLIGHT.set(len(self._live))
         self._run(live, request.begin())
 
     @handler('caller_gone')
--- a/bergamotturn/process/service_task.py
+++ b/bergamotturn/process/service_task.py
@@ -307,7 +307,10 @@
         if service is None:
             self._refuse(call.call_id, Failure(ErrorKind.unknown_path))
         elif self._is_full():
-            self._refuse(call.call_id, Failure(ErrorKind.overloaded))
+            overloaded = Failure(
+                ErrorKind.overloaded, may_have_run=bool(call.idempotency_key)
+            )
+            self._refuse(call.call_id, overloaded)
         elif service.repeatable or is_repeatable_method(call.method):
             self._hold(call, RepeatableFlow(call, self._place), '')
         elif call.idempotency_key:
--- a/bergamotturn/request/error_body.py
+++ b/bergamotturn/request/error_body.py
@@ -30,6 +30,7 @@
     """
     answer = answer_for(failure.kind)
     message = answer.text
+    ran = has_started or failure.may_have_run
     if failure.detail:
         message = f'{message} {failure.detail}'
     return msgspec.json.encode(
@@ -37,7 +38,7 @@
             _ErrorPart(
                 failure.kind.value,
                 message,
-                answer.not_run and not has_started,
+                answer.not_run and not ran,
                 answer.retry_after_s,
             )
         )
--- a/features/steps/errors_steps.py
+++ b/features/steps/errors_steps.py
@@ -10,6 +10,7 @@
     ErrorKind.endpoint_lost,
     ErrorKind.endpoint_failed,
     ErrorKind.deadline_exceeded,
+    ErrorKind.store_unavailable,
     ErrorKind.internal,
 )
 
--- a/features/support/idempotency_history.py
+++ b/features/support/idempotency_history.py
@@ -340,20 +340,19 @@
             for submission in self.submissions
             for told_s, action in submission.replies
             if isinstance(action, Refuse)
-            and answer_for(action.failure.kind).not_run
             and self._is_untrue(submission, action.failure.kind, told_s)
         ]
 
     def _is_untrue(self, submission, kind, told_s):
-        # Beyond its own attempt, a submission that saw the row answers for
-        # all attempts before it.
+        # Without the table only the own attempt is known, and the answer says
+        # no more than that it was not sent. "Not run" speaks for all attempts
+        # of the key up to then.
+        if kind is ErrorKind.store_unavailable:
+            return any(ran is submission for _, ran, _ in self.runs)
+        if not answer_for(kind).not_run:
+            return False
         return any(
-            ran is submission
-            or (
-                kind is not ErrorKind.store_unavailable
-                and ran.key == submission.key
-                and ran_s <= told_s
-            )
+            ran is submission or (ran.key == submission.key and ran_s <= told_s)
             for ran_s, ran, _ in self.runs
         )
 
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -33,6 +33,7 @@
 _OK: Final = 200
 _DATA: Final = b'data: '
 _DONE: Final = b'[DONE]'
+_DRAINING: Final = 'draining'
 _CONNECT_S: Final = 1
 _LOOKUP_S: Final = 2
 #: A call without an end so long after its deadline is hung.
@@ -216,7 +217,8 @@
             except (aiohttp.ClientError, ConnectionError) as error:
                 exchange.lose(repr(error))
                 return
-            if not record.not_run:
+            # A call with a key may be repeated with it at another instance.
+            if not record.not_run and record.error != _DRAINING:
                 return
             tried.add(address)
             await asyncio.sleep(_RETRY_S)
