--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -133,8 +133,7 @@
         self.clock = Clock()
         self._patches = [
             mock.patch(
-                f'bergamotturn.process.{task}.monotonic',
-                self.clock.monotonic,
+                f'bergamotturn.process.{task}.monotonic', self.clock.monotonic
             )
             for task in _TASKS
         ]
--- a/features/support/admission_world.py
+++ b/features/support/admission_world.py
@@ -134,9 +134,7 @@
         content = leases.encode_lease_row(action.row)
         self.row = Row('lease/engine', version + 1, content)
         return StoreOutcome(
-            operation_id=0,
-            status=StoreStatus.written,
-            row_version=version + 1,
+            operation_id=0, status=StoreStatus.written, row_version=version + 1
         )
 
 
