--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -26,21 +26,21 @@
 class Clock:
     """Timers and the monotonic clock, moved by hand."""
 
-    def __init__(self) -> None:
+    def __init__(self):
         self.now_s = 1000.0
         self._order = count()
         self._due: list[tuple[float, int, Event, str]] = []
 
-    def monotonic(self) -> float:
+    def monotonic(self):
         return self.now_s
 
-    def call_after(self, delay_s: float, event: Event, channel: str) -> int:
+    def call_after(self, delay_s, event, channel):
         number = next(self._order)
         due_s = self.now_s + delay_s
         heapq.heappush(self._due, (due_s, number, event, channel))
         return number
 
-    def step(self, app: Component) -> None:
+    def step(self, app):
         due = heapq.heappop(self._due)
         self.now_s = due[0]
         app.fire(due[2], due[3])
@@ -51,7 +51,7 @@
 
     channel = 'outside'
 
-    def __init__(self) -> None:
+    def __init__(self):
         super().__init__()
         self.table = Table()
         self.is_down = False
@@ -62,7 +62,7 @@
         self.failures: list = []
 
     @handler('store_operation', channel='stores')
-    def on_store_operation(self, operation) -> None:
+    def on_store_operation(self, operation):
         action = ReadLease()
         if hasattr(operation, 'value'):
             row = msgspec.json.decode(operation.value, type=LeaseRow)
@@ -73,7 +73,7 @@
         self.fire(store_outcome(outcome), operation.owner)
 
     @handler('send_message', channel='peers')
-    def on_send_message(self, instance, message) -> None:
+    def on_send_message(self, instance, message):
         if instance == 'own':
             envelope = peers.Envelope('own', 'boot', message)
             self.fire(
@@ -81,7 +81,7 @@
             )
 
     @handler('start_exchange', channel='http_client')
-    def on_start_exchange(self, exchange) -> None:
+    def on_start_exchange(self, exchange):
         if self.is_down:
             failed = http.exchange_failed(exchange, 'refused', False)
             self.fire(failed, exchange.owner)
@@ -93,7 +93,7 @@
             self.fire(http.exchange_data(exchange, part), exchange.owner)
         self.fire(http.exchange_end(exchange), exchange.owner)
 
-    def answer(self, exchange) -> bytes:
+    def answer(self, exchange):
         if exchange.method == 'DELETE':
             self.cancels.add(exchange.path)
         if exchange.path == '/fence':
@@ -106,19 +106,19 @@
         return b''
 
     @handler('permit_granted', 'permit_refused', channel='requests')
-    def on_permit(self, answer) -> None:
+    def on_permit(self, answer):
         self.answers.append(answer)
 
     @handler('coordinators_changed', channel='*')
-    def on_coordinators_changed(self, announces) -> None:
+    def on_coordinators_changed(self, announces):
         self.announces = announces
 
     @handler('exception', channel='*')
-    def on_exception(self, *details, **named) -> None:
+    def on_exception(self, *details, **named):
         self.failures.append(details)
 
 
-def _load_report(owners: list[str]) -> bytes:
+def _load_report(owners):
     streams = [
         {'stream_id': f'{owner}/1', 'owner': f'{owner}/boot', 'kv_tokens': 1}
         for owner in owners
@@ -129,7 +129,7 @@
 class Wiring:
     """An instance alone with the stand-ins."""
 
-    def __init__(self) -> None:
+    def __init__(self):
         self.clock = Clock()
         self._patches = [
             mock.patch(
@@ -169,11 +169,11 @@
         )
         self._flush()
 
-    def close(self) -> None:
+    def close(self):
         for patch in self._patches:
             patch.stop()
 
-    def run(self, seconds: float) -> None:
+    def run(self, seconds):
         until_s = self.clock.now_s + seconds
         while self.clock.now_s < until_s:
             self.clock.step(self.outside)
@@ -185,6 +185,6 @@
         self.run(2)
         return self.outside.answers[0] if self.outside.answers else None
 
-    def _flush(self) -> None:
+    def _flush(self):
         while len(self.outside):
             self.outside.flush()
--- a/features/support/admission_world.py
+++ b/features/support/admission_world.py
@@ -10,6 +10,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from random import Random
 
@@ -33,7 +34,7 @@
 TRANSIT_S = 0.4
 
 
-def member(instance: str, boot_id: str, state: int) -> peers.MemberUpdate:
+def member(instance, boot_id, state):
     return peers.MemberUpdate(
         instance=instance,
         boot_id=boot_id,
@@ -46,7 +47,7 @@
     )
 
 
-def terms(**changes: object) -> CoordinatorTerms:
+def terms(**changes):
     endpoint = EndpointSettings(
         **{
             'name': 'engine',
@@ -90,16 +91,16 @@
     streams: dict[str, Stream] = field(default_factory=dict)
     history: list[_Shown] = field(default_factory=lambda: [(-1000, ())])
 
-    def changed(self, now_s: float) -> None:
+    def changed(self, now_s):
         """Keep what a lagging report will show."""
         shown = tuple(work.stream for work in self.streams.values())
         self.history = [*self.history[-500:], (now_s, shown)]
 
-    def at(self, time_s: float) -> tuple[engines.EngineStream, ...]:
+    def at(self, time_s):
         place = bisect_right(self.history, time_s, key=lambda seen: seen[0])
         return self.history[max(0, place - 1)][1]
 
-    def accepts(self, grant: peers.PermitGrant) -> bool:
+    def accepts(self, grant):
         if self.is_down:
             return False
         if not self.checks_fencing:
@@ -107,7 +108,7 @@
         current = grant.epoch >= self.epoch
         return current and grant.incarnation == self.incarnation
 
-    def cold_work(self) -> tuple[int, int]:
+    def cold_work(self):
         cold = [work for work in self.streams.values() if work.started_cold]
         return len(cold), sum(work.stream.kv_tokens for work in cold)
 
@@ -119,9 +120,7 @@
     mode: str = 'up'
     row: Row | None = None
 
-    def apply(
-        self, action: leases.ReadLease | leases.WriteLease
-    ) -> StoreOutcome:
+    def apply(self, action):
         rows = (self.row,) if self.row else ()
         if isinstance(action, leases.ReadLease):
             status = StoreStatus.found if rows else StoreStatus.absent
@@ -141,7 +140,7 @@
 class Node:
     """One instance: its duty, its permits and its requests."""
 
-    def __init__(self, world: 'World', name: str) -> None:
+    def __init__(self, world, name):
         self.world = world
         self.name = name
         self.boots = 0
@@ -150,7 +149,7 @@
         self.changed_s: float = 0
         self.start()
 
-    def start(self) -> None:
+    def start(self):
         self.boots += 1
         self.is_alive = True
         self.paused_until_s = 0
@@ -166,19 +165,19 @@
         self.world.after(0.2, self, self.press)
 
     @property
-    def now_s(self) -> float:
+    def now_s(self):
         return self.world.now_s + self.offset_s
 
     @property
-    def is_paused(self) -> bool:
+    def is_paused(self):
         return self.paused_until_s > self.world.now_s
 
-    def tick(self) -> None:
+    def tick(self):
         self.world.after(TICK_S, self, self.tick)
         self.act(self.duty.tick(self.now_s))
         self.take(self.permits.tick(self.now_s))
 
-    def see_members(self) -> None:
+    def see_members(self):
         """Take the members as the gossip shows them by now."""
         self.world.after(0.5, self, self.see_members)
         members = self.world.members(self)
@@ -190,12 +189,12 @@
         ]
         self.permits.members_known(alive, len(members))
 
-    def press(self) -> None:
+    def press(self):
         random = self.world.random
         self.world.after(random.uniform(0.2, 1.2), self, self.press)
         self.ask()
 
-    def ask(self) -> None:
+    def ask(self):
         random = self.world.random
         number = next(self.world.numbers)
         cost = peers.Cost(1000, 100, random.choice((1000, 2500, 6000)))
@@ -210,7 +209,7 @@
         self.asked[ask.ask_id] = (self.now_s, cost.kv_tokens)
         self.take(self.permits.ask(self.now_s, ask))
 
-    def receive(self, envelope: peers.Envelope) -> None:
+    def receive(self, envelope):
         message = envelope.message
         if isinstance(message, peers.PermitGrant):
             self.take(self.permits.grant(self.now_s, envelope.sender, message))
@@ -219,7 +218,7 @@
         else:
             self.act(self.duty.message(self.now_s, envelope))
 
-    def act(self, actions: list) -> None:
+    def act(self, actions):
         for action in actions:
             if isinstance(action, SendTo):
                 self.world.note_grant(self, action)
@@ -231,7 +230,7 @@
         if self.duty.announce is not None:
             self.permits.coordinator_known(self.duty.announce)
 
-    def take(self, actions: list) -> None:
+    def take(self, actions):
         for action in actions:
             if isinstance(action, SendTo):
                 self.world.send(self, action)
@@ -241,7 +240,7 @@
             elif isinstance(action, Refused):
                 self.asked.pop(action.busy.ask_id, None)
 
-    def begin(self, grant: peers.PermitGrant) -> None:
+    def begin(self, grant):
         """Ask for the status and send the work on the same connection."""
         world = self.world
         engine = world.engine
@@ -258,11 +257,7 @@
         transit_s = world.random.uniform(0, TRANSIT_S)
         world.later(transit_s, lambda: world.arrive(self, grant, stream))
 
-    def end(
-        self,
-        grant: peers.PermitGrant,
-        seen: peers.EndpointIncarnation | None = None,
-    ) -> None:
+    def end(self, grant, seen=None):
         release = peers.PermitRelease(
             permit_id=grant.permit_id,
             endpoint='engine',
@@ -275,9 +270,7 @@
 class World:
     """Everything, on one heap of events."""
 
-    def __init__(
-        self, seed: int, *, checks_fencing: bool = False, nodes: int = 9
-    ) -> None:
+    def __init__(self, seed, *, checks_fencing=False, nodes=9):
         self.random = Random(seed)
         self.now_s: float = 0
         self.numbers = count(1)
@@ -298,7 +291,7 @@
             name = f'node-{number}'
             self.nodes[name] = Node(self, name)
 
-    def run(self, seconds: float) -> None:
+    def run(self, seconds):
         until_s = self.now_s + seconds
         while self._heap and self._heap[0][0] <= until_s:
             due = heapq.heappop(self._heap)
@@ -306,17 +299,15 @@
             due[2]()
         self.now_s = until_s
 
-    def later(self, delay_s: float, call: Callable[[], None]) -> None:
+    def later(self, delay_s, call):
         due_s = self.now_s + delay_s
         heapq.heappush(self._heap, (due_s, next(self._order), call))
 
-    def after(
-        self, delay_s: float, node: Node, call: Callable[[], None]
-    ) -> None:
+    def after(self, delay_s, node, call):
         """Call in one boot of an instance; a pause holds the call up."""
         boots = node.boots
 
-        def run() -> None:
+        def run():
             if not node.is_alive or node.boots != boots:
                 return
             if node.is_paused:
@@ -327,7 +318,7 @@
 
         self.later(delay_s, run)
 
-    def members(self, viewer: Node) -> list[peers.MemberUpdate]:
+    def members(self, viewer):
         """Return the members; a change shows after 3.5 s."""
         shown = []
         for node in self.nodes.values():
@@ -340,7 +331,7 @@
             shown.append(member(node.name, node.boot_id, state))
         return shown
 
-    def burst(self) -> None:
+    def burst(self):
         """Let all instances ask at once, with answers that come late."""
         self.late_until_s = self.now_s + 1
         self.late_by_s = 0.95
@@ -349,28 +340,28 @@
                 self.after(0, node, node.ask)
         self.run(0.1)
 
-    def pause(self, name: str, seconds: float) -> None:
+    def pause(self, name, seconds):
         node = self.nodes[name]
         node.paused_until_s = self.now_s + seconds
         node.changed_s = self.now_s
 
-    def kill(self, name: str) -> None:
+    def kill(self, name):
         node = self.nodes[name]
         node.is_alive = False
         node.changed_s = self.now_s
 
-    def restart(self, name: str) -> None:
+    def restart(self, name):
         if not self.nodes[name].is_alive:
             self.nodes[name].start()
 
-    def holders(self) -> list[Node]:
+    def holders(self):
         return [
             node
             for node in self.nodes.values()
             if node.is_alive and node.duty.coordinator is not None
         ]
 
-    def send(self, sender: Node, action: SendTo) -> None:
+    def send(self, sender, action):
         """Deliver a message, perhaps late or not at all."""
         random = self.random
         if not random.randrange(100):
@@ -382,12 +373,12 @@
         envelope = peers.Envelope(sender.name, sender.boot_id, action.message)
         target = self.nodes[action.instance]
 
-        def deliver() -> None:
+        def deliver():
             self.after(0, target, lambda: target.receive(envelope))
 
         self.later(delay_s, deliver)
 
-    def note_grant(self, node: Node, action: SendTo) -> None:
+    def note_grant(self, node, action):
         """Check that no grant follows one of a newer holder."""
         if not isinstance(action.message, peers.PermitGrant):
             return
@@ -399,9 +390,7 @@
         elif epoch < self.granted_epoch:
             self.breaches.append(f'{node.name} grants under epoch {epoch}')
 
-    def operate(
-        self, node: Node, action: leases.ReadLease | leases.WriteLease
-    ) -> None:
+    def operate(self, node, action):
         mode = 'down' if node.name in self.cut_off else self.table.mode
         delay_s = self.random.uniform(0.001, 0.01)
         unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
@@ -424,11 +413,7 @@
             self.later(held_s, lambda: self.table.apply(action))
         self._answer(node, action, unknown, TABLE_TIMEOUT_S)
 
-    def call_engine(
-        self,
-        node: Node,
-        action: duties.AskStatus | duties.AskLoad | duties.GiveEpoch,
-    ) -> None:
+    def call_engine(self, node, action):
         asked_s = node.now_s
         self.after(
             self.random.uniform(0.001, 0.01),
@@ -436,9 +421,7 @@
             lambda: self._engine_answers(node, action, asked_s),
         )
 
-    def arrive(
-        self, node: Node, grant: peers.PermitGrant, stream: engines.EngineStream
-    ) -> None:
+    def arrive(self, node, grant, stream):
         engine = self.engine
         if not engine.accepts(grant):
             self.after(0, node, lambda: node.end(grant, engine.incarnation))
@@ -455,7 +438,7 @@
         lasts_s = self.random.uniform(0.2, self.longest_stream_s)
         self.later(lasts_s, lambda: self._finish(node, grant))
 
-    def turn_cold(self, *, restarted: bool) -> None:
+    def turn_cold(self, *, restarted):
         """Turn the engine cold without a word; a restart ends its work."""
         engine = self.engine
         known = engine.incarnation
@@ -471,108 +454,80 @@
             engine.streams.clear()
             engine.changed(self.now_s)
 
-    def _finish(self, node: Node, grant: peers.PermitGrant) -> None:
+    def _finish(self, node, grant):
         if self.engine.streams.pop(grant.ask_id, None) is not None:
             self.engine.changed(self.now_s)
         self.after(0.001, node, lambda: node.end(grant))
 
-    def _answer(
-        self,
-        node: Node,
-        action: leases.ReadLease | leases.WriteLease,
-        outcome: StoreOutcome,
-        delay_s: float,
-    ) -> None:
+    def _answer(self, node, action, outcome, delay_s):
         duty = node.duty
         take = duty.row_written
         if isinstance(action, leases.ReadLease):
             take = duty.row_read
         self.after(delay_s, node, lambda: node.act(take(node.now_s, outcome)))
 
-    def _engine_answers(
-        self,
-        node: Node,
-        action: duties.AskStatus | duties.AskLoad | duties.GiveEpoch,
-        asked_s: float,
-    ) -> None:
+    def _engine_answers(self, node, action, asked_s):
         engine = self.engine
         duty = node.duty
-        if isinstance(action, duties.GiveEpoch):
-            if not engine.is_down:
-                engine.epoch = max(engine.epoch, action.epoch)
-                duty.epoch_answered(action.epoch)
-        elif isinstance(action, duties.AskStatus):
+        take = None
+        if isinstance(action, duties.AskStatus):
             status = engines.EngineStatus(engine.incarnation, engine.is_warm)
             seen = None if engine.is_down else status
-            self.after(
-                0.005,
-                node,
-                lambda: node.act(
-                    duty.status_answered(node.now_s, asked_s, seen)
-                ),
-            )
-        elif not engine.is_down:
+            take = partial(duty.status_answered, asked_s=asked_s, status=seen)
+        elif engine.is_down:
+            return
+        elif isinstance(action, duties.GiveEpoch):
+            engine.epoch = max(engine.epoch, action.epoch)
+            duty.epoch_answered(action.epoch)
+        else:
             age_s = self.random.uniform(0, 1)
             shown = engine.at(self.now_s - age_s)
             load = engines.EngineLoad(asked_s - age_s, shown)
-            self.after(
-                0.005,
-                node,
-                lambda: node.act(duty.load_answered(node.now_s, load)),
-            )
-
+            take = partial(duty.load_answered, load=load)
+        if take:
+            self.after(0.005, node, lambda: node.act(take(node.now_s)))
 
-def _on_holders(act: Callable[[World, str], None]) -> Callable[[World], None]:
-    def act_on_all(world: World) -> None:
-        for node in world.holders():
-            act(world, node.name)
 
-    return act_on_all
+def _on_holders(act):
+    return lambda world: [act(world, node.name) for node in world.holders()]
 
 
-def _heal(world: World) -> None:
-    _set_table('up')(world)
+def _heal(world):
+    _set_table(world, 'up')
     world.engine.is_down = False
     for name in world.nodes:
         world.restart(name)
 
 
-def _set_table(mode: str) -> Callable[[World], None]:
-    def change(world: World) -> None:
-        world.table.mode = mode
-        world.cut_off.clear()
-
-    return change
+def _set_table(world, mode):
+    world.table.mode = mode
+    world.cut_off.clear()
 
 
-def _turn_cold(world: World, *, restarted: bool) -> None:
+def _turn_cold(world, *, restarted):
     world.burst()
     world.turn_cold(restarted=restarted)
 
 
 #: Faults without parameters, and their ends.
 FAULTS = {
-    'pause holders for 3 s': _on_holders(
-        lambda world, name: world.pause(name, 3)
-    ),
-    'pause holders for 9 s': _on_holders(
-        lambda world, name: world.pause(name, 9)
-    ),
+    'pause holders': _on_holders(partial(World.pause, seconds=3)),
+    'pause holders long': _on_holders(partial(World.pause, seconds=9)),
     'kill holders': _on_holders(World.kill),
     'cut holders off': _on_holders(lambda world, name: world.cut_off.add(name)),
     'heal': _heal,
-    'table down': _set_table('down'),
-    'table refuses': _set_table('refused'),
-    'table loses answers': _set_table('lost'),
-    'table acts late': _set_table('late'),
-    'turn cold': lambda world: _turn_cold(world, restarted=False),
-    'restart engine': lambda world: _turn_cold(world, restarted=True),
+    'table down': partial(_set_table, mode='down'),
+    'table refuses': partial(_set_table, mode='refused'),
+    'table loses answers': partial(_set_table, mode='lost'),
+    'table acts late': partial(_set_table, mode='late'),
+    'turn cold': partial(_turn_cold, restarted=False),
+    'restart engine': partial(_turn_cold, restarted=True),
     'warm up': lambda world: setattr(world.engine, 'is_warm', True),
     'engine down': lambda world: setattr(world.engine, 'is_down', True),
 }
 
 
-def storm(world: World) -> None:
+def storm(world):
     """Let random faults follow each other, every third one healed."""
     for _ in range(8):
         name = world.random.choice(sorted(FAULTS))
--- a/features/support/group_world.py
+++ b/features/support/group_world.py
@@ -25,7 +25,7 @@
 class GroupWorld:
     """Four endpoints that take one request each, and groups that want them."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed):
         self.random = Random(seed)
         self.now_s: float = 0
         self.counts: Counter[str] = Counter()
@@ -38,7 +38,7 @@
         self._order = count()
         self._heap: list[_Event] = []
 
-    def add(self, engines: list[str]) -> None:
+    def add(self, engines):
         costs = {engine: Cost(10, 10, 0) for engine in engines}
         work = f'work-{len(self.groups)}'
         group = GroupReservation(
@@ -47,12 +47,12 @@
         self.groups.append(group)
         self._act(group, group.start(self.now_s))
 
-    def end(self, number: int) -> None:
+    def end(self, number):
         if number < len(self.groups):
             group = self.groups[number]
             self._act(group, group.end())
 
-    def run(self, seconds: float) -> None:
+    def run(self, seconds):
         """Let the time pass in steps; groups are ticked at each."""
         until_s = self.now_s + seconds
         while self.now_s < until_s:
@@ -64,7 +64,7 @@
             for group in self.groups:
                 self._act(group, group.tick(self.now_s))
 
-    def finish(self) -> None:
+    def finish(self):
         open_groups = self._open_groups()
         while open_groups and self.now_s < 500:
             self.run(0.5)
@@ -78,14 +78,14 @@
             usage = coordinator.usage()
             assert usage.requests == 0, f'{name} counts {usage.requests}'
 
-    def _open_groups(self) -> list[GroupReservation]:
+    def _open_groups(self):
         return [
             group
             for group in self.groups
             if group.phase is not GroupPhase.ended
         ]
 
-    def _act(self, group: GroupReservation, actions: list) -> None:
+    def _act(self, group, actions):
         for action in actions:
             if isinstance(action, AskMember):
                 self._later(lambda ask=action.ask: self._ask(ask))
@@ -94,25 +94,25 @@
             elif isinstance(action, GroupReady):
                 self.counts['ready'] += 1
 
-    def _later(self, call: Callable[[], None]) -> None:
+    def _later(self, call):
         """Carry a message, now and then slowly."""
         slow = not self.random.randrange(10)
         delay_s = self.random.uniform(0, 1 if slow else 0.01)
         due_s = self.now_s + delay_s
         heapq.heappush(self._heap, (due_s, next(self._order), call))
 
-    def _ask(self, ask) -> None:
+    def _ask(self, ask):
         coordinator = self.coordinators[ask.endpoint]
         self._answer(coordinator.ask(self.now_s, 'own', 'boot', ask))
 
-    def _release(self, release) -> None:
+    def _release(self, release):
         self.coordinators[release.endpoint].release(self.now_s, release)
 
-    def _answer(self, actions: list) -> None:
+    def _answer(self, actions):
         for action in actions:
             self._later(lambda answer=action.message: self._receive(answer))
 
-    def _receive(self, answer) -> None:
+    def _receive(self, answer):
         number = int(answer.ask_id.split('/')[0].removeprefix('work-'))
         group = self.groups[number]
         if isinstance(answer, PermitGrant):
