Keep the highest epoch heard when a lease is taken

Cause: a takeover replaced the highest epoch heard so far; harmless while the table never goes back, but the rule is "never lower". Change: one line.

--- a/bergamotturn/process/lease.py
+++ b/bergamotturn/process/lease.py
@@ -483,7 +483,7 @@
         self._candidate.write = None
         self._candidate.restart()
         epoch = write.row.epoch if write else 0
-        self._candidate.highest_epoch = epoch
+        self.hear_epoch(epoch)
         self._holder = _Holder(epoch, row_version, sent_s + LEASE_S)
         return [LeaseTaken(epoch, now_s + LEASE_S + PERMIT_START_S)]
 
