Send the highest epoch seen with work under a fixed share

Cause: shares carried epoch 0, so engines that check fencing refused all work while they had no coordinator, for the whole of a table outage. Ruled out: a fence exempt for shares, because a share must lose against a coordinator that fenced the engine meanwhile.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -218,7 +218,8 @@
     """A permit to run one request at an endpoint.
 
     :param start_s: seconds from the ask's departure in which it must start.
-    :param epoch: fencing number of the coordinator's lease, 0 for a share.
+    :param epoch: fencing number of the coordinator's lease; for a fixed
+        share the highest one that the instance has seen.
     :param expected_wait_s: the coordinator's estimate for new asks.
     """
 
--- a/bergamotturn/process/permits.py
+++ b/bergamotturn/process/permits.py
@@ -213,7 +213,8 @@
                 ask_id=ask.ask_id,
                 permit_id=permit_id,
                 endpoint=ask.endpoint,
-                epoch=0,
+                # An engine that checks fencing refuses epochs below the last.
+                epoch=self._epochs.get(ask.endpoint, 0),
                 start_s=PERMIT_START_S,
                 incarnation=EndpointIncarnation(),
             )
@@ -236,7 +237,7 @@
         return False
     if status is None:
         return not grant.incarnation.start_id
-    if grant.epoch == 0:
+    if grant.permit_id.startswith(_SHARE):
         return status.is_warm
     return status.incarnation == grant.incarnation
 
