--- a/bergamotturn/command.py
+++ b/bergamotturn/command.py
@@ -230,3 +230,7 @@
     versions = _versions(client, _expect(client.get('/status')))
     behind = [name for name, at_one in versions.items() if at_one < version]
     return behind, len(versions)
+
+
+if __name__ == '__main__':
+    main()
