Send the newest orders first and tighten the scenarios

The order scenario with 200 earlier orders then showed a real fault: a new order waited behind earlier ones and was not everywhere within 5 s.

Ruled out: more orders for each message, which breaks the byte budget.

A woken member's timers come before its unread messages in the simulated fleet; leaving and restart are checked at 0.1 s and 1 s; a process that ignores SIGTERM fails the scenario after 30 s where it blocked it before.

--- a/bergamotturn/process/gossip.py
+++ b/bergamotturn/process/gossip.py
@@ -6,6 +6,8 @@
 the size of the fleet.
 """
 
+from heapq import nlargest
+from operator import attrgetter
 from typing import Final, final
 
 import msgspec
@@ -113,10 +115,16 @@
         return _EXTRA_SENDS + len(self._table.records).bit_length()
 
     def _add_orders(self, room: _Room, instance: str) -> None:
-        targets = sorted(self._order_sends, key=self._order_sends.get)
-        for target in targets[:_ORDERS_PER_MESSAGE]:
-            order = self._orders.get(target)
-            if order is None or not room.add(order):
+        # The newest order goes first: by the fewest sends, it would wait
+        # behind a burst of earlier ones.
+        newest = nlargest(
+            _ORDERS_PER_MESSAGE,
+            map(self._orders.get, self._order_sends),
+            key=attrgetter('order_count'),
+        )
+        for order in newest:
+            target = order.target
+            if not room.add(order):
                 continue
             self._order_sends[target] += 1
             if self._order_sends[target] >= self._sends():
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -16,8 +16,7 @@
     Given 20 endpoints
     Then longs use the same 6 of them on all instances
     And taking one of those out moves only its own place
-    And shorts use none of the 6 while another is idle
-    And shorts use one of the 6 when all others have a wait of 1 second
+    And shorts use them when all others have a wait of 1 second, not of 0.1
 
   Scenario: A cached prefix is preferred until its wait costs more than it saves
     Guards against prefill done twice, and against a queue behind one popular prefix.
--- a/features/simulated_fleet.py
+++ b/features/simulated_fleet.py
@@ -33,19 +33,16 @@
 
 
 def name_of(number):
-    """Return the name of the member with ``number``."""
     digits = str(number).zfill(3)
     return f'entry-{digits}'
 
 
 def centre_of(number):
-    """Return the data centre of the member with ``number``."""
     centre = number % _DATA_CENTRES
     return f'west-{centre}'
 
 
 def orders_out(*targets):
-    """Return a view in which ``targets`` are out of service."""
     return OrderView(
         tuple(
             OrderUpdate(
@@ -65,7 +62,6 @@
 
 
 def own_update(number, boot=0):
-    """Return the first update of the member with ``number``."""
     return MemberUpdate(
         instance=name_of(number),
         boot_id=f'000000000000-{boot}',
@@ -82,7 +78,6 @@
     """Members, their messages under way, and the faults between them."""
 
     def __init__(self, size, seed):
-        """Start ``size`` members that have the platform's list."""
         self.random = Random(seed)
         self.now_s = 100
         self.loss = 0
@@ -110,7 +105,6 @@
                 member.table.merge(self.now_s, update)
 
     def run(self, duration_s):
-        """Let ``duration_s`` pass."""
         end_s = self.now_s + duration_s
         while self._queue and self._queue[0][0] <= end_s:
             entry = heapq.heappop(self._queue)
@@ -118,7 +112,10 @@
             instance, data = entry[2:]
             resume_s = self.paused_until_s.get(instance, 0)
             if self.now_s < resume_s:
-                self._push(resume_s, instance, data)
+                # Timers come before what lies unread, which is the worst
+                # sequence for who judges by the time of answers.
+                unread_s = 0.01 if isinstance(data, bytes) else 0
+                self._push(resume_s + unread_s, instance, data)
             elif isinstance(data, bytes):
                 self._receive(instance, data)
             elif data is self.members.get(instance):
@@ -160,7 +157,6 @@
         ]
 
     def state_of(self, viewer, other):
-        """Return what ``viewer`` holds of ``other``."""
         record = self.members[viewer].table.records.get(other)
         return None if record is None else record.update.state
 
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 from random import Random
+from threading import Timer
 
 from behave import given, then
 from hypothesis import strategies as st
@@ -125,6 +126,10 @@
         (sys.executable, '-c', _PROCESS), stdout=subprocess.PIPE, text=True
     )
     context.add_cleanup(context.process.kill)
+    # A process that never ends fails the scenario instead of blocking it.
+    watchdog = Timer(30, context.process.kill)
+    context.add_cleanup(watchdog.cancel)
+    watchdog.start()
     assert context.process.stdout.readline() == 'started\n'
 
 
@@ -133,7 +138,7 @@
     context.process.send_signal(signal.SIGTERM)
     assert context.process.stdout.readline() == 'leaving\n'
     context.process.send_signal(signal.SIGTERM)
-    output, _ = context.process.communicate(timeout=30)
+    output, _ = context.process.communicate()
     assert output.split() == ['draining', 'ended'], output
     assert context.process.returncode == 0
 
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -87,8 +87,10 @@
 @then('one that is paused for 20 seconds suspects nobody when it wakes')
 def wakes_fairly(context):
     fleet = context.fleet
+    fleet.delay_s = (0.2, 0.3)
+    fleet.run(1)
     fleet.paused_until_s['entry-000'] = fleet.now_s + 20
-    fleet.run(20.1)
+    fleet.run(20.005)
     for other in list(fleet.members)[1:]:
         state = fleet.state_of('entry-000', other)
         assert state == MemberState.alive, (other, state)
@@ -100,16 +102,23 @@
     assert not context.fleet.disagreements(), context.fleet.disagreements()
 
 
-@then('one that leaves is seen leaving by all others after 1 second')
+@then('one that leaves is seen leaving by all others after 0.1 seconds')
 def seen_leaving(context):
     fleet = context.fleet
     fleet.carry_out('entry-000', fleet.members['entry-000'].leave())
-    fleet.run(1)
+    fleet.run(0.1)
     for viewer in list(fleet.members)[1:]:
         state = fleet.state_of(viewer, 'entry-000')
         assert state == MemberState.leaving, (viewer, state)
 
 
+@then('when it restarts its new boot is seen alive after 1 second')
+def new_boot_seen(context):
+    context.fleet.restart('entry-000')
+    context.fleet.run(1)
+    assert not context.fleet.disagreements(), context.fleet.disagreements()
+
+
 @when('one member dies')
 def one_dies(context):
     context.fleet.kill('entry-000')
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -62,8 +62,12 @@
 def order_everywhere(context, seed, placed):
     fleet = Fleet(9, seed)
     fleet.introduce()
+    for member in fleet.members.values():
+        member.merge_orders(
+            _order('out', 1, 'a', f'x/{old}') for old in range(200)
+        )
     fleet.loss = 0.2
-    fleet.run(2)
+    fleet.run(8)
     _place(fleet, *placed)
     fleet.run(5)
     for member in fleet.members.values():
@@ -127,9 +131,9 @@
     fleet.carry_out(instance, actions)
 
 
-def _order(state, count, accepted_by):
+def _order(state, count, accepted_by, target=_TARGET):
     return OrderUpdate(
-        target=_TARGET,
+        target=target,
         state=state,
         order_count=count,
         accepted_by=accepted_by,
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -119,18 +119,15 @@
     assert kept > context.longs - {gone}, kept
 
 
-@then('shorts use none of the 6 while another is idle')
-def shorts_apart(context):
-    assert not context.longs & set(_first_choices(context.candidates, 200))
-
-
-@then('shorts use one of the 6 when all others have a wait of 1 second')
+@then('shorts use them when all others have a wait of 1 second, not of 0.1')
 def shorts_spill(context):
-    busy = [
-        candidate if candidate.name in context.longs else _waiting(candidate, 1)
-        for candidate in context.candidates
-    ]
-    assert set(_first_choices(busy, 50)) <= context.longs
+    for wait_s, wanted in ((0.1, False), (1, True)):
+        busy = [
+            known if known.name in context.longs else _waiting(known, wait_s)
+            for known in context.candidates
+        ]
+        for name in _first_choices(busy, 100):
+            assert (name in context.longs) == wanted, name
 
 
 @given('20 endpoints of which one for shorts has the prefix cached')
