--- /dev/null
+++ b/features/support/admission_wiring.py
@@ -0,0 +1,191 @@
+"""The admission components of one instance with stand-ins around them."""
+
+import heapq
+from itertools import count
+from unittest import mock
+
+import msgspec
+from circuits import Component, Event, handler
+
+from bergamotturn.connection import exchange as http
+from bergamotturn.connection import peer_messages as peers
+from bergamotturn.connection.store_events import store_outcome
+from bergamotturn.process.admission_task import AdmissionTask
+from bergamotturn.process import events
+from bergamotturn.process.lease import LeaseRow, ReadLease, WriteLease
+from bergamotturn.process.orphan_task import OrphanTask
+from bergamotturn.process.permit_events import ask_permit
+from bergamotturn.process.permits_task import PermitsTask
+from bergamotturn.version.configuration import Configuration
+from bergamotturn.version.settings import PlatformSettings, Settings
+
+from .admission_world import NOWHERE, Table, member, terms
+
+_TASKS = ('admission_task', 'permits_task', 'orphan_task')
+
+
+class Clock:
+    """Timers and the monotonic clock, moved by hand."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+        self._order = count()
+        self._due: list[tuple[float, int, Event, str]] = []
+
+    def monotonic(self):
+        return self.now_s
+
+    def call_after(self, delay_s, event, channel):
+        number = next(self._order)
+        due_s = self.now_s + delay_s
+        heapq.heappush(self._due, (due_s, number, event, channel))
+        return number
+
+    def step(self, app):
+        due = heapq.heappop(self._due)
+        self.now_s = due[0]
+        app.fire(due[2], due[3])
+
+
+class Outside(Component):
+    """Table, peers, engine and requests."""
+
+    channel = 'outside'
+
+    def __init__(self):
+        super().__init__()
+        self.table = Table()
+        self.is_down = False
+        self.fence_epoch = 0
+        self.cancels: set[str] = set()
+        self.announces: tuple = ()
+        self.answers: list = []
+        self.failures: list = []
+
+    @handler('store_operation', channel='stores')
+    def on_store_operation(self, operation):
+        action = ReadLease()
+        if hasattr(operation, 'value'):
+            row = msgspec.json.decode(operation.value, type=LeaseRow)
+            action = WriteLease(row, operation.expected_version)
+        outcome = msgspec.structs.replace(
+            self.table.apply(action), operation_id=operation.operation_id
+        )
+        self.fire(store_outcome(outcome), operation.owner)
+
+    @handler('send_message', channel='peers')
+    def on_send_message(self, instance, message):
+        if instance == 'own':
+            envelope = peers.Envelope('own', 'boot', message)
+            self.fire(
+                peers.peer_message(envelope), peers.CHANNELS[type(message)]
+            )
+
+    @handler('start_exchange', channel='http_client')
+    def on_start_exchange(self, exchange):
+        if self.is_down:
+            failed = http.exchange_failed(exchange, 'refused', False)
+            self.fire(failed, exchange.owner)
+            return
+        body = self.answer(exchange)
+        status = 200 if body else 204
+        self.fire(http.exchange_head(exchange, status, ()), exchange.owner)
+        for part in (body[:10], body[10:]):
+            self.fire(http.exchange_data(exchange, part), exchange.owner)
+        self.fire(http.exchange_end(exchange), exchange.owner)
+
+    def answer(self, exchange):
+        if exchange.method == 'DELETE':
+            self.cancels.add(exchange.path)
+        if exchange.path == '/fence':
+            self.fence_epoch = msgspec.json.decode(exchange.body)['epoch']
+        if exchange.path == '/status':
+            return b'{"start_id": "start", "cold_count": 1, "state": "cold"}'
+        if exchange.path == '/load':
+            owners = ['own'] if self.cancels else ['own', 'gone']
+            return _load_report(owners)
+        return b''
+
+    @handler('permit_granted', 'permit_refused', channel='requests')
+    def on_permit(self, answer):
+        self.answers.append(answer)
+
+    @handler('coordinators_changed', channel='*')
+    def on_coordinators_changed(self, announces):
+        self.announces = announces
+
+    @handler('exception', channel='*')
+    def on_exception(self, *details, **named):
+        self.failures.append(details)
+
+
+def _load_report(owners):
+    streams = [
+        {'stream_id': f'{owner}/1', 'owner': f'{owner}/boot', 'kv_tokens': 1}
+        for owner in owners
+    ]
+    return msgspec.json.encode({'age_s': 0.5, 'streams': streams})
+
+
+class Wiring:
+    """An instance alone with the stand-ins."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self._patches = [
+            mock.patch(
+                f'bergamotturn.process.{task}.monotonic', self.clock.monotonic
+            )
+            for task in _TASKS
+        ]
+        for patch in self._patches:
+            patch.start()
+        settings = Settings(
+            instance='own',
+            data_centre='a',
+            caller_address=NOWHERE,
+            operator_address=NOWHERE,
+            peer_address=NOWHERE,
+            platform=PlatformSettings(
+                table=NOWHERE, objects=NOWHERE, instance_list=NOWHERE
+            ),
+            operator_token_digest='',
+        )
+        self.outside = Outside()
+        for task in (AdmissionTask, PermitsTask, OrphanTask):
+            task(settings, 'boot', self.clock).register(self.outside)
+        configuration = Configuration(
+            endpoints=(
+                terms(address=http.Address('127.0.0.1', 2)).endpoint,
+                terms(name='service', kv_tokens=0).endpoint,
+            )
+        )
+        members = (
+            member('own', 'boot', peers.MemberState.alive),
+            member('gone', 'boot', peers.MemberState.dead),
+        )
+        self.outside.fire(events.configuration_changed(1, configuration), '*')
+        self.outside.fire(
+            events.members_changed(events.MemberView(members)), '*'
+        )
+        self._flush()
+
+    def close(self):
+        for patch in self._patches:
+            patch.stop()
+
+    def run(self, seconds):
+        until_s = self.clock.now_s + seconds
+        while self.clock.now_s < until_s:
+            self.clock.step(self.outside)
+            self._flush()
+
+    def ask(self, ask):
+        self.outside.answers.clear()
+        self.outside.fire(ask_permit(ask, 'requests'), 'permits')
+        self.run(2)
+        return self.outside.answers[0] if self.outside.answers else None
+
+    def _flush(self):
+        while len(self.outside):
+            self.outside.flush()
