Stop retries at the deadline, and draw one long in each fifty

Cause: the demonstration failed with a refusal 46.4 s after a request with a deadline of 45 s: the load tool went on retrying a refused request after its deadline. Drawing each request on its own gave one run only 4 longs of 454. Change: no retry without time left; one long is drawn from each fifty requests; the demonstration prints the codes of refusals and has shorter loads, so that its longest tails fit into four minutes. A scenario checks that a plan follows from its seed.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -154,3 +154,9 @@
     Guards against daemons and stand-ins that outlive an aborted run.
     When the body of a run raises an error with a paused process
     Then none of the run's processes is left
+
+  Scenario: A load plan follows from its seed alone
+    Guards against comparisons of two runs that did not get the same requests.
+    Then two plans with one seed send the same, with one long prompt in fifty
+    And without longs the other prompts and all times are the same
+    And a prompt has the length of its plan and shares its workspace's prefix
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -14,6 +14,7 @@
 from features.support.cluster import Cluster
 from features.support.engine_settings import EngineSettings
 from features.support.http_call import call
+from features.support.load_plan import LoadPlan, arrivals, prompt_text
 from features.support.load_report import (
     ChatRecord,
     Outcome,
@@ -739,3 +740,50 @@
     except ProcessLookupError:
         return False
     return True
+
+
+_LOAD = LoadPlan(
+    seed=3,
+    duration_s=200,
+    requests_per_s=10,
+    model='letter',
+    workspaces=('north', 'south'),
+    middle_every=4,
+)
+_SHORTS_ONLY = msgspec.structs.replace(_LOAD, long_every=0)
+
+
+@then('two plans with one seed send the same, with one long prompt in fifty')
+def plan_is_fixed(context):
+    """Compare two plans and count the longs."""
+    context.planned = arrivals(_LOAD)
+    assert context.planned == arrivals(_LOAD)
+    blocks = len(context.planned) // 50
+    whole_blocks = context.planned[49 : 50 * blocks - 1]
+    longs = [each for each in whole_blocks if each.prompt_tokens > 100_000]
+    assert len(longs) == blocks - 1, (len(longs), blocks)
+
+
+@then('without longs the other prompts and all times are the same')
+def shorts_are_fixed(context):
+    """Compare the plans request by request."""
+    without = arrivals(_SHORTS_ONLY)
+    assert len(without) == len(context.planned)
+    for mixed, short in zip(context.planned, without, strict=True):
+        assert mixed.at_s == short.at_s
+        assert short.prompt_tokens <= 32_000
+        if mixed.prompt_tokens <= 100_000:
+            assert mixed == short
+
+
+@then("a prompt has the length of its plan and shares its workspace's prefix")
+def prompts_follow_plan(context):
+    """Make the text of some requests."""
+    shared = {}
+    for arrival in context.planned[:40]:
+        text = prompt_text(_LOAD, arrival)
+        assert len(text) == 4 * arrival.prompt_tokens
+        prefix = (arrival.workspace, arrival.prefix_number)
+        start = shared.setdefault(prefix, text[:1024])
+        assert text[:1024] == start
+    assert len(set(shared.values())) == len(shared)
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -198,6 +198,7 @@
     ) -> None:
         """Try addresses until an answer does not say ``not run``."""
         tried: set[Address] = set()
+        left_s = record.arrived_s + exchange.deadline_s - self._since(0)
         while record.attempts < _MOST_ATTEMPTS:
             try:
                 address = await self._book.choose(record.workspace, tried)
@@ -205,7 +206,6 @@
                 exchange.fail(str(error), not_run=True)
                 return
             record.attempts += 1
-            left_s = record.arrived_s + exchange.deadline_s - self._since(0)
             try:
                 await exchange.send(address, self._since, left_s)
             except _Refused as refusal:
@@ -216,10 +216,12 @@
             except (aiohttp.ClientError, ConnectionError) as error:
                 exchange.lose(repr(error))
                 return
-            if not record.not_run:
+            left_s = record.arrived_s + exchange.deadline_s - self._since(0)
+            if not record.not_run or left_s <= _RETRY_S:
                 return
             tried.add(address)
             await asyncio.sleep(_RETRY_S)
+            left_s -= _RETRY_S
 
     async def _call(self, arrival: ServiceArrival) -> None:
         record = ServiceRecord(
--- a/features/support/load_plan.py
+++ b/features/support/load_plan.py
@@ -154,14 +154,12 @@
     # All are drawn each time, so that a run without longs has the same shorts.
     middle = plan.middles.draw(random)
     long = plan.longs.draw(random)
-    drawn_long = random.random()
-    drawn_middle = random.random()
     workspace = random.choice(plan.workspaces)
     prefix_number = random.randrange(_PREFIXES)
-    is_long = _is_one_in(plan.long_every, drawn_long)
+    is_long = _is_one_in(plan.long_every, plan.seed, number)
     if is_long:
         tokens = long
-    elif _is_one_in(plan.middle_every, drawn_middle):
+    elif _is_one_in(plan.middle_every, plan.seed, number):
         tokens = middle
     return Arrival(
         number=number,
@@ -173,10 +171,16 @@
     )
 
 
-def _is_one_in(every: int, drawn: float) -> bool:
-    # Drawn rather than counted: each fiftieth of all requests would meet the
-    # same engine again and again under round robin.
-    return every > 0 and drawn * every < 1
+def _is_one_in(every: int, seed: int, number: int) -> bool:
+    """Return whether this is the one drawn from its ``every`` requests.
+
+    Each last of fifty would meet the same engine again and again under round
+    robin.
+    """
+    if not every:
+        return False
+    block, place = divmod(number, every)
+    return Random(f'{seed}/{every}/{block}').randrange(every) == place
 
 
 def _repeated(text: str, characters: int) -> str:
--- a/tools/run_demo.py
+++ b/tools/run_demo.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from time import monotonic
 from typing import Final, final
@@ -41,12 +42,12 @@
 )
 _MIXED: Final = LoadPlan(
     seed=_SEED,
-    duration_s=40,
+    duration_s=36,
     requests_per_s=12,
     model=_MODEL,
     workspaces=_PLAN.workspaces,
     middle_every=4,
-    long_deadline_s=45,
+    long_deadline_s=40,
 )
 #: Coordinators grant nothing until the leases and permits of any earlier one
 #: have lapsed, about eight seconds after the start.
@@ -219,11 +220,16 @@
         if chat.outcome not in {Outcome.whole, Outcome.refused}
     ]
     faults = [*faults_of(chats), *broken]
+    codes = Counter(
+        chat.error for chat in chats if chat.outcome is Outcome.refused
+    )
     if late_work:
         faults.append(f'{late_work} requests reached a data centre that is out')
     if whole < _WHOLE_SHARE * len(chats):
         faults.append('too few whole answers')
     print(f'\n{len(chats)} requests: {whole} whole, {refused} refused unrun')
+    for code, times in codes.items():
+        print(f'  {times} refused: {code}')
     for fault in faults:
         print(f'  {fault}')
     verdict = 'failed' if faults else 'all answers were right'
