--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -7,26 +7,11 @@
 import msgspec
 from circuits import Component, Event, handler
 
-from bergamotturn.connection.exchange import (
-    Address,
-    exchange_data,
-    exchange_end,
-    exchange_failed,
-    exchange_head,
-)
-from bergamotturn.connection.peer_messages import (
-    CHANNELS,
-    Envelope,
-    MemberState,
-    peer_message,
-)
+from bergamotturn.connection import exchange as http
+from bergamotturn.connection import peer_messages as peers
 from bergamotturn.connection.store_events import store_outcome
 from bergamotturn.process.admission_task import AdmissionTask
-from bergamotturn.process.events import (
-    MemberView,
-    configuration_changed,
-    members_changed,
-)
+from bergamotturn.process import events
 from bergamotturn.process.lease import LeaseRow, ReadLease, WriteLease
 from bergamotturn.process.orphan_task import OrphanTask
 from bergamotturn.process.permit_events import ask_permit
@@ -42,24 +27,21 @@
 class Clock:
     """Timers and the monotonic clock, moved by hand."""
 
-    def __init__(self) -> None:
+    def __init__(self):
         self.now_s = 1000.0
         self._order = count()
         self._due: list[tuple[float, int, Event, str]] = []
 
-    def monotonic(self) -> float:
-        """Return the time."""
+    def monotonic(self):
         return self.now_s
 
-    def call_after(self, delay_s: float, event: Event, channel: str) -> int:
-        """Keep an event until its time."""
+    def call_after(self, delay_s, event, channel):
         number = next(self._order)
         due_s = self.now_s + delay_s
         heapq.heappush(self._due, (due_s, number, event, channel))
         return number
 
-    def step(self, app: Component) -> None:
-        """Move on to the next deadline and fire it."""
+    def step(self, app):
         due = heapq.heappop(self._due)
         self.now_s = due[0]
         app.fire(due[2], due[3])
@@ -70,7 +52,7 @@
 
     channel = 'outside'
 
-    def __init__(self) -> None:
+    def __init__(self):
         super().__init__()
         self.table = Table()
         self.is_down = False
@@ -81,8 +63,7 @@
         self.failures: list = []
 
     @handler('store_operation', channel='stores')
-    def on_store_operation(self, operation) -> None:
-        """Carry out the operation on the lease row."""
+    def on_store_operation(self, operation):
         action = ReadLease()
         if hasattr(operation, 'value'):
             row = msgspec.json.decode(operation.value, type=LeaseRow)
@@ -93,28 +74,27 @@
         self.fire(store_outcome(outcome), operation.owner)
 
     @handler('send_message', channel='peers')
-    def on_send_message(self, instance, message) -> None:
-        """Deliver messages to the own instance; the others are silent."""
+    def on_send_message(self, instance, message):
         if instance == 'own':
-            envelope = Envelope('own', 'boot', message)
-            self.fire(peer_message(envelope), CHANNELS[type(message)])
+            envelope = peers.Envelope('own', 'boot', message)
+            self.fire(
+                peers.peer_message(envelope), peers.CHANNELS[type(message)]
+            )
 
     @handler('start_exchange', channel='http_client')
-    def on_start_exchange(self, exchange) -> None:
-        """Answer as the engine."""
+    def on_start_exchange(self, exchange):
         if self.is_down:
-            failed = exchange_failed(exchange, 'refused', False)
+            failed = http.exchange_failed(exchange, 'refused', False)
             self.fire(failed, exchange.owner)
             return
         body = self.answer(exchange)
         status = 200 if body else 204
-        self.fire(exchange_head(exchange, status, ()), exchange.owner)
+        self.fire(http.exchange_head(exchange, status, ()), exchange.owner)
         for part in (body[:10], body[10:]):
-            self.fire(exchange_data(exchange, part), exchange.owner)
-        self.fire(exchange_end(exchange), exchange.owner)
+            self.fire(http.exchange_data(exchange, part), exchange.owner)
+        self.fire(http.exchange_end(exchange), exchange.owner)
 
-    def answer(self, exchange) -> bytes:
-        """Return the body of the engine's answer."""
+    def answer(self, exchange):
         if exchange.method == 'DELETE':
             self.cancels.add(exchange.path)
         if exchange.path == '/fence':
@@ -127,22 +107,19 @@
         return b''
 
     @handler('permit_granted', 'permit_refused', channel='requests')
-    def on_permit(self, answer) -> None:
-        """Keep the answer."""
+    def on_permit(self, answer):
         self.answers.append(answer)
 
     @handler('coordinators_changed', channel='*')
-    def on_coordinators_changed(self, announces) -> None:
-        """Keep who coordinates."""
+    def on_coordinators_changed(self, announces):
         self.announces = announces
 
     @handler('exception', channel='*')
-    def on_exception(self, *details, **named) -> None:
-        """Keep what a handler failed with."""
+    def on_exception(self, *details, **named):
         self.failures.append(details)
 
 
-def _load_report(owners: list[str]) -> bytes:
+def _load_report(owners):
     streams = [
         {'stream_id': f'{owner}/1', 'owner': f'{owner}/boot', 'kv_tokens': 1}
         for owner in owners
@@ -153,12 +130,11 @@
 class Wiring:
     """An instance alone with the stand-ins."""
 
-    def __init__(self) -> None:
+    def __init__(self):
         self.clock = Clock()
         self._patches = [
             mock.patch(
-                f'bergamotturn.process.{task}.monotonic',
-                self.clock.monotonic,
+                f'bergamotturn.process.{task}.monotonic', self.clock.monotonic
             )
             for task in _TASKS
         ]
@@ -180,37 +156,36 @@
             task(settings, 'boot', self.clock).register(self.outside)
         configuration = Configuration(
             endpoints=(
-                terms(address=Address('127.0.0.1', 2)).endpoint,
+                terms(address=http.Address('127.0.0.1', 2)).endpoint,
                 terms(name='service', kv_tokens=0).endpoint,
             )
         )
         members = (
-            member('own', 'boot', MemberState.alive),
-            member('gone', 'boot', MemberState.dead),
+            member('own', 'boot', peers.MemberState.alive),
+            member('gone', 'boot', peers.MemberState.dead),
+        )
+        self.outside.fire(events.configuration_changed(1, configuration), '*')
+        self.outside.fire(
+            events.members_changed(events.MemberView(members)), '*'
         )
-        self.outside.fire(configuration_changed(1, configuration), '*')
-        self.outside.fire(members_changed(MemberView(members)), '*')
         self._flush()
 
-    def close(self) -> None:
-        """Give the modules their clock back."""
+    def close(self):
         for patch in self._patches:
             patch.stop()
 
-    def run(self, seconds: float) -> None:
-        """Let the time pass."""
+    def run(self, seconds):
         until_s = self.clock.now_s + seconds
         while self.clock.now_s < until_s:
             self.clock.step(self.outside)
             self._flush()
 
     def ask(self, ask):
-        """Return the answer to an ask, if one comes within 2 s."""
         self.outside.answers.clear()
         self.outside.fire(ask_permit(ask, 'requests'), 'permits')
         self.run(2)
         return self.outside.answers[0] if self.outside.answers else None
 
-    def _flush(self) -> None:
+    def _flush(self):
         while len(self.outside):
             self.outside.flush()
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -33,6 +33,7 @@
 _OK: Final = 200
 _DATA: Final = b'data: '
 _DONE: Final = b'[DONE]'
+_DRAINING: Final = 'draining'
 _CONNECT_S: Final = 1
 _LOOKUP_S: Final = 2
 #: A call without an end so long after its deadline is hung.
@@ -217,7 +218,9 @@
                 exchange.lose(repr(error))
                 return
             left_s = record.arrived_s + exchange.deadline_s - self._since(0)
-            if not record.not_run or left_s <= _RETRY_S:
+            # A call with a key may be repeated with it at another instance.
+            may_repeat = record.not_run or record.error == _DRAINING
+            if not may_repeat or left_s <= _RETRY_S:
                 return
             tried.add(address)
             await asyncio.sleep(_RETRY_S)
@@ -277,6 +280,7 @@
         record = self._record
         record.address = str(address)
         record.outcome = Outcome.hung
+        record.error = ''
         record.not_run = False
         async with self._session.post(
             f'http://{address}/v1/chat/completions',
@@ -345,6 +349,7 @@
     ) -> None:
         """Send the call to ``address``."""
         record = self._record
+        record.error = ''
         record.not_run = False
         async with self._session.post(
             f'http://{address}/v1/services/{self._service}/postings',
