--- a/features/support/load.py
+++ b/features/support/load.py
@@ -199,6 +199,7 @@
     ) -> None:
         """Try addresses until an answer does not say ``not run``."""
         tried: set[Address] = set()
+        left_s = record.arrived_s + exchange.deadline_s - self._since(0)
         while record.attempts < _MOST_ATTEMPTS:
             try:
                 address = await self._book.choose(record.workspace, tried)
@@ -206,7 +207,6 @@
                 exchange.fail(str(error), not_run=True)
                 return
             record.attempts += 1
-            left_s = record.arrived_s + exchange.deadline_s - self._since(0)
             try:
                 await exchange.send(address, self._since, left_s)
             except _Refused as refusal:
@@ -217,11 +217,14 @@
             except (aiohttp.ClientError, ConnectionError) as error:
                 exchange.lose(repr(error))
                 return
+            left_s = record.arrived_s + exchange.deadline_s - self._since(0)
             # A call with a key may be repeated with it at another instance.
-            if not record.not_run and record.error != _DRAINING:
+            may_repeat = record.not_run or record.error == _DRAINING
+            if not may_repeat or left_s <= _RETRY_S:
                 return
             tried.add(address)
             await asyncio.sleep(_RETRY_S)
+            left_s -= _RETRY_S
 
     async def _call(self, arrival: ServiceArrival) -> None:
         record = ServiceRecord(
@@ -277,6 +280,7 @@
         record = self._record
         record.address = str(address)
         record.outcome = Outcome.hung
+        record.error = ''
         record.not_run = False
         async with self._session.post(
             f'http://{address}/v1/chat/completions',
@@ -345,6 +349,7 @@
     ) -> None:
         """Send the call to ``address``."""
         record = self._record
+        record.error = ''
         record.not_run = False
         async with self._session.post(
             f'http://{address}/v1/services/{self._service}/postings',
