Add scenarios for answers, bad input and the HTTP client

Cause: the listener, the client and the assembler had no tests of their own. A fault found by them: a call whose head fails to be written was ended without an answer. Chunk sizes are now bounded to an eighth of the body, as bodies of small chunks kept the process busy.

--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -30,10 +30,10 @@
     'request_completed',
 )
 
-#: Framing that may come with a body: chunk sizes and trailers. Bodies of
-#: one-byte chunks would else cost the process ten times the work of their size.
-_FRAMING_FACTOR: Final = 4
-_FRAMING_BYTES: Final = 65_536
+#: Chunk sizes and trailers that may come with a body, beside an eighth of its
+#: size. A body of one-byte chunks would else cost a hundred times the work.
+_FRAMING_BYTES: Final = 16_384
+_FRAMING_SHARE: Final = 8
 
 _HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
 _FRAMING_FIELD: Final = re.compile(
@@ -164,8 +164,8 @@
     def _check_body(self) -> Failure | None:
         if len(self._body) > self._limits.body_bytes:
             return Failure(ErrorKind.body_too_large)
-        most = _FRAMING_FACTOR * len(self._body) + _FRAMING_BYTES
-        if self._body_wire_bytes > most:
+        framing_bytes = self._body_wire_bytes - len(self._body)
+        if framing_bytes > _FRAMING_BYTES + len(self._body) // _FRAMING_SHARE:
             return Failure(ErrorKind.bad_request, 'The chunks are too small.')
         return None
 
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -268,7 +268,7 @@
         call = self._calls.pop(sock, None)
         if call is not None and not call.is_complete:
             self._abandon(call)
-        if call is not None and call.is_streamed:
+        if call is not None and call.is_head_written:
             self._server.abort(sock)
             return
         self._server.say_farewell(
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -5,36 +5,36 @@
   Scenario: A peer that accepts and says nothing
     Guards against a silent connection that keeps a request until its deadline.
     Given a peer that reads and never answers
-    When a "POST" with a silence limit of 0.3 s is sent
-    Then it fails as "endpoint_lost" with bytes sent
-    And it took at least 0.3 s
+    When a "POST" is sent to the peer with silence_s = 0.3
+    Then the exchange fails as "endpoint_lost" with bytes sent
+    And the exchange took at least 0.3 s
 
   Scenario: A peer that never takes the connection
     Guards against a connect that ignores its limit, or keeps a core busy meanwhile.
     Given a peer whose backlog is full
-    When a "GET" with a connect limit of 0.5 s is sent
-    Then it fails as "endpoint_unavailable" with nothing sent
-    And it took at least 0.5 s
+    When a "GET" is sent to the peer with connect_s = 0.5
+    Then the exchange fails as "endpoint_unavailable" with nothing sent
+    And the exchange took at least 0.5 s
     And the process used less than half of that time on a core
 
   Scenario: Nobody listens
     Guards against a refused connection that is reported as a request that may have run.
     Given an address where nobody listens
-    When a "POST" is sent
-    Then it fails as "endpoint_unavailable" with nothing sent
+    When a "POST" is sent to the peer
+    Then the exchange fails as "endpoint_unavailable" with nothing sent
 
   Scenario: A peer that resets the connection in the answer
     Guards against a cut answer that is reported as complete.
     Given a peer that sends half an answer and resets
-    When a "GET" is sent
-    Then it fails as "endpoint_lost" with bytes sent
+    When a "GET" is sent to the peer
+    Then the exchange fails as "endpoint_lost" with bytes sent
     And the half of the answer was reported
 
   Scenario Outline: A peer that ends or breaks the answer
     Guards against broken framing that is taken for the end of an answer.
-    Given a peer that answers "<answer>" and closes
-    When a "GET" is sent
-    Then it fails as "<kind>" with bytes sent
+    Given a peer with the answer "<answer>" before it closes
+    When a "GET" is sent to the peer
+    Then the exchange fails as "<kind>" with bytes sent
 
     Examples:
       | answer                                                            | kind            |
@@ -46,41 +46,41 @@
   Scenario: A peer that sends one byte at a time
     Guards against a slow peer that is taken for a silent one, or whose bytes are held back.
     Given a peer that answers one byte each 0.05 s
-    When a "GET" with a silence limit of 0.5 s is sent
+    When a "GET" is sent to the peer with silence_s = 0.5
     Then the whole answer arrives in several reads
 
   Scenario: A peer that drips for ever
     Guards against bytes that keep a request alive past its total limit.
     Given a peer that answers one byte each 0.05 s for ever
-    When a "GET" with a total limit of 0.6 s is sent
-    Then it fails as "deadline_exceeded" with bytes sent
+    When a "GET" is sent to the peer with total_s = 0.6
+    Then the exchange fails as "deadline_exceeded" with bytes sent
 
   Scenario: A large body to a peer that reads slowly
     Guards against a body of which only what the socket buffer takes is sent.
     Given a peer that reads slowly and echoes the length of the body
-    When a "POST" of 6000000 bytes is sent
-    Then the answer is "6000000"
+    When a "POST" is sent to the peer with body_bytes = 6000000
+    Then the peer's answer is "6000000"
 
   Scenario: Keep-alive and the same connection
     Guards against work that reaches another process than the status before it.
     Given a peer that keeps connections
-    When a "GET" is sent and kept for a follow-up
-    And an unrelated "GET" is sent
-    And a follow-up "POST" is sent on the first connection
+    When a "GET" is sent to the peer with follow_up_s = 600
+    And a "GET" is sent to the peer
+    And a follow-up "POST" is sent to the peer on the first connection
     Then the follow-up used the first connection and the unrelated one did not
 
   Scenario: The same connection is gone
     Guards against a follow-up that quietly goes to a restarted process.
     Given a peer that closes after each answer without saying so
-    When a "GET" is sent and kept for a follow-up
-    And a follow-up "POST" is sent on the first connection
-    Then it fails as "endpoint_unavailable" with nothing sent
+    When a "GET" is sent to the peer with follow_up_s = 600
+    And a follow-up "POST" is sent to the peer on the first connection
+    Then the exchange fails as "endpoint_unavailable" with nothing sent
 
   Scenario Outline: A kept connection that closes under the next request
     Guards against a second run of a request that may not be repeated.
     Given a peer that closes a kept connection when the next request arrives
-    When a "GET" is sent
-    And a "<method>" is sent
+    When a "GET" is sent to the peer
+    And a "<method>" is sent to the peer
     Then the peer saw <times> requests in all and the last one <outcome>
 
     Examples:
@@ -90,18 +90,18 @@
 
   Scenario: More idle connections than are kept
     Guards against sockets that pile up without limit.
-    Given a peer that answers once 12 requests have come
-    When 12 "GET" are sent at once by a client that keeps 3 for 600 s
-    Then 9 connections end
+    Given a peer with answers once 12 requests have come
+    When 12 "GET" are sent to the peer at once by a client that keeps 3 for 600 s
+    Then 9 connections of the peer end
 
   Scenario: Idle connections
     Guards against sockets that stay open for ever.
-    Given a peer that answers once 3 requests have come
-    When 3 "GET" are sent at once by a client that keeps 3 for 0.2 s
-    Then 3 connections end
+    Given a peer with answers once 3 requests have come
+    When 3 "GET" are sent to the peer at once by a client that keeps 3 for 0.2 s
+    Then 3 connections of the peer end
 
   Scenario: A cancelled exchange
     Guards against an answer that is reported to an owner that has given up.
     Given a peer that answers one byte each 0.05 s for ever
-    When a "GET" is sent and cancelled after its head
+    When a "GET" is sent to the peer and cancelled after its head
     Then the peer sees the connection end and nothing more is reported
--- a/features/listener_process.py
+++ b/features/listener_process.py
@@ -1,6 +1,7 @@
 """A caller listener in a process of its own, with stubs behind it.
 
-Started by the steps of ``bad_input.feature``; the first argument is the port.
+Started by the steps of ``bad_input.feature``; the arguments are the port and
+the time to a complete request.
 Chat calls for the model ``echo`` are answered with their prompt; the other
 models are named after what their stub does wrong.
 """
@@ -8,10 +9,11 @@
 import sys
 from hashlib import sha256
 
+import msgspec
 from circuits import Component, Event, handler
 
 from bergamotturn.connection.caller_listener import CallerListener
-from bergamotturn.connection.exchange import Address, Header
+from bergamotturn.connection.exchange import Header
 from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.process.events import (
     configuration_changed,
@@ -26,15 +28,9 @@
     reply_head,
 )
 from bergamotturn.request.chat import ChatAnswerWriter
-from bergamotturn.version.configuration import (
-    Configuration,
-    Deployment,
-    Service,
-    Workspace,
-)
-from bergamotturn.version.settings import Limits, PlatformSettings, Settings
+from bergamotturn.version.configuration import Configuration
+from bergamotturn.version.settings import Settings
 
-_NOWHERE = Address('127.0.0.1', 1)
 _STREAM = (Header('Content-Type', 'text/event-stream'),)
 _JSON = (Header('Content-Type', 'application/json'),)
 _FLOOD_PART = bytes(65_536)
@@ -90,6 +86,9 @@
     def _answer_fault(self, call):
         self._reply(reply_head(call.call_id, 'not a status', ()))
 
+    def _answer_silent(self, call):
+        _tell(f'took {call.call_id}')
+
     def _answer_drain(self, call):
         self.fire(shutdown_phase_changed('draining'), '*')
         self._answer_echo(call)
@@ -104,77 +103,68 @@
     @handler('caller_gone')
     def _on_gone(self, call_id):
         self._flooding.discard(call_id)
-        sys.stdout.write(f'gone {call_id}\n')
-        sys.stdout.flush()
+        _tell(f'gone {call_id}')
 
     def _reply(self, event):
         self.fire(event, 'caller')
 
 
-class _ServiceStub(Component):
-    """Echoes the body of service calls."""
-
-    channel = 'services'
-
-    @handler('submit_service')
-    def _on_service(self, call):
-        self.fire(reply_head(call.call_id, 200, call.headers), 'caller')
-        self.fire(reply_data(call.call_id, call.path.encode()), 'caller')
-        self.fire(reply_data(call.call_id, call.body), 'caller')
-        self.fire(reply_end(call.call_id), 'caller')
-
-
 class _NoChoice:
     def choose(self, view, orders, policy, count, random):
         return ()
 
 
-def _settings(port):
-    return Settings(
-        instance='a1',
-        data_centre='a',
-        caller_address=Address('127.0.0.1', port),
-        operator_address=_NOWHERE,
-        peer_address=_NOWHERE,
-        platform=PlatformSettings(
-            table=_NOWHERE, objects=_NOWHERE, instance_list=_NOWHERE
-        ),
-        operator_token_digest='',
-        limits=Limits(
-            header_bytes=8_192,
-            body_bytes=1_000_000,
-            buffered_bytes=3_000_000,
-            request_s=1,
-            connections=40,
+def _tell(line):
+    sys.stdout.write(f'{line}\n')
+    sys.stdout.flush()
+
+
+def _settings(port, request_s):
+    nowhere = {'host': '127.0.0.1', 'port': 1}
+    content = {
+        'instance': 'a1',
+        'data_centre': 'a',
+        'caller_address': {'host': '127.0.0.1', 'port': port},
+        'operator_address': nowhere,
+        'peer_address': nowhere,
+        'platform': dict.fromkeys(
+            ('table', 'objects', 'instance_list'), nowhere
         ),
-    )
+        'operator_token_digest': '',
+        'limits': {
+            'header_bytes': 8_192,
+            'body_bytes': 1_000_000,
+            'buffered_bytes': 3_000_000,
+            'request_s': request_s,
+            'connections': 40,
+        },
+    }
+    return msgspec.convert(content, Settings)
 
 
 def _configuration():
     models = ('echo', 'cut', 'flood', 'fault', 'drain', 'silent', 'other')
-    return Configuration(
-        deployments=tuple(
-            Deployment(model=model, max_prompt_tokens=200_000, deadline_s=20)
-            for model in models
-        ),
-        services=(Service(name='fees'), Service(name='forms', repeatable=True)),
-        workspaces=(
-            Workspace(
-                name='north',
-                key_digests=(sha256(b'north-key').hexdigest(),),
-                uses=(*models[:-1], 'fees', 'forms'),
-            ),
-        ),
-    )
+    limits = {'max_prompt_tokens': 200_000, 'deadline_s': 20}
+    digest = sha256(b'north-key').hexdigest()
+    uses = (*models[:-1], 'fees')
+    content = {
+        'deployments': [{'model': model, **limits} for model in models],
+        'services': [{'name': 'fees'}],
+        'workspaces': [{'name': 'n', 'key_digests': [digest], 'uses': uses}],
+    }
+    return msgspec.convert(content, Configuration)
 
 
 def main():
     """Serve until killed."""
     timers = Timers()
     listener = CallerListener(
-        _settings(int(sys.argv[1])), 'b', timers, _NoChoice()
+        _settings(int(sys.argv[1]), float(sys.argv[2])),
+        'b',
+        timers,
+        _NoChoice(),
     )
-    application = timers + listener + _ChatStub(timers) + _ServiceStub()
+    application = timers + listener + _ChatStub(timers)
     application.fire(configuration_changed(1, _configuration()), '*')
     application.run()
 
--- /dev/null
+++ b/features/steps/bad_input_steps.py
@@ -0,0 +1,397 @@
+"""Steps that send raw bytes to a listener process on 127.0.0.1."""
+
+import json
+import re
+import select
+import socket
+import subprocess  # noqa: S404
+import sys
+import threading
+import time
+from contextlib import suppress
+from functools import partial
+from pathlib import Path
+from queue import Queue
+
+import h11
+from behave import given, then, when
+
+_ROOT = Path(__file__).resolve().parents[2]
+
+#: Far above any expected time; reached only by a hang.
+_HANG_S = 30
+
+_KEY = b'Host: a\r\nAuthorization: Bearer north-key\r\n'
+_POST = b'POST /v1/chat/completions HTTP/1.1\r\n%b' % _KEY
+_MODELS = b'GET /v1/models HTTP/1.1\r\n%b\r\n' % _KEY
+_TRACE = re.compile(rb'Traceback|File "|line \d+, in|\.py\b')
+
+
+class _Caller:
+    """One raw connection."""
+
+    def __init__(self, context):
+        self.sock = socket.create_connection(
+            ('127.0.0.1', context.port), timeout=_HANG_S
+        )
+        self.received = b''
+        context.add_cleanup(self.sock.close)
+
+    def send(self, data):
+        """Send as much as the listener takes; it may refuse in between."""
+        with suppress(OSError):
+            self.sock.sendall(data)
+
+    def read_answer(self):
+        """Return status, head and body of the next answer."""
+        http = h11.Connection(h11.CLIENT)
+        http.send(
+            h11.Request(method='GET', target='/', headers=[('host', 'a')])
+        )
+        http.send(h11.EndOfMessage())
+        if self.received:
+            http.receive_data(self.received)
+        events = [h11.NEED_DATA]
+        while not isinstance(
+            events[-1], h11.EndOfMessage | h11.InformationalResponse
+        ):
+            events.append(http.next_event())
+            if events[-1] is h11.NEED_DATA:
+                data = self.sock.recv(65536)
+                assert data, f'the connection ended after {events}'
+                http.receive_data(data)
+        self.received = http.trailing_data[0]
+        head, *parts = [event for event in events if event is not h11.NEED_DATA]
+        body = b''.join(bytes(part.data) for part in parts[:-1])
+        return head.status_code, dict(head.headers), body
+
+    def read_end(self):
+        """Wait for the end of the connection."""
+        data = b'more'
+        while data:
+            data = b''
+            with suppress(ConnectionResetError):
+                data = self.sock.recv(65536)
+            self.received += data
+
+    def read_error(self):
+        """Return the error of the next answer, which must be JSON."""
+        _, head, body = self.read_answer()
+        assert head[b'content-type'] == b'application/json', head
+        assert not _TRACE.search(body), body
+        error = json.loads(body)['error']
+        assert set(error) == {'code', 'message', 'not_run', 'retry_after_s'}
+        return error, head
+
+    def read_last_error(self, code):
+        """Check the error and the end of the connection."""
+        error, _ = self.read_error()
+        assert error['code'] == code, error
+        self.read_end()
+        assert not self.received, self.received
+
+
+def _chat(model, stream=False, headers=b''):
+    messages = [{'role': 'user', 'content': 'hello'}]
+    content = {'model': model, 'stream': stream, 'messages': messages}
+    return _post(json.dumps(content).encode(), headers)
+
+
+def _post(body, headers=b''):
+    length = b'Content-Length: %d\r\n\r\n' % len(body)
+    return b''.join((_POST, headers, length, body))
+
+
+_ECHO = _chat('echo').split(b'\r\n\r\n', 1)[1]
+
+
+_PARTS = (
+    (b'{post}', _POST),
+    (b'{key}', b'%b\r\n' % _KEY),
+    (b'{chunked}', b'%bTransfer-Encoding: chunked\r\n\r\n' % _POST),
+    (b'{length}', b'%d' % len(_ECHO)),
+    (b'{echo}', _ECHO),
+    (b'{echo 900 kB}', _ECHO.replace(b'hello', b'a' * 900_000)),
+    (b'{3 MB}', b'a' * 3_000_000),
+    (b'{2 MB in chunks}', b'fa0\r\n%b\r\n' % (b'a' * 4000) * 500),
+    (b'{small chunks}', b'1\r\na\r\n' * 500_000),
+    (b'{deep}', b'[' * 100_000),
+)
+
+
+def _literal(cell):
+    """Return the request that a table cell stands for."""
+    data = cell.encode('latin-1').decode('unicode_escape').encode('latin-1')
+    is_body = data[:1] in {b'{', b'['} and not data.startswith(
+        (b'{post', b'{chu')
+    )
+    for name, content in _PARTS:
+        data = data.replace(name, content)
+    return _post(data) if is_body else data
+
+
+def _peak_bytes(context):
+    folder = Path('/proc') / str(context.process.pid)
+    status = (folder / 'status').read_text()
+    return int(re.search(r'VmHWM:\s+(\d+) kB', status).group(1)) * 1024
+
+
+def _collect(process, lines):
+    for line in process.stdout:
+        lines.put(line)
+
+
+def _serves(context):
+    try:
+        caller = _Caller(context)
+    except OSError:
+        return False
+    caller.send(_MODELS)
+    status, _, _ = caller.read_answer()
+    caller.sock.close()
+    return status == 200
+
+
+def _wait_until(holds):
+    until_s = time.monotonic() + _HANG_S
+    while not holds():
+        assert time.monotonic() < until_s, 'it never held'
+        time.sleep(0.02)
+
+
+def _wait_for_line(context, start):
+    line = context.lines.get(timeout=_HANG_S)
+    assert line.startswith(start), line
+
+
+def _stop(process):
+    process.kill()
+    process.wait()
+    process.stdout.close()
+
+
+@given('a listener process that gives requests {request_s:g} s')
+def start_listener(context, request_s):
+    with socket.create_server(('127.0.0.1', 0)) as free:
+        context.port = free.getsockname()[1]
+    arguments = ('features.listener_process', str(context.port), str(request_s))
+    context.process = subprocess.Popen(  # noqa: S603
+        (sys.executable, '-m', *arguments),
+        cwd=_ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+    )
+    context.add_cleanup(_stop, context.process)
+    context.lines = Queue()
+    threading.Thread(
+        target=_collect, args=(context.process, context.lines), daemon=True
+    ).start()
+    _wait_until(partial(_serves, context))
+    context.start_bytes = _peak_bytes(context)
+
+
+@then('each of these gets the error and the end of its connection')
+def refused(context):
+    for row in context.table:
+        caller = _Caller(context)
+        caller.send(_literal(row['request']))
+        try:
+            caller.read_last_error(row['error'])
+        except (AssertionError, TimeoutError) as error:
+            request = row['request']
+            raise AssertionError(f'{request}: {error}') from error
+
+
+@then('each of these gets the error on a connection that goes on')
+def refused_in_turn(context):
+    caller = _Caller(context)
+    for row in context.table:
+        caller.send(_literal(row['request']))
+        error, head = caller.read_error()
+        assert error['code'] == row['error'], (row['request'], error)
+        assert row['says'] in error['message'], (row['request'], error)
+        assert error['not_run'], error
+        assert head[b'x-call-id'].startswith(b'a1/b/'), head
+    caller.send(_MODELS)
+    assert caller.read_answer()[0] == 200
+
+
+@then('the listener serves as before and showed no trace')
+def serves(context):
+    assert _serves(context)
+    assert context.process.poll() is None
+
+
+@then('the process never held more than {size_mb:d} MB above its start')
+def bounded_memory(context, size_mb):
+    grown = _peak_bytes(context) - context.start_bytes
+    assert grown < size_mb * 1_000_000, grown
+
+
+@when('{number:d} connections each send {length:d} bytes of a longer body')
+def incomplete_bodies(context, number, length):
+    context.callers = [_Caller(context) for _ in range(number)]
+    for caller in context.callers:
+        caller.send(_post(b'a' * 900_000)[: length - 900_000])
+
+
+@then('at least {number:d} of them get "{code}"')
+def some_refused(context, number, code):
+    waiting = {caller.sock: caller for caller in context.callers}
+    for _ in range(number):
+        ready, _, _ = select.select(waiting, (), (), _HANG_S)
+        assert ready, 'too few are refused'
+        waiting.pop(ready[0]).read_last_error(code)
+
+
+@then('a request that drips a byte each {pause_s:g} s gets "{code}"')
+def dripping(context, pause_s, code):
+    caller = _Caller(context)
+    caller.sock.settimeout(pause_s)
+    _wait_until(partial(_drip_and_look, caller))
+    caller.sock.settimeout(_HANG_S)
+    caller.read_last_error(code)
+
+
+def _drip_and_look(caller):
+    caller.send(b'G')
+    try:
+        caller.received += caller.sock.recv(65536)
+    except TimeoutError:
+        return False
+    return True
+
+
+@then('a connection that sends nothing is closed without an answer')
+def idle_connection(context):
+    caller = _Caller(context)
+    caller.read_end()
+    assert not caller.received, caller.received
+
+
+@when('{number:d} connections wait for an answer')
+def waiting_connections(context, number):
+    context.callers = [_Caller(context) for _ in range(number)]
+    for caller in context.callers:
+        caller.send(_chat('silent'))
+
+
+@then('one more connection gets "{code}"')
+def one_more(context, code):
+    _Caller(context).read_last_error(code)
+
+
+@then('once they are closed the listener serves as before and showed no trace')
+def serves_after_close(context):
+    for caller in context.callers:
+        caller.sock.close()
+    _wait_until(partial(_serves, context))
+
+
+@when('two requests arrive in one piece')
+def pipelined(context):
+    context.caller = _Caller(context)
+    context.caller.send(_chat('echo') + _MODELS)
+
+
+@when('two requests arrive while the first is not yet answered')
+def pipelined_later(context):
+    context.caller = _Caller(context)
+    context.caller.send(
+        _chat('silent', headers=b'X-Request-Timeout-S: 0.5\r\n')
+    )
+    _wait_for_line(context, b'took a1/b/')
+    context.caller.send(_MODELS)
+
+
+@then(
+    'the first is answered and the second gets "{code}"'
+    ' and the end of its connection'
+)
+def second_refused(context, code):
+    status, _, body = context.caller.read_answer()
+    assert status in {200, 504}, body
+    assert b'"data"' not in body, body
+    context.caller.read_last_error(code)
+
+
+@then(
+    'a caller that expects 100-continue gets it, sends its body and is answered'
+)
+def expectation(context):
+    caller = _Caller(context)
+    head, end, body = _chat(
+        'echo', headers=b'Expect: 100-continue\r\n'
+    ).partition(b'\r\n\r\n')
+    caller.send(head + end)
+    assert caller.read_answer()[0] == 100
+    caller.send(body)
+    status, _, answer = caller.read_answer()
+    assert status == 200
+    content = json.loads(answer)['choices'][0]['message']['content']
+    assert content == 'user: hello', content
+
+
+@when('a call to "{model}" with a timeout of {timeout_s:g} s is sent')
+def call_with_timeout(context, model, timeout_s):
+    context.caller = _Caller(context)
+    context.began_s = time.monotonic()
+    header = f'X-Request-Timeout-S: {timeout_s}\r\n'.encode()
+    context.caller.send(_chat(model, headers=header))
+    _wait_for_line(context, b'took a1/b/')
+
+
+@then('it gets "{code}" after at least {timeout_s:g} s')
+def late_answer(context, code, timeout_s):
+    error, _ = context.caller.read_error()
+    assert error['code'] == code, error
+    assert not error['not_run'], error
+    assert time.monotonic() - context.began_s >= timeout_s
+
+
+@then('the components are told that its caller is gone')
+def told_gone(context):
+    _wait_for_line(context, b'gone a1/b/')
+
+
+@when('a streamed call to "{model}" is sent')
+def streamed_call(context, model):
+    context.caller = _Caller(context)
+    context.caller.send(_chat(model, stream=True))
+
+
+@then('its answer ends with an error event and no end marker')
+def cut_answer(context):
+    status, _, body = context.caller.read_answer()
+    assert status == 200
+    assert body.startswith(b'data: part\n\nevent: error\ndata: {"error"'), body
+    assert b'[DONE]' not in body, body
+
+
+@when('a call to "{model}" is taken and its connection closed')
+def abandoned_call(context, model):
+    caller = _Caller(context)
+    caller.send(_chat(model))
+    _wait_for_line(context, b'took a1/b/')
+    caller.sock.close()
+
+
+@then('its answer is whole and its connection ends')
+def whole_answer(context):
+    status, head, body = context.caller.read_answer()
+    assert status == 200
+    assert head[b'connection'] == b'close', head
+    assert body.endswith(b'data: [DONE]\n\n'), body
+    context.caller.read_end()
+
+
+@then('its answer is "{code}" without a trace')
+def internal_error(context, code):
+    context.caller.read_last_error(code)
+
+
+@then('a new request gets "{code}" and the end of its connection')
+def new_request_refused(context, code):
+    caller = _Caller(context)
+    caller.send(_MODELS)
+    caller.read_last_error(code)
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -5,10 +5,11 @@
 import struct
 import threading
 import time
+from contextlib import suppress
 from functools import partial
 from queue import Empty, Queue
 
-from behave import given, then, use_step_matcher, when
+from behave import given, then, when
 from circuits import Component, handler
 
 from bergamotturn.connection.exchange import (
@@ -21,8 +22,6 @@
 from bergamotturn.connection.http_client import HttpClient
 from bergamotturn.process.timers import Timers
 
-use_step_matcher('parse')
-
 #: Far above any expected time; reached only by a hang.
 _HANG_S = 20
 
@@ -50,18 +49,14 @@
 class _Peer:
     """A server whose connections are each served by ``script``."""
 
-    def __init__(self, script, backlog=64):
+    def __init__(self, script):
         self.script = script
         self.requests = []
         self.opened = 0
         self.ended = Queue()
         self.data_seen = threading.Event()
-        self.listener = socket.create_server(('127.0.0.1', 0), backlog=backlog)
-        self.address = Address(*self.listener.getsockname())
-
-    def start(self):
+        self.listener = socket.create_server(('127.0.0.1', 0), backlog=64)
         threading.Thread(target=self._accept, daemon=True).start()
-        return self
 
     def _accept(self):
         while True:
@@ -76,10 +71,8 @@
 
     def _serve(self, sock, number):
         with sock:
-            try:
+            with suppress(OSError):
                 self.script(self, sock, number)
-            except OSError:
-                pass
         self.ended.put(number)
 
     def read_request(self, sock, number=0, pause_s=0):
@@ -99,23 +92,23 @@
         return body
 
 
-def _answer(text):
-    return (
-        f'HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n{text}'.encode()
-    )
+def _answer(text, length=None):
+    length = len(text) if length is None else length
+    return f'HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{text}'.encode()
 
 
 def _serve_peer(context, script):
-    peer = _Peer(script).start()
-    context.add_cleanup(peer.listener.close)
-    context.peer = peer
-    context.address = peer.address
+    context.waits_for_end = False
+    context.peer = _Peer(script)
+    context.add_cleanup(context.peer.listener.close)
+    context.address = Address(*context.peer.listener.getsockname())
 
 
 def _client(context, **options):
     timers = Timers()
     context.owner = _Owner()
     context.app = timers + HttpClient(timers, **options) + context.owner
+    context.exchanges = []
     context.app.start()
     context.add_cleanup(context.app.stop)
 
@@ -131,20 +124,19 @@
         path='/',
         **{'connect_s': _HANG_S, 'silence_s': _HANG_S, **options},
     )
-    context.exchange = exchange
+    context.exchanges.append(exchange)
     context.began_s = time.monotonic()
     context.began_cpu_s = time.process_time()
     context.app.fire(start_exchange(exchange), 'http_client')
     return exchange
 
 
-def _outcome(context, exchange=None):
+def _outcome(context, exchange):
     """Return the reports of one exchange up to its end or failure."""
-    wanted = (exchange or context.exchange).exchange_id
     seen = []
     while True:
         name, number, rest = context.owner.reports.get(timeout=_HANG_S)
-        if number != wanted:
+        if number != exchange.exchange_id:
             continue
         seen.append((name, rest))
         if name == 'exchange_data':
@@ -152,6 +144,8 @@
         if name in {'exchange_end', 'exchange_failed'}:
             context.took_s = time.monotonic() - context.began_s
             context.took_cpu_s = time.process_time() - context.began_cpu_s
+            if context.waits_for_end and name == 'exchange_end':
+                context.peer.ended.get(timeout=_HANG_S)
             return seen
 
 
@@ -168,7 +162,7 @@
 
 def _reset_in_answer(peer, sock, number):
     peer.read_request(sock)
-    sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf')
+    sock.sendall(_answer('half', 8))
     peer.data_seen.wait(_HANG_S)
     linger = struct.pack('ii', 1, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
@@ -179,13 +173,11 @@
     sock.sendall(answer)
 
 
-def _drip(pause_s, content, peer, sock, number):
+def _drip(content, peer, sock, number):
     peer.read_request(sock)
-    sock.sendall(
-        f'HTTP/1.1 200 OK\r\nContent-Length: {len(content)}\r\n\r\n'.encode()
-    )
+    sock.sendall(_answer('', len(content)))
     for byte in content:
-        time.sleep(pause_s)
+        time.sleep(0.05)
         sock.sendall(bytes((byte,)))
 
 
@@ -213,15 +205,9 @@
         peer.read_request(sock, number)
 
 
-@given('a peer that reads and never answers')
-def silent_peer(context):
-    """Serve connections without an answer."""
-    _serve_peer(context, _say_nothing)
-
-
 @given('a peer whose backlog is full')
 def full_backlog(context):
-    """Fill the backlog so that the kernel drops the next SYN."""
+    context.waits_for_end = False
     listener = socket.create_server(('127.0.0.1', 0), backlog=0)
     context.add_cleanup(listener.close)
     context.address = Address(*listener.getsockname())
@@ -234,109 +220,60 @@
 
 @given('an address where nobody listens')
 def nobody(context):
-    """Take a free port and give it back."""
+    context.waits_for_end = False
     with socket.create_server(('127.0.0.1', 0)) as listener:
         context.address = Address(*listener.getsockname())
 
 
-@given('a peer that sends half an answer and resets')
-def resetting_peer(context):
-    """Reset once the client has reported the half."""
-    _serve_peer(context, _reset_in_answer)
+_SCRIPTS = {
+    'reads and never answers': _say_nothing,
+    'sends half an answer and resets': _reset_in_answer,
+    'answers one byte each 0.05 s': partial(_drip, b'abcdefghijkl'),
+    'answers one byte each 0.05 s for ever': partial(_drip, bytes(2_000_000)),
+    'reads slowly and echoes the length of the body': _echo_length,
+    'keeps connections': _keep,
+    'closes after each answer without saying so': partial(
+        _say_once, _answer('once')
+    ),
+    'closes a kept connection when the next request arrives': _close_under_next,
+}
 
 
-@given('a peer that answers "{answer}" and closes')
-def scripted_peer(context, answer):
-    """Serve one literal answer."""
-    literal = answer.encode().replace(rb'\r\n', b'\r\n')
-    _serve_peer(context, partial(_say_once, literal))
-
-
-@given('a peer that answers one byte each {pause_s:g} s')
-def dripping_peer(context, pause_s):
-    """Send a short answer slowly."""
-    _serve_peer(context, partial(_drip, pause_s, b'abcdefghijkl'))
-
+@given('a peer that {behaviour}')
+def scripted_peer(context, behaviour):
+    _serve_peer(context, _SCRIPTS[behaviour])
+    context.waits_for_end = behaviour.startswith('closes after')
 
-@given('a peer that answers one byte each {pause_s:g} s for ever')
-def endless_peer(context, pause_s):
-    """Send an answer that would take a day."""
-    _serve_peer(context, partial(_drip, pause_s, bytes(2_000_000)))
 
-
-@given('a peer that reads slowly and echoes the length of the body')
-def slow_reader(context):
-    """Read with pauses, so that the client's socket buffer fills."""
-    _serve_peer(context, _echo_length)
-
-
-@given('a peer that keeps connections')
-def keeping_peer(context):
-    """Answer any number of requests on a connection."""
-    _serve_peer(context, _keep)
+@given('a peer with the answer "{answer}" before it closes')
+def literal_peer(context, answer):
+    literal = answer.encode().replace(rb'\r\n', b'\r\n')
+    _serve_peer(context, partial(_say_once, literal))
 
 
-@given('a peer that answers once {count:d} requests have come')
+@given('a peer with answers once {count:d} requests have come')
 def gathering_peer(context, count):
-    """Hold answers until each request has its own connection."""
     _serve_peer(context, partial(_gather, threading.Barrier(count)))
 
 
-@given('a peer that closes after each answer without saying so')
-def forgetful_peer(context):
-    """Close without a Connection header."""
-    _serve_peer(context, partial(_say_once, _answer('once')))
-    context.closes = True
-
-
-@given('a peer that closes a kept connection when the next request arrives')
-def closing_peer(context):
-    """Read the second request of the first connection and close."""
-    _serve_peer(context, _close_under_next)
-
-
-@when('a "{method}" is sent')
-def send_plain(context, method):
-    context.reports = _outcome(context, _send(context, method))
+@when('a "{method}" is sent to the peer')
+@when('a "{method}" is sent to the peer with {option} = {number:g}')
+def send_one(context, method, option='', number=0):
+    options = {option: number} if option else {}
+    if option == 'body_bytes':
+        options = {'body': bytes(int(number))}
+    context.reports = _outcome(context, _send(context, method, **options))
 
 
-@when('a "{method}" with a {limit} limit of {limit_s:g} s is sent')
-def send_limited(context, method, limit, limit_s):
-    context.limit_s = limit_s
-    exchange = _send(context, method, **{f'{limit}_s': limit_s})
-    context.reports = _outcome(context, exchange)
-
-
-@when('a "{method}" of {length:d} bytes is sent')
-def send_large(context, method, length):
-    exchange = _send(context, method, body=b'x' * length)
-    context.reports = _outcome(context, exchange)
-
-
-@when('a "{method}" is sent and kept for a follow-up')
-def send_first(context, method):
-    context.first = _send(context, method, follow_up_s=_HANG_S)
-    _outcome(context)
-    if 'closes' in context:
-        context.peer.ended.get(timeout=_HANG_S)
-
-
-@when('an unrelated "{method}" is sent')
-def send_unrelated(context, method):
-    _send(context, method)
-    _outcome(context)
-
-
-@when('a follow-up "{method}" is sent on the first connection')
+@when('a follow-up "{method}" is sent to the peer on the first connection')
 def send_follow_up(context, method):
-    exchange = _send(
-        context, method, same_connection_as=context.first.exchange_id
-    )
+    first = context.exchanges[0].exchange_id
+    exchange = _send(context, method, same_connection_as=first)
     context.reports = _outcome(context, exchange)
 
 
 @when(
-    '{count:d} "{method}" are sent at once'
+    '{count:d} "{method}" are sent to the peer at once'
     ' by a client that keeps {kept:d} for {idle_s:g} s'
 )
 def send_many(context, count, method, kept, idle_s):
@@ -348,14 +285,14 @@
             exchanges.remove(number)
 
 
-@when('a "{method}" is sent and cancelled after its head')
+@when('a "{method}" is sent to the peer and cancelled after its head')
 def send_and_cancel(context, method):
     exchange = _send(context, method)
     assert context.owner.reports.get(timeout=_HANG_S)[0] == 'exchange_head'
     context.app.fire(cancel_exchange(exchange.exchange_id), 'http_client')
 
 
-@then('it fails as "{kind}" with {what} sent')
+@then('the exchange fails as "{kind}" with {what} sent')
 def fails(context, kind, what):
     name, (failure, sent) = context.reports[-1]
     assert name == 'exchange_failed', context.reports
@@ -363,7 +300,7 @@
     assert sent is (what == 'bytes'), sent
 
 
-@then('it took at least {limit_s:g} s')
+@then('the exchange took at least {limit_s:g} s')
 def took(context, limit_s):
     assert context.took_s >= limit_s * 0.95, context.took_s
 
@@ -385,7 +322,7 @@
     assert len(context.reports) > 4, context.reports
 
 
-@then('the answer is "{text}"')
+@then('the peer\'s answer is "{text}"')
 def answer_is(context, text):
     assert context.reports[-1][0] == 'exchange_end', context.reports
     assert _content(context.reports) == text.encode()
@@ -406,7 +343,7 @@
         fails(context, 'endpoint_lost', 'bytes')
 
 
-@then('{count:d} connections end')
+@then('{count:d} connections of the peer end')
 def connections_end(context, count):
     for _ in range(count):
         context.peer.ended.get(timeout=_HANG_S)
