--- /dev/null
+++ b/features/steps/admission_steps.py
@@ -0,0 +1,603 @@
+"""Steps on leases, coordinators, permits, groups and orphans."""
+
+from collections import Counter
+
+import msgspec
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis import stateful
+
+from bergamotturn.connection import engine_control as engines
+from bergamotturn.connection import peer_messages as peers
+from bergamotturn.connection.store_events import StoreOutcome, StoreStatus
+from bergamotturn.process.actions import SendTo
+from bergamotturn.process.admission import Coordinator
+from bergamotturn.process import lease as leases
+from bergamotturn.process.ledger import CoordinatorTerms
+from bergamotturn.process.orphans import Orphans, rank_instances
+from bergamotturn.process.permits import Granted, Permits, Refused, may_start
+from features.support.admission_wiring import Wiring
+from features.support.admission_world import (
+    FAULTS,
+    Table,
+    World,
+    member,
+    storm,
+    terms,
+)
+from features.support.group_world import GroupWorld
+
+_INCARNATION = peers.EndpointIncarnation('start', 1)
+_NODES = st.integers(0, 8)
+_PAUSES = st.floats(0.5, 12)
+#: Time after a fault: sometimes the next one comes at once.
+_THEN = st.sampled_from((0, 1, 4, 10, 16))
+
+
+def _run_machine(machine, examples, steps):
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        # Shrinking takes minutes; the history found is printed as it is.
+        phases=(Phase.generate,),
+        suppress_health_check=list(HealthCheck),
+    )
+    try:
+        stateful.run_state_machine_as_test(machine, settings=chosen)
+    except AssertionError as error:
+        history = '\n'.join(getattr(error, '__notes__', ()))
+        raise AssertionError(f'{error}\n{history}') from error
+
+
+def _admission_machine(checks_fencing, totals):
+    class AdmissionMachine(stateful.RuleBasedStateMachine):
+        @stateful.initialize(
+            seed=st.integers(0, 10**6),
+            longest_s=st.sampled_from((4, 30)),
+            is_warm=st.booleans(),
+        )
+        def start(self, seed, longest_s, is_warm):
+            self.world = World(seed, checks_fencing=checks_fencing)
+            self.world.longest_stream_s = longest_s
+            self.world.engine.is_warm = is_warm
+            self.world.run(15)
+
+        @stateful.rule(number=_NODES, seconds=_PAUSES, then_s=_THEN)
+        def pause(self, number, seconds, then_s):
+            self.world.pause(f'node-{number}', seconds)
+            self.world.run(then_s)
+
+        @stateful.rule(number=_NODES, then_s=_THEN)
+        def kill(self, number, then_s):
+            self.world.kill(f'node-{number}')
+            self.world.run(then_s)
+
+        @stateful.rule(name=st.sampled_from(sorted(FAULTS)), then_s=_THEN)
+        def fault(self, name, then_s):
+            FAULTS[name](self.world)
+            self.world.run(then_s)
+
+        @stateful.rule()
+        def storm(self):
+            storm(self.world)
+
+        @stateful.rule(
+            seconds=_PAUSES,
+            late_by_s=st.sampled_from((1, 6)),
+            longest_s=st.sampled_from((2, 8, 30)),
+        )
+        def make_late(self, seconds, late_by_s, longest_s):
+            self.world.late_until_s = self.world.now_s + seconds
+            self.world.late_by_s = late_by_s
+            self.world.longest_stream_s = longest_s
+
+        @stateful.invariant()
+        def holds(self):
+            assert not self.world.breaches, self.world.breaches
+
+        def teardown(self):
+            totals.update(self.world.counts)
+
+    return AdmissionMachine
+
+
+@when(
+    '{nodes:d} instances press an endpoint that {kind} fencing '
+    'in {examples:d} fuzzed histories'
+)
+def press_endpoint(context, nodes, kind, examples):
+    """The machine's invariant fails this step and shows the history."""
+    assert nodes == 9
+    if not hasattr(context, 'totals'):
+        context.totals = Counter()
+    totals = Counter()
+    _run_machine(_admission_machine(kind == 'checks', totals), examples, 10)
+    context.totals += totals
+    print(kind, dict(totals))
+
+
+@then('the histories had cold starts, warm starts and changes of holder')
+def machine_was_busy(context):
+    for kind in ('cold starts', 'warm starts', 'granting holders'):
+        assert context.totals[kind] > 50, context.totals
+
+
+@given('{nodes:d} instances with a coordinator')
+def start_world(context, nodes):
+    context.world = World(7, nodes=nodes)
+    context.world.run(20)
+    (context.holder,) = context.world.holders()
+    context.epoch = context.world.granted_epoch
+    assert context.epoch == 1
+
+
+@given('streams that last up to {seconds:d} s')
+def long_streams(context, seconds):
+    context.world.longest_stream_s = seconds
+
+
+@when('another instance is paused for {seconds:d} s')
+def pause_another(context, seconds):
+    others = set(context.world.nodes) - {context.holder.name}
+    context.world.pause(min(others), seconds)
+
+
+@when('the fault "{name}" occurs')
+def fault_occurs(context, name):
+    FAULTS[name](context.world)
+
+
+@when('{seconds:d} s pass')
+def time_passes(context, seconds):
+    context.world.run(max(0, seconds - 10))
+    before = context.world.counts['grants']
+    context.world.run(min(10, seconds))
+    context.late_grants = context.world.counts['grants'] - before
+
+
+@then('another instance has granted since')
+def another_granted(context):
+    assert context.world.granted_epoch > context.epoch
+
+
+@then('no grant came after one of a newer holder')
+@then('the cold endpoint never had more work than its limit')
+def no_breach(context):
+    assert not context.world.breaches, context.world.breaches
+
+
+@then('the lease is held by {number:d} instances')
+def lease_held(context, number):
+    assert len(context.world.holders()) == number
+
+
+@then('the coordinator has granted in the last 10 s')
+def still_granting(context):
+    assert context.world.holders() == [context.holder]
+    assert context.late_grants > 0
+
+
+@then('the coordinator has granted nothing in the last 10 s')
+def not_granting(context):
+    assert context.late_grants == 0
+    assert context.world.counts['grants'] > 0
+
+
+@when(
+    'in {number:d} histories an instance that nobody knows takes over from a '
+    'holder whose last grants are late, and grants in {least:d}'
+)
+def late_last_grants(context, number, least):
+    """The holder has no table, and goes on by the promises of all others."""
+    takeovers = 0
+    for seed in range(number):
+        world = World(seed, checks_fencing=seed % 2 == 1)
+        world.longest_stream_s = 1.5
+        world.run(18)
+        (holder,) = world.holders()
+        names = set(world.nodes) - {holder.name}
+        ranked = rank_instances('engine', tuple(names))
+        world.kill(ranked[0])
+        world.unknown = {ranked[0]}
+        world.cut_off = {holder.name}
+        world.run(1)
+        world.restart(ranked[0])
+        world.run(4)
+        world.late_until_s = world.now_s + 6
+        world.late_by_s = 0.95
+        world.run(11)
+        assert not world.breaches, (seed, world.breaches)
+        takeovers += world.granted_epoch > 1
+    context.world = world
+    assert takeovers >= least, takeovers
+
+
+@given('a candidate whose takeover write got no answer and {effect}')
+def lost_takeover(context, effect):
+    context.lease = leases.Lease(leases.Identity('a', 'boot'), 0)
+    context.lease.watch(0, ('a', 'b'))
+    context.lease_table = Table()
+    context.now_s = 0
+    unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
+    while context.now_s < 20:
+        context.now_s += 0.5
+        for action in context.lease.tick(context.now_s):
+            outcome = context.lease_table.apply(action)
+            for write in context.lease.row_read(context.now_s, outcome):
+                assert isinstance(write, leases.WriteLease)
+                if effect == 'took place':
+                    context.lease_table.apply(write)
+                context.lease.row_written(context.now_s + 0.4, unknown)
+                return
+    raise AssertionError('no takeover in 20 s')
+
+
+@then('it holds the lease once under epoch 1 when the table answers again')
+def answers_again(context):
+    epochs = []
+    for _ in range(10):
+        context.now_s += 0.5
+        pending = context.lease.tick(context.now_s)
+        while pending:
+            action = pending.pop()
+            if isinstance(action, leases.LeaseTaken):
+                epochs.append(action.epoch)
+                continue
+            outcome = context.lease_table.apply(action)
+            is_read = isinstance(action, leases.ReadLease)
+            take = context.lease.row_written
+            take = context.lease.row_read if is_read else take
+            pending += take(context.now_s, outcome)
+    assert epochs == [1]
+    assert context.lease.may_grant(context.now_s)
+
+
+def _ask(
+    number, workspace='one', work_class=peers.AskClass.short, kv_tokens=1000
+):
+    return peers.PermitAsk(
+        ask_id=f'ask-{number}',
+        endpoint='engine',
+        workspace=workspace,
+        work_class=work_class,
+        cost=peers.Cost(1000, 0, kv_tokens),
+        wait_s=1000,
+    )
+
+
+def _coordinator(is_warm, **changes):
+    known = terms(**changes)
+    weights = {'three': 3, 'one': 1}
+    known = CoordinatorTerms(known.endpoint, known.policy, weights)
+    coordinator = Coordinator(known, 1, 5)
+    coordinator.load_known(10, engines.EngineLoad(9, ()))
+    coordinator.status_known(9, engines.EngineStatus(_INCARNATION, is_warm))
+    return coordinator
+
+
+def _granted(actions):
+    return [
+        action.message
+        for action in actions
+        if isinstance(action, SendTo)
+        and isinstance(action.message, peers.PermitGrant)
+    ]
+
+
+def _release(coordinator, now_s, grant):
+    release = peers.PermitRelease(
+        permit_id=grant.permit_id,
+        endpoint='engine',
+        used=True,
+        tokens_served=1000,
+    )
+    coordinator.release(now_s, release)
+    return _granted(coordinator.serve(now_s, may_grant=True))
+
+
+@given('a coordinator of a warm engine that is full')
+def full_engine(context):
+    context.coordinator = _coordinator(True, warm_requests=4)
+    for number in range(4):
+        assert not context.coordinator.ask(10, 'a', 'boot', _ask(number))
+    context.grants = _granted(context.coordinator.serve(10, may_grant=True))
+    assert len(context.grants) == 4
+
+
+@when('a long and then a short ask for a permit and one is released')
+def long_then_short(context):
+    long_ask = _ask('long', work_class=peers.AskClass.long, kv_tokens=40_000)
+    for ask in (long_ask, _ask('short')):
+        assert not context.coordinator.ask(11, 'a', 'boot', ask)
+    context.newest = _release(context.coordinator, 12, context.grants.pop())
+
+
+@then('the short is granted and the long waits')
+def short_first(context):
+    assert [grant.ask_id for grant in context.newest] == ['ask-short']
+
+
+@then('longs never get more than 80% of the KV memory')
+def longs_leave_reserve(context):
+    """Two longs of 45% each exceed the share."""
+    coordinator = _coordinator(True)
+    for number in range(2):
+        ask = _ask(number, work_class=peers.AskClass.long, kv_tokens=45_000)
+        coordinator.ask(10, 'a', 'boot', ask)
+    assert len(_granted(coordinator.serve(10, may_grant=True))) == 1
+
+
+@when(
+    'workspaces of weight 3 and 1 queue 40 asks each and 40 permits come free'
+)
+def queue_by_workspace(context):
+    for number in range(40):
+        for workspace in ('three', 'one'):
+            ask = _ask(f'{workspace}-{number}', workspace)
+            assert not context.coordinator.ask(11, 'a', 'boot', ask)
+    context.served = []
+    held = context.grants
+    for _ in range(40):
+        (grant,) = _release(context.coordinator, 12, held.pop(0))
+        context.served.append(grant.ask_id)
+        held.append(grant)
+
+
+@then('workspace "three" got 28 to 32 of them')
+def shared_by_weight(context):
+    """Three quarters of 40, within a turn."""
+    got = sum(ask_id.startswith('ask-three') for ask_id in context.served)
+    assert 28 <= got <= 32, got
+
+
+@given('a coordinator whose quiescent instant is second {quiescent:d}')
+def in_recovery(context, quiescent):
+    context.coordinator = Coordinator(terms(), 2, quiescent)
+    cold = engines.EngineStatus(_INCARNATION, is_warm=False)
+    context.coordinator.status_known(1, cold)
+    assert not context.coordinator.ask(1, 'a', 'boot', _ask('new'))
+
+
+@then(
+    'it grants {grants:d} in second {now_s:g} after a list from second '
+    '{as_of:g} with {streams:d} streams'
+)
+def grants_after_list(context, grants, now_s, as_of, streams):
+    shown = tuple(
+        engines.EngineStream(f'old-{number}', 'b/boot', 1000)
+        for number in range(streams)
+    )
+    context.coordinator.load_known(now_s, engines.EngineLoad(as_of, shown))
+    granted = context.coordinator.serve(now_s, may_grant=True)
+    assert len(granted) == grants, granted
+
+
+@then('a permit is counted after a list from 1 s later, not from 2 s later')
+def lapses_by_list(context):
+    coordinator = _coordinator(False)
+    coordinator.ask(10, 'a', 'boot', _ask(1))
+    assert len(_granted(coordinator.serve(10, may_grant=True))) == 1
+    for as_of_s, counted in ((11, 1), (12, 0)):
+        coordinator.load_known(13, engines.EngineLoad(as_of_s, ()))
+        assert coordinator.usage().requests == counted
+
+
+@given('an instance that has an ask under way')
+def ask_under_way(context):
+    context.permits = Permits()
+    context.permits.configure([terms().endpoint])
+    context.permits.members_known(('own', 'other'), 2)
+    announce = peers.CoordinatorAnnounce(
+        endpoint='engine', instance='other', epoch=5
+    )
+    context.permits.coordinator_known(announce)
+    assert context.permits.ask(100, _ask(1)) == [SendTo('other', _ask(1))]
+
+
+def _grant(epoch, start_s=1):
+    return peers.PermitGrant(
+        ask_id='ask-1',
+        permit_id=f'{epoch}:ask-1',
+        endpoint='engine',
+        epoch=epoch,
+        start_s=start_s,
+        incarnation=_INCARNATION,
+    )
+
+
+def _gives_back(actions):
+    releases = [act.message for act in actions if isinstance(act, SendTo)]
+    granted = [act for act in actions if isinstance(act, Granted)]
+    return not granted and [item.used for item in releases] == [False]
+
+
+@then('a grant under an older epoch is given back')
+def old_epoch(context):
+    ask_under_way(context)
+    assert _gives_back(context.permits.grant(100.1, 'old', _grant(4)))
+
+
+@then('a grant that arrives after the start limit is given back')
+def late_grant(context):
+    actions = context.permits.grant(101, 'other', _grant(5))
+    assert _gives_back(actions)
+    assert any(isinstance(action, Refused) for action in actions)
+    assert _gives_back(context.permits.grant(101, 'other', _grant(5)))
+
+
+@then('work does not start on another engine start, nor after the limit')
+def start_checks(context):
+    same = engines.EngineStatus(_INCARNATION, is_warm=False)
+    other = engines.EngineStatus(
+        peers.EndpointIncarnation('start', 2), is_warm=False
+    )
+    assert may_start(_grant(5), 100, 100.9, same)
+    assert not may_start(_grant(5), 100, 101, same)
+    assert not may_start(_grant(5), 100, 100.9, other)
+    assert not may_start(_grant(5), 100, 100.9, None)
+
+
+@then('without a coordinator only a warm engine gets work, by the fixed share')
+def fixed_share(context):
+    """12 warm requests, half of them for 2 instances: 3 each."""
+    context.permits.members_known(('own',), 2)
+    taken = [
+        context.permits.ask(100, _ask(number))[0] for number in range(2, 6)
+    ]
+    assert [type(answer) for answer in taken] == [*(Granted,) * 3, Refused]
+    grant = taken[0].grant
+    warm = engines.EngineStatus(_INCARNATION, is_warm=True)
+    cold = engines.EngineStatus(_INCARNATION, is_warm=False)
+    assert may_start(grant, 100, 100.5, warm)
+    assert not may_start(grant, 100, 100.5, cold)
+    release = peers.PermitRelease(
+        permit_id=grant.permit_id,
+        endpoint='engine',
+        used=False,
+        incarnation=_INCARNATION,
+    )
+    context.permits.give_back(100.5, release)
+    (answer,) = context.permits.ask(100.6, _ask(7))
+    assert isinstance(answer, Refused)
+
+
+@when('groups reserve overlapping engines in {examples:d} fuzzed histories')
+def run_groups(context, examples):
+    context.groups_done = Counter()
+
+    class GroupMachine(stateful.RuleBasedStateMachine):
+        @stateful.initialize(seed=st.integers(0, 10**6))
+        def start(self, seed):
+            self.world = GroupWorld(seed)
+
+        @stateful.rule(engines=st.sets(st.integers(0, 3), min_size=2))
+        def add(self, engines):
+            if len(self.world.groups) < 8:
+                self.world.add([f'engine-{number}' for number in engines])
+
+        @stateful.rule(seconds=st.floats(0.01, 2))
+        def run_on(self, seconds):
+            self.world.run(seconds)
+
+        @stateful.rule(number=st.integers(0, 7))
+        def end(self, number):
+            self.world.end(number)
+
+        def teardown(self):
+            self.world.finish()
+            context.groups_done.update(self.world.counts)
+
+    _run_machine(GroupMachine, examples, 20)
+    print(dict(context.groups_done))
+
+
+@then('every group got its engines and all permits were released')
+def groups_done(context):
+    assert context.groups_done['ready'] > 50, context.groups_done
+    assert context.groups_done['refused'] > 50, context.groups_done
+
+
+@given(
+    'a stream list with streams of alive, dead, restarted and unknown owners'
+)
+def stream_list(context):
+    context.members = [
+        member('alive', 'boot', peers.MemberState.alive),
+        member('dead', 'boot', peers.MemberState.dead),
+        member('restarted', 'new-boot', peers.MemberState.alive),
+    ]
+    owners = ('alive', 'dead', 'restarted', 'unknown')
+    context.streams = [
+        engines.EngineStream(owner, f'{owner}/boot', 10) for owner in owners
+    ]
+    context.orphans = Orphans()
+
+
+def _found(context, now_s):
+    found = context.orphans.find(now_s, context.streams, context.members)
+    return {stream.stream_id for stream in found}
+
+
+@then("the dead owner's stream is cancelled at once, the others after 2.5 s")
+def only_orphans(context):
+    """A new boot may be ahead of the own view."""
+    assert _found(context, 100) == {'dead'}
+
+    assert _found(context, 102.4) == {'dead'}
+    assert _found(context, 102.5) == {'dead', 'restarted', 'unknown'}
+
+
+@then('exactly one alive member is responsible for each endpoint')
+def one_responsible(context):
+    """The order does not depend on the order of the members, and spreads."""
+    names = tuple(f'node-{number}' for number in range(9))
+    first = set()
+    for number in range(50):
+        ranked = rank_instances(f'engine-{number}', names)
+        assert rank_instances(f'engine-{number}', ranked) == ranked
+        first.add(ranked[0])
+    assert len(first) >= 7
+
+
+@given('the components with stand-ins for table, peers and engines')
+def start_wiring(context):
+    context.wiring = Wiring()
+    context.add_cleanup(context.wiring.close)
+
+
+@when('an ask is made after {seconds:d} s')
+def ask_after(context, seconds):
+    context.wiring.run(seconds)
+    context.answer = context.wiring.ask(_ask(1))
+
+
+@then('it is granted with epoch 1 and the engine knows the epoch')
+def granted_by_component(context):
+    assert isinstance(context.answer, peers.PermitGrant), context.answer
+    assert context.answer.epoch == 1
+    assert context.answer.incarnation == _INCARNATION
+    assert context.wiring.outside.fence_epoch == 1
+    known = [
+        (announce.endpoint, announce.instance, announce.epoch)
+        for announce in context.wiring.outside.announces
+    ]
+    assert known == [('engine', 'own', 1), ('service', 'own', 1)], known
+
+
+@then('a stream of a dead owner is cancelled at the engine')
+def cancelled_by_component(context):
+    """Slashes in the id are escaped; the own stream stays."""
+    cancels = context.wiring.outside.cancels
+    assert cancels == {'/streams/gone%2F1', '/groups/gone%2F1'}, cancels
+
+
+@when('the engine is down and an ask is made')
+def ask_when_down(context):
+    context.wiring.outside.is_down = True
+    context.wiring.run(3)
+    context.answer = context.wiring.ask(_ask(2))
+
+
+@then('it is not granted')
+def not_granted(context):
+    """A refusal or silence will do."""
+    assert not isinstance(context.answer, peers.PermitGrant)
+    assert context.answer is None or isinstance(
+        context.answer, peers.PermitBusy
+    )
+
+
+@then('an ask at a plain service is granted')
+def service_granted(context):
+    ask = msgspec.structs.replace(_ask(3), endpoint='service')
+    answer = context.wiring.ask(ask)
+    assert isinstance(answer, peers.PermitGrant), answer
+
+
+@then('no handler has failed')
+def no_handler_failed(context):
+    assert not context.wiring.outside.failures
