Count a call's time from its first byte, and tell versions heard on pings

And a version heard on a ping went to the configuration component as an offer without a digest, which kept it from learning the digest from the table. Conclusion: deadlines are those that callers see.

--- a/bergamotturn/connection/caller_listener.py
+++ b/bergamotturn/connection/caller_listener.py
@@ -180,7 +180,8 @@
         )
         call.response.headers['X-Call-Id'] = call_id
         call.response.close |= self._routes.is_draining
-        routed = self._routes.route(call.request, call_id, monotonic())
+        # A long body takes a while to arrive; the caller's time runs already.
+        routed = self._routes.route(call.request, call_id, call.began_s)
         if isinstance(routed, Failure):
             self._answer_failure(call, _with_earlier_runs(call, routed))
         elif isinstance(routed, ChatCall | ServiceCall):
@@ -191,7 +192,7 @@
     def _submit(self, web: WebCall, call: ChatCall | ServiceCall) -> None:
         call_id = call.call_id
         timer = self._timers.call_after(
-            call.deadline_s - call.arrived_s + _OVERDUE_S,
+            max(0, call.deadline_s - monotonic()) + _OVERDUE_S,
             _call_overdue(call_id),
             self.channel,
         )
--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from itertools import count
 from socket import socket
+from time import monotonic
 from typing import Final, final
 
 import h11
@@ -43,7 +44,7 @@
 
 
 class request_completed(Event):
-    """Hand on ``sock`` and ``request``, a :class:`CompleteRequest`."""
+    """Hand on ``sock``, its :class:`CompleteRequest` and when it began."""
 
 
 class _intake_limit_passed(Event):
@@ -200,6 +201,7 @@
     """What a connection is doing.
 
     :param number: changes with each request; marks its time limit.
+    :param began_s: monotonic time of the request's first byte.
     :param is_served: whether a request is being answered.
     :param was_pipelined: whether more came before its answer was complete.
     """
@@ -207,6 +209,7 @@
     intake: RequestIntake
     number: int
     timer: int = 0
+    began_s: float = 0
     held_bytes: int = 0
     is_served: bool = False
     was_pipelined: bool = False
@@ -262,6 +265,7 @@
             data = data.lstrip(b'\r\n')
             if not data:
                 return
+            turn.began_s = monotonic()
             self._limit_time(sock, turn)
         outcome = turn.intake.feed(data)
         self._account(turn, turn.intake.held_bytes)
@@ -281,7 +285,7 @@
         self._account(turn, 0)
         turn.is_served = True
         turn.was_pipelined = turn.intake.has_surplus
-        self.fire(request_completed(sock, request))
+        self.fire(request_completed(sock, request, turn.began_s))
 
     def _answer_expectation(self, sock: socket, intake: RequestIntake) -> None:
         if intake.wants_continue:
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -34,6 +34,7 @@
 class WebCall:
     """One request and the state of its answer.
 
+    :param began_s: monotonic time of the request's first byte.
     :param response: the library's response; its headers may be set until the
         answer begins.
     :ivar has_begun: whether the head of the answer was handed on.
@@ -44,6 +45,7 @@
 
     sock: socket
     request: CompleteRequest
+    began_s: float
     response: Response
     has_begun: bool = False
     is_streamed: bool = False
@@ -227,7 +229,7 @@
 
     @handler('request_completed')
     def _on_request_completed(
-        self, sock: socket, completed: CompleteRequest
+        self, sock: socket, completed: CompleteRequest, began_s: float
     ) -> None:
         try:
             # The library redirects unusual paths; calls keep their own.
@@ -243,7 +245,7 @@
             return
         web_response = Response(web_request)
         web_response.close = completed.closes
-        self._calls[sock] = WebCall(sock, completed, web_response)
+        self._calls[sock] = WebCall(sock, completed, began_s, web_response)
         self.fire(request(web_request, web_response))
 
     @handler('request')
--- a/bergamotturn/process/membership_task.py
+++ b/bergamotturn/process/membership_task.py
@@ -19,12 +19,10 @@
 from ..connection.peer_link import PEERS, replace_link
 from ..connection.peer_messages import (
     Ack,
-    ConfigurationOffer,
     Envelope,
     MemberState,
     MemberUpdate,
     Ping,
-    peer_message,
     send_message,
 )
 from ..connection.store_events import (
@@ -40,6 +38,7 @@
     MemberView,
     OrderView,
     ShutdownPhase,
+    configuration_heard,
     endpoint_list_changed,
     members_changed,
     order_placed,
@@ -99,7 +98,7 @@
     def peer_message(self, envelope: Envelope) -> None:
         """Take a message from another instance."""
         self._carry_out(self._membership.receive(monotonic(), envelope))
-        self._offer_configuration(envelope)
+        self._tell_configuration(envelope)
 
     def place_order(self, request_id: str, target: str, state: str) -> None:
         """Accept an operator's order."""
@@ -177,20 +176,15 @@
         for operation in operations:
             self.fire(store_operation(operation), STORES)
 
-    def _offer_configuration(self, envelope: Envelope) -> None:
+    def _tell_configuration(self, envelope: Envelope) -> None:
         """Tell ``configuration`` of a higher number that a peer has."""
         message = envelope.message
         if not isinstance(message, (Ping, Ack)):
             return
         number = message.configuration_version
         if number > self._membership.configuration_version:
-            offer = ConfigurationOffer(version_number=number, digest='')
-            self.fire(
-                peer_message(
-                    Envelope(envelope.sender, envelope.boot_id, offer)
-                ),
-                'configuration',
-            )
+            heard = configuration_heard(envelope.sender, number)
+            self.fire(heard, 'configuration')
 
     def _tell_changes(self) -> None:
         table = self._membership.table
--- a/bergamotturn/request/calls.py
+++ b/bergamotturn/request/calls.py
@@ -34,7 +34,7 @@
     :param prompt: all messages as one text.
     :param stream: whether the caller wants server-sent events.
     :param deadline_s: monotonic time by which the answer must be complete.
-    :param arrived_s: monotonic time of the complete request.
+    :param arrived_s: monotonic time of the request's first byte.
     """
 
     call_id: str
