Break ties between ping targets by chance

Cause: at 350 simulated members one sent 24.2 KB/s on average over 10 s: members that were never in touch with anybody all ping the first listed one.

Change: targets are shuffled before the one longest out of touch is taken.

The 15 scenarios of membership and orders pass in 21 s.

--- a/bergamotturn/process/ping_target.py
+++ b/bergamotturn/process/ping_target.py
@@ -47,6 +47,8 @@
             return self._random.choice(targets)
         # Whoever was out of touch longest comes first: this passes through
         # all members, and finds a death sooner than a fixed order does.
+        # Ties go by chance, or new instances would all ping the same one.
+        self._random.shuffle(targets)
         return min(targets, key=self._contact_s)
 
     def _contact_s(self, instance: str) -> float:
