Add process scenarios: a whole system under failure

Nine real instances under 15 requests a second meet a killed instance, a silent table, orders, configuration changes, rolling restarts, silent connections, lost answers, and failing coordinators of cold engines. Bounds are those of the design's target table.

The load tool no longer starts an attempt, or waits for a lookup, beyond its own deadline: it sent X-Request-Timeout-S: 0.000 up to six times and counted the refusals of its own late requests as overruns (9.0 s of 8 s).

--- /dev/null
+++ b/features/steps/process_faults_steps.py
@@ -0,0 +1,615 @@
+"""Steps on whole systems under failure."""
+
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from itertools import repeat
+from time import monotonic, sleep
+
+import msgspec
+from behave import given, step, then, when
+
+from features.support.engine_settings import EngineSettings
+from features.support.load_plan import LoadPlan
+from features.support.load_report import Outcome
+from features.support.plan import DeploymentPlan, Plan
+from features.support.trial import (
+    Trial,
+    long_answer_prompt,
+    not_whole,
+    wait_until,
+)
+
+#: Slow tokens keep streams open; prefill runs at the design's speed.
+_WARM = Plan(
+    deployments=(
+        DeploymentPlan(
+            model='letter',
+            engines=9,
+            engine=EngineSettings(
+                name='', decode_step_s=0.1, chunk_tokens=2048
+            ),
+        ),
+    ),
+    services=('postings',),
+)
+_COLD_ENGINE = EngineSettings(name='', start_cold=True, cold_s=600)
+_COLD = Plan(
+    deployments=(
+        DeploymentPlan(
+            model='fenced', engines=2, engine=_COLD_ENGINE, fencing_every=1
+        ),
+        DeploymentPlan(
+            model='open', engines=2, engine=_COLD_ENGINE, fencing_every=0
+        ),
+    ),
+)
+_LOAD = LoadPlan(
+    seed=41,
+    duration_s=0,
+    requests_per_s=15,
+    model='letter',
+    workspaces=_WARM.workspaces,
+    long_every=0,
+    max_tokens=16,
+    deadline_s=30,
+)
+#: Streams that last until they are cancelled: 350 tokens take 35 s.
+_HELD_TOKENS = 350
+_LONG_TOKENS = 100_500
+#: More than one engine's memory.
+_GROUP_TOKENS = 410_000
+_LEASES_S = 15
+#: Less than the time that one operation waits for the table's answer (1 s).
+_AT_ONCE_S = 0.9
+#: Time in which an instance has met an outage several times.
+_MEETS_OUTAGE_S = 4
+#: One cold engine of each kind, whose coordinators fail.
+_KILLED = ('fenced-0', 'open-0')
+
+
+def _ready(context, plan):
+    """Reuse the feature's cluster if its last user left it whole."""
+    feature = context.feature
+    trial = getattr(feature, 'trial', None)
+    if trial is None or not trial.is_whole or trial.cluster.plan != plan:
+        if trial is not None:
+            trial.cluster.stop()
+        trial = Trial(plan)
+        context.add_cleanup(trial.cluster.stop, layer='feature')
+        feature.trial = trial
+        trial.wait_coordinated()
+    trial.is_whole = False
+    context.trial = trial
+    context.killed = set()
+    context.paused = set()
+
+
+def _start_load(context, **changes):
+    if not hasattr(context, 'trial'):
+        _ready(context, _WARM)
+    plan = msgspec.structs.replace(_LOAD, **changes)
+    context.running = context.trial.start_load(plan)
+
+
+def _result(context):
+    if not hasattr(context, 'result'):
+        context.result = context.running.finish()
+    return context.result
+
+
+def _kill(context, name):
+    trial = context.trial
+    trial.note_breaches()
+    address = trial.cluster.instances[name].caller_address
+    context.killed.add(str(address))
+    trial.cluster.kill(name)
+
+
+@given('nine instances serve {rate:d} requests a second for {load:d} s')
+def serve(context, rate, load):
+    """Start a load of shorts."""
+    _start_load(context, requests_per_s=rate, duration_s=load)
+
+
+@given(
+    'nine instances serve {rate:d} requests a second for {load:d} s,'
+    ' and {calls:d} calls a second, each repeated with its key'
+)
+def serve_calls(context, rate, load, calls):
+    """Start a load of shorts and of calls to the plain service."""
+    _start_load(
+        context,
+        requests_per_s=rate,
+        duration_s=load,
+        service='postings',
+        calls_per_s=calls,
+        repeat_every=1,
+    )
+
+
+@given('the instance "{name}" has ended')
+def instance_ended(context, name):
+    """Kill an instance while nothing is in flight."""
+    _ready(context, _WARM)
+    _kill(context, name)
+    context.killed.clear()
+
+
+@step('the instance "{name}" is killed')
+def kill_instance(context, name):
+    """Kill an instance in the middle of the load."""
+    context.running.sleep_until(6)
+    context.killed_s = monotonic()
+    _kill(context, name)
+
+
+@given(
+    '{shorts:d} short, {longs:d} long and {groups:d} group stream'
+    ' are open at the instance "{name}"'
+)
+def open_streams(context, shorts, longs, groups, name):
+    """Open streams, and wait until the engines list them."""
+    trial = context.trial
+    boot_id = trial.status(name)['boot_id']
+    context.owner = f'{name}/{boot_id}'
+    wanted = {400: shorts, _LONG_TOKENS: longs, _GROUP_TOKENS: groups}
+    prompts = [
+        prompt
+        for tokens, count in wanted.items()
+        for prompt in repeat(long_answer_prompt(tokens, _HELD_TOKENS), count)
+    ]
+    context.cancels = _count(trial, 'cancels')
+    pool = ThreadPoolExecutor(len(prompts))
+    # Kept, since an answer that nobody holds is closed.
+    context.held = [
+        pool.submit(trial.open_chat, name, 'letter', prompt, 400)
+        for prompt in prompts
+    ]
+    pool.shutdown(wait=False)
+    wait_until(lambda: len(_owned(context)) > len(prompts), 15)
+
+
+def _owned(context):
+    reports = map(context.trial.load_report, context.trial.engines)
+    return [
+        stream['stream_id']
+        for report in reports
+        for stream in report['streams']
+        if stream['owner'] == context.owner
+    ]
+
+
+def _count(trial, fact):
+    return sum(trial.facts(engine)[fact] for engine in trial.engines)
+
+
+@then('the engines hold none of its streams 10 s later')
+def streams_gone(context):
+    """Read the engines' lagging reports of the time 10 s after the death."""
+    trial = context.trial
+    until_s = context.killed_s + 10
+    for engine in trial.engines:
+        report = trial.load_report(engine)
+        while report['as_of_s'] < until_s:
+            owners = {stream['owner'] for stream in report['streams']}
+            if context.owner not in owners:
+                break
+            sleep(0.1)
+            report = trial.load_report(engine)
+        owners = {stream['owner'] for stream in report['streams']}
+        assert context.owner not in owners, (engine, report)
+    assert not _owned(context), _owned(context)
+
+
+@then('at least {wanted:d} of its streams were cancelled')
+def streams_cancelled(context, wanted):
+    """Tell a cancel from an answer that came to its own end."""
+    cancels = _count(context.trial, 'cancels') - context.cancels
+    assert cancels >= wanted, cancels
+
+
+@then('every request is answered in full')
+def all_whole(context):
+    """Let no request fail."""
+    faults = not_whole(_result(context).chats)
+    assert not faults, faults
+
+
+@then(
+    'every request is answered in full, but those lost with a killed instance'
+)
+def all_whole_but_lost(context):
+    """Let no request fail unless its instance was killed."""
+    faults = not_whole(
+        chat
+        for chat in _result(context).chats
+        if chat.outcome is not Outcome.lost
+        or chat.address not in context.killed
+    )
+    assert not faults, faults
+
+
+@then('no lookup was refused')
+def no_lookup_refused(context):
+    """Look at the load tool's count."""
+    assert not _result(context).refused_lookups
+
+
+@then('no rule was broken')
+def no_rule_broken(context):
+    """Check answers, executions and invariants; make the cluster whole."""
+    trial = context.trial
+    faults = trial.faults(_result(context), context.paused)
+    assert not faults, faults
+    for name in set(trial.cluster.instances) - set(trial.running()):
+        trial.restart(name)
+    trial.is_whole = True
+
+
+@when('the table is down for {outage:d} s by "{fault}"')
+def table_down(context, outage, fault):
+    """Start an outage, and wait until all instances have met it."""
+    context.running.sleep_until(1)
+    table = context.trial.cluster.platform.table
+    context.trial.cluster.fault(table, fault=fault, for_s=outage)
+    context.up_s = monotonic() + outage
+    sleep(_MEETS_OUTAGE_S)
+
+
+@when('the data centre "{data_centre}" goes out')
+def goes_out(context, data_centre):
+    """Give the order at an instance of another data centre."""
+    context.out_s = monotonic()
+    context.trial.cluster.order('b0', f'data_centre/{data_centre}', 'out')
+
+
+@when('the instance "{name}" starts')
+def instance_starts(context, name):
+    """Start it without waiting."""
+    context.trial.cluster.start_instance(name)
+
+
+@then('a call that may not be repeated is refused at once')
+def call_refused(context):
+    """Call the plain service at an instance."""
+    cluster = context.trial.cluster
+    asked_s = monotonic()
+    answer = context.trial.call_service('b1', 'postings', 'outage')
+    took_s = monotonic() - asked_s
+    error = answer.json()['error']
+    assert error['code'] == 'store_unavailable' and error['not_run'], error
+    assert took_s < _AT_ONCE_S, took_s
+    assert 'outage' not in cluster.executions('postings')
+
+
+@then('a new configuration is refused at once')
+def publication_refused(context):
+    """Publish during the outage."""
+    trial = context.trial
+    asked_s = monotonic()
+    version = trial.status('b0')['configuration_version']
+    answer = trial.cluster.publish('b0', _changed(context, 9), version)
+    took_s = monotonic() - asked_s
+    assert answer.json()['error']['code'] == 'store_unavailable', answer
+    assert took_s < _AT_ONCE_S, took_s
+
+
+@then('the instance "{name}" serves while the table is down')
+def serves_in_outage(context, name):
+    """Wait for it, at most until the outage ends."""
+    context.trial.cluster.wait_ready(name, context.up_s - monotonic())
+
+
+@then(
+    'the data centre "{data_centre}" got no new work'
+    ' from 5 s after its order until the outage ended'
+)
+def no_work_in_outage(context, data_centre):
+    """Wait until the outage ends, then bring the data centre back."""
+    sleep(max(0, context.up_s - monotonic()))
+    _no_work(context, context.trial.engines_in(data_centre), context.out_s)
+    context.trial.cluster.order('b0', f'data_centre/{data_centre}', 'in')
+
+
+def _no_work(context, engines, out_s):
+    """Check arrivals from 5 s after the order until now."""
+    late = context.trial.arrivals_between(engines, out_s + 5, monotonic())
+    assert monotonic() > out_s + 6, 'nothing was observed'
+    assert not late, f'{late} requests reached {engines}'
+
+
+@when('the data centre "{data_centre}" is out for {out:d} s')
+def out_for(context, data_centre, out):
+    """Take it out and let the time pass."""
+    context.running.sleep_until(1)
+    goes_out(context, data_centre)
+    sleep(out)
+
+
+@then(
+    'the data centre "{data_centre}" got no new work'
+    ' from 5 s after its order until it was back'
+)
+def no_work_until_back(context, data_centre):
+    """Check, and bring it back."""
+    _no_work(context, context.trial.engines_in(data_centre), context.out_s)
+    context.trial.cluster.order('c1', f'data_centre/{data_centre}', 'in')
+    context.in_s = monotonic()
+
+
+@when(
+    'the endpoint "{out}" is out and "{leaving}" listed as leaving for {away:d} s'
+)
+def endpoints_leave(context, out, leaving, away):
+    """Take one out by order and the other through the platform's list."""
+    cluster = context.trial.cluster
+    context.away = (out, leaving)
+    context.out_s = monotonic()
+    cluster.list_as(leaving, leaving=True)
+    cluster.order('a0', f'endpoint/{out}', 'out')
+    sleep(away)
+
+
+@then('neither endpoint got new work from 5 s after that until it was back')
+def no_work_at_endpoints(context):
+    """Check, and bring both back."""
+    _no_work(context, context.away, context.out_s)
+    cluster = context.trial.cluster
+    cluster.list_as(context.away[1], leaving=False)
+    cluster.order('a0', f'endpoint/{context.away[0]}', 'in')
+
+
+@then('both endpoints and the data centre "{data_centre}" got work again')
+def work_again(context, data_centre):
+    """Look for arrivals after the return, until the load ends."""
+    _result(context)
+    trial = context.trial
+    back_s = context.out_s + 10
+    engines = [*context.away, *trial.engines_in(data_centre)]
+    for engine in engines:
+        assert trial.arrivals_between([engine], back_s, monotonic()), engine
+
+
+def _changed(context, number):
+    configuration = context.trial.cluster.configuration
+    policy = msgspec.structs.replace(
+        configuration.policy, result_keep_s=604_800 + number
+    )
+    return msgspec.structs.replace(configuration, policy=policy)
+
+
+@when('a configuration is published at the instance "{name}"')
+def publish(context, name):
+    """Publish one that differs in a harmless value."""
+    trial = context.trial
+    context.versions = {}
+    version = trial.status(name)['configuration_version']
+    answer = trial.cluster.publish(name, _changed(context, 1), version)
+    assert answer.status == 200, answer
+    context.version = answer.json()['version']
+    assert context.version == version + 1, answer
+
+
+@then('it is in force at all nine instances within 3 s')
+def in_force(context):
+    """Ask all instances until they agree."""
+    wanted = {context.version}
+    wait_until(lambda: set(_versions(context).values()) == wanted, 3)
+    assert len(_versions(context)) == 9
+
+
+def _versions(context):
+    """Return each instance's version, and keep all that were seen."""
+    trial = context.trial
+    seen = {}
+    for name in trial.running():
+        with suppress(OSError):
+            seen[name] = trial.status(name)['configuration_version']
+            context.versions.setdefault(name, []).append(seen[name])
+    return seen
+
+
+@when('two configurations are published at once at "{one}" and "{other}"')
+def publish_twice(context, one, other):
+    """Publish two that expect the same version."""
+    with ThreadPoolExecutor(2) as pool:
+        context.answers = list(
+            pool.map(
+                lambda name, number: context.trial.cluster.publish(
+                    name, _changed(context, number), context.version
+                ),
+                (one, other),
+                (2, 3),
+            )
+        )
+
+
+@then('one is accepted and the other is told what it lost to')
+def one_accepted(context):
+    """Compare both answers."""
+    won, lost = sorted(context.answers, key=lambda answer: answer.status)
+    context.version += 1
+    assert (won.status, lost.status) == (200, 409), context.answers
+    assert won.json()['version'] == context.version, won
+    error = lost.json()['error']
+    assert error['code'] == 'configuration_conflict', error
+    text = f'Version {context.version} by cluster was accepted at '
+    assert text in error['message'], error
+
+
+@when(
+    'the instance "{name}" is killed and started'
+    ' while every other table answer is late'
+)
+def restart_late(context, name):
+    """Start it beside a publication whose answers overtake each other."""
+    cluster = context.trial.cluster
+    cluster.fault(
+        cluster.platform.table, fault='slow', delay_s=0.8, every=2, for_s=4
+    )
+    _kill(context, name)
+    cluster.publish('c1', _changed(context, 4), context.version)
+    cluster.start_instance(name)
+    until_s = monotonic() + 5
+    while monotonic() < until_s:
+        _versions(context)
+        sleep(0.05)
+    context.restarted = name
+
+
+@then('no instance ever went back to an older version')
+def never_back(context):
+    """Compare each reading with the one before; 0 is none at a start."""
+    for name, seen in context.versions.items():
+        in_force = [version for version in seen if version]
+        assert in_force == sorted(in_force), (name, seen)
+    assert 0 < context.versions[context.restarted][-1], context.versions
+
+
+@when('the instances "{names}" are restarted in turn')
+def restart_in_turn(context, names):
+    """Stop by SIGTERM; those joined by + go at the same time."""
+    cluster = context.trial.cluster
+    context.running.sleep_until(1)
+    for together in names.split(', '):
+        group = together.split('+')
+        for name in group:
+            cluster.terminate(name)
+        for name in group:
+            assert cluster.wait_end(name, 60) == 0, cluster.log_tail(name)
+        for name in group:
+            cluster.start_instance(name)
+        for name in group:
+            cluster.wait_ready(name)
+
+
+@when('all open connections of the engines "{names}" go silent three times')
+def go_silent(context, names):
+    """Freeze what is open, again and again under load."""
+    context.resumes = _resumes(context.trial)
+    for at_s in (3, 6, 9):
+        context.running.sleep_until(at_s)
+        for name in names.split(', '):
+            address = context.trial.cluster.engine_address(name)
+            context.trial.cluster.fault(address, fault='freeze')
+
+
+def _resumes(trial):
+    pattern = r'bergamotturn_stream_events_total\{event="resume"\}'
+    return sum(trial.metric(name, pattern) for name in trial.running())
+
+
+@then('streams were resumed')
+def were_resumed(context):
+    """Look at the instances' counters."""
+    assert _resumes(context.trial) > context.resumes
+
+
+@given('every fifth answer of the plain service is lost')
+def answers_lost(context):
+    """Order the fault for the time of the load."""
+    cluster = context.trial.cluster
+    service = cluster.services['postings']
+    cluster.fault(service, fault='lose_answer', every=5, for_s=14)
+
+
+@given('every third table answer is lost after the write took effect')
+def writes_unanswered(context):
+    """Order the fault for the time of the load."""
+    cluster = context.trial.cluster
+    table = cluster.platform.table
+    cluster.fault(table, fault='lose_answers', every=3, for_s=14)
+
+
+@then('most calls were answered, and none ran twice or ran against its answer')
+def calls_right(context):
+    """Compare answers with executions; half must have a result."""
+    result = _result(context)
+    answered = sum(record.status == 200 for record in result.calls)
+    assert answered * 2 > len(result.calls), (answered, len(result.calls))
+    faults = context.trial.faults(result)
+    assert not faults, faults
+
+
+@given('nine instances press on cold engines with and without fencing')
+def press_cold(context):
+    """Send each model twice what its cold engines bear."""
+    _ready(context, _COLD)
+    plans = [
+        msgspec.structs.replace(
+            _LOAD,
+            seed=seed,
+            model=model,
+            requests_per_s=8,
+            duration_s=34,
+            deadline_s=8,
+        )
+        for seed, model in enumerate(('fenced', 'open'))
+    ]
+    context.running = context.trial.start_load(*plans)
+    _wait_work(context)
+
+
+def _wait_work(context):
+    """Wait until all engines took work since now."""
+    trial = context.trial
+    from_s = monotonic()
+    wait_until(
+        lambda: all(
+            trial.arrivals_between([engine], from_s, monotonic())
+            for engine in trial.engines
+        ),
+        _LEASES_S,
+    )
+
+
+@when('the coordinators of the cold engines are killed')
+def kill_coordinators(context):
+    """Kill the holders for one engine of each kind."""
+    trial = context.trial
+    context.claims = trial.coordinators()
+    names = {context.claims[engine][1] for engine in _KILLED}
+    for name in names:
+        _kill(context, name)
+
+
+@when('their next coordinators are paused for {pause:d} s and wake')
+def pause_coordinators(context, pause):
+    """Pause them when they have granted, past a takeover from them."""
+    trial = context.trial
+    earlier = context.claims
+    wait_until(
+        lambda: all(
+            trial.coordinators()[engine] > earlier[engine] for engine in _KILLED
+        ),
+        _LEASES_S,
+    )
+    _wait_work(context)
+    claims = trial.coordinators()
+    names = {claims[engine][1] for engine in _KILLED}
+    for name in names:
+        address = trial.cluster.instances[name].caller_address
+        context.paused.add(str(address))
+        trial.cluster.pause(name)
+    sleep(pause)
+    for name in names:
+        trial.cluster.resume(name)
+
+
+@then('no cold engine ever had more work than it bears')
+def bounded(context):
+    """Look at the highs that the engines kept, after the load."""
+    _result(context)
+    for engine in context.trial.engines:
+        facts = context.trial.facts(engine)
+        assert not facts['falls'], facts
+        assert facts['cold_requests_high'] <= 2, facts
+        assert facts['cold_kv_tokens_high'] <= 8000, facts
+
+
+@then('each cold engine had as much work as it bears')
+def pressed(context):
+    """Tell a bound that was tested from an idle engine."""
+    for engine in context.trial.engines:
+        facts = context.trial.facts(engine)
+        assert facts['cold_requests_high'] == 2, facts
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -199,10 +199,15 @@
         """Try addresses until an answer does not say ``not run``."""
         tried: set[Address] = set()
         while record.attempts < _MOST_ATTEMPTS:
+            left_s = record.arrived_s + exchange.deadline_s - self._since(0)
+            if left_s <= 0:
+                # Nobody starts what must have ended; the last refusal stands.
+                return
             try:
-                address = await self._book.choose(record.workspace, tried)
-            except ConnectionError as error:
-                exchange.fail(str(error), not_run=True)
+                async with asyncio.timeout(left_s):
+                    address = await self._book.choose(record.workspace, tried)
+            except (ConnectionError, TimeoutError):
+                exchange.fail('no instance answers a lookup', not_run=True)
                 return
             record.attempts += 1
             left_s = record.arrived_s + exchange.deadline_s - self._since(0)
