Send the caller's Idempotency-Key to plain services

Cause: the list of headers that belong to this interface named it, so a service could neither see nor check the key of a call. Ruled out: the service adapter, which passes on what it is given. Before: the service's record of 152 executions is all under the empty key.

--- a/bergamotturn/connection/caller_routes.py
+++ b/bergamotturn/connection/caller_routes.py
@@ -51,7 +51,6 @@
         'content-length',
         'expect',
         'host',
-        'idempotency-key',
         'keep-alive',
         'proxy-authorization',
         'proxy-connection',
