Tell an outage of the table by all operations of an instance

Cause: only the calls' own operations counted, and for 0.5 s. Each takes up to two seconds, so that an instance with few calls never met three in a row. Ruled out: the time limits of the operations themselves, which hold. Change: operations of all components count (leases, configuration polls), for 3 s after the last unanswered one, and the first answer ends the outage at once. The scenario that bounded the outage to a second now bounds it by that first answer, and to 4 s without one; the polls answer each second. Conclusion: the scenario of the silent table guards it.

--- a/bergamotturn/process/service_task.py
+++ b/bergamotturn/process/service_task.py
@@ -10,7 +10,7 @@
 from typing import Final, final
 
 import msgspec
-from circuits import Component, Event
+from circuits import Component, Event, handler
 
 from ..connection.exchange import (
     HTTP_CLIENT,
@@ -190,7 +190,6 @@
         call_id = held.call.call_id
         if isinstance(action, Operate):
             self._by_operation[action.operation.operation_id] = call_id
-            self._table.on_operation(action.operation)
             self.fire(store_operation(action.operation), STORES)
         elif isinstance(action, Retry):
             self._timers.call_after(
@@ -276,10 +275,19 @@
     def store_outcome(self, outcome: StoreOutcome) -> None:
         """Take the outcome of an operation on the stores."""
         now_s = monotonic()
-        self._table.on_outcome(outcome, now_s)
         call_id = self._by_operation.pop(outcome.operation_id, '')
         self._advance(call_id, lambda flow: flow.on_outcome(outcome, now_s))
 
+    @handler('store_operation', channel=STORES)
+    def _on_any_operation(self, operation: object) -> None:
+        self._table.on_operation(operation)
+
+    @handler('store_outcome', channel='*')
+    def _on_any_outcome(self, outcome: StoreOutcome) -> None:
+        # Calls alone are too few to tell an outage by: each of them would wait
+        # for the table itself before it is refused.
+        self._table.on_outcome(outcome, monotonic())
+
     def service_deadline(self, call_id: str) -> None:
         """Take that the deadline of a call has come."""
         now_s = monotonic()
--- a/bergamotturn/request/table_health.py
+++ b/bergamotturn/request/table_health.py
@@ -14,14 +14,15 @@
 #: Operations without an answer in a row after which the table counts as down.
 #: One lost answer among many is no outage.
 _DOWN_AFTER: Final = 3
-#: Time after the last of them in which it counts as down. It also bounds how
-#: many rows must be marked aborted after an outage.
-_DOWN_S: Final = 0.5
+#: Time after the last of them in which it counts as down. The configuration is
+#: polled once a second and each poll may wait 1.5 s for its end, so outcomes
+#: of an outage come closer together than this.
+_DOWN_S: Final = 3
 
 
 @final
 class TableHealth:
-    """Counts operations on rows that got no answer."""
+    """Counts operations on rows, of all components, that got no answer."""
 
     def __init__(self) -> None:
         """Start with a table that counts as up."""
@@ -43,6 +44,7 @@
             return
         if outcome.status is not StoreStatus.unknown:
             self._unanswered = 0
+            self._down_until_s = float('-inf')
             return
         self._unanswered += 1
         if self._unanswered >= _DOWN_AFTER:
--- a/features/idempotency.feature
+++ b/features/idempotency.feature
@@ -30,9 +30,11 @@
     And the digests of "fees/charge" and "deposits/charge" differ
 
   Scenario: An outage of the table is noticed
-    Guards against calls that each wait a second for a table that is down.
+    Guards against calls that each wait a second for a table that is down, and
+    against refusals after it answers again.
     When 3 operations on the table get no answer
-    Then the table counts as down for less than a second
+    Then the table counts as down for 3 to 4 s
+    And it counts as up as soon as an operation is answered
 
   Scenario: A repeatable call is sent to another endpoint
     Guards against a call that fails although another endpoint could take it.
