--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -28,7 +28,6 @@
 from .engine_settings import EngineSettings
 from .http_call import HttpAnswer, call, is_listening
 from .plan import (
-    DATA_CENTRES,
     HOST,
     OPERATOR_TOKEN,
     Plan,
@@ -274,7 +273,7 @@
         names = [
             (f'{data_centre}{number}', data_centre)
             for number in range(self.plan.instances_each)
-            for data_centre in DATA_CENTRES
+            for data_centre in self.plan.instance_data_centres
         ]
         ports = [self._take_ports(_PORTS_OF_INSTANCE) for _ in names]
         first = tuple(Address(HOST, each[-1]) for each in ports[:3])
@@ -363,7 +362,8 @@
 
 def _port_count(plan: Plan) -> int:
     engines = sum(deployment.engines for deployment in plan.deployments)
-    instances = plan.instances_each * len(DATA_CENTRES) * _PORTS_OF_INSTANCE
+    data_centres = len(plan.instance_data_centres)
+    instances = plan.instances_each * data_centres * _PORTS_OF_INSTANCE
     return _PLATFORM_PORTS + engines + len(plan.services) + instances
 
 
--- /dev/null
+++ b/features/support/measure_entry.py
@@ -0,0 +1,201 @@
+"""One entry process at twice its share of the later size."""
+
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+from typing import Final, final
+
+import msgspec
+
+from bergamotturn.connection.exchange import Address
+
+from .cluster import Cluster
+from .engine_settings import EngineSettings
+from .entry_caller import CallerPlan, CallerResult, EntryCall
+from .load_report import percentile
+from .plan import HOST, DeploymentPlan, Plan
+from .process_cost import Usage, import_floor_bytes, read_process
+from .processes import ProcessGroup
+
+__all__ = ('EntryFigures', 'measure_entry')
+
+_MODEL: Final = 'letter'
+_REQUESTS_PER_S: Final = 58
+_TOKENS_PER_S: Final = 16_000
+_OUTPUT_TOKENS: Final = round(_TOKENS_PER_S / _REQUESTS_PER_S)
+_DIRECT_PER_S: Final = 6
+_CLIENTS: Final = 3
+#: Answers take 5.5 s, so that the streams in flight are steady after this.
+_RAMP_S: Final = 8
+_MEASURED_S: Final = 30
+_TAIL_S: Final = 45
+#: Coordinators grant nothing until earlier leases and permits have lapsed.
+_LEASES_S: Final = 10
+#: Faster at prompts than any engine, so that first tokens show the way there.
+_ENGINE: Final = EngineSettings(
+    name='',
+    warm_requests=64,
+    prefill_tokens_per_s=400_000,
+    chunk_tokens=8192,
+    kv_tokens=2_000_000,
+)
+_PLAN: Final = Plan(
+    instances_each=1,
+    instance_data_centres=('a',),
+    deployments=(
+        DeploymentPlan(
+            model=_MODEL, engines=20, engine=_ENGINE, fencing_every=0
+        ),
+    ),
+    engine_processes=4,
+)
+
+
+@final
+class EntryFigures(msgspec.Struct, kw_only=True):
+    """Result of the measure; times to first token in seconds.
+
+    :param late_s: how late the clients themselves sent, p95.
+    :param gap_s: longest pause between two reads of an answer, p95 of calls.
+    """
+
+    requests: int
+    whole: int
+    tokens_per_s: float
+    core_share: float
+    resident_mb: float
+    import_floor_mb: float
+    entry_p50_s: float
+    entry_p95_s: float
+    direct_p50_s: float
+    direct_p95_s: float
+    added_p50_s: float
+    added_p95_s: float
+    took_p95_s: float
+    gap_s: float
+    late_s: float
+    client_core_shares: list[float]
+    engine_core_shares: list[float]
+    errors: list[str]
+
+    @property
+    def kept_up(self) -> bool:
+        """Return whether all was answered at the rate at which it came."""
+        return (
+            self.whole == self.requests
+            and self.tokens_per_s > 0.95 * _TOKENS_PER_S
+        )
+
+
+def measure_entry(seed: int, *, cluster_type: type[Cluster] = Cluster):
+    """Run the load once."""
+    with cluster_type(_PLAN) as cluster, TemporaryDirectory() as folder:
+        sleep(_LEASES_S)
+        processes = ProcessGroup(Path(folder))
+        try:
+            return _run(cluster, processes, Path(folder), seed)
+        finally:
+            processes.kill_all()
+
+
+def _run(
+    cluster: Cluster, processes: ProcessGroup, folder: Path, seed: int
+) -> EntryFigures:
+    start_s = monotonic() + 2
+    for number in range(_CLIENTS):
+        plan = _caller_plan(cluster, seed, number, start_s)
+        path = folder / f'{plan.name}.json'
+        path.write_bytes(msgspec.json.encode(plan))
+        processes.start(
+            plan.name,
+            'features.support.entry_caller',
+            str(path),
+            str(folder / f'{plan.name}.result'),
+        )
+    sleep(max(0, start_s + _RAMP_S - monotonic()))
+    names = [
+        'a0',
+        *(f'engines-{each}' for each in range(_PLAN.engine_processes)),
+    ]
+    ids = [cluster.process_id(name) for name in names]
+    before = [read_process(each) for each in ids]
+    sleep(_MEASURED_S)
+    used = [
+        first.until(read_process(each))
+        for first, each in zip(before, ids, strict=True)
+    ]
+    clients = []
+    for number in range(_CLIENTS):
+        name = f'caller-{number}'
+        if processes.wait(name, _TAIL_S):
+            raise RuntimeError(processes.log_tail(name))
+        content = (folder / f'{name}.result').read_bytes()
+        clients.append(msgspec.json.decode(content, type=CallerResult))
+    return _figures(used, clients)
+
+
+def _caller_plan(
+    cluster: Cluster, seed: int, number: int, start_s: float
+) -> CallerPlan:
+    return CallerPlan(
+        name=f'caller-{number}',
+        seed=seed,
+        start_s=start_s,
+        duration_s=_RAMP_S + _MEASURED_S,
+        requests_per_s=_REQUESTS_PER_S / _CLIENTS,
+        direct_per_s=_DIRECT_PER_S / _CLIENTS,
+        entry=cluster.caller_addresses()[0],
+        engines=tuple(
+            Address(HOST, engine.port) for engine in cluster.engines[_MODEL]
+        ),
+        model=_MODEL,
+        workspaces=_PLAN.workspaces,
+        prompt_tokens=(1000, 2000),
+        output_tokens=_OUTPUT_TOKENS,
+    )
+
+
+def _figures(used: list[Usage], clients: list[CallerResult]) -> EntryFigures:
+    calls = [
+        call
+        for client in clients
+        for call in client.calls
+        if call.at_s >= _RAMP_S
+    ]
+    through = [call for call in calls if not call.is_direct]
+    direct = [call for call in calls if call.is_direct]
+    # Tokens of the calls that arrived in the measured time, over that time
+    # and the overhang of the last answers beyond a quiet answer's length.
+    took = [call.took_s for call in through]
+    spread_s = max(took, default=0) - min(took, default=0)
+    tokens = sum(call.tokens for call in through if call.is_whole)
+    entry_50, entry_95 = _first_tokens(through)
+    direct_50, direct_95 = _first_tokens(direct)
+    mega = 1_000_000
+    return EntryFigures(
+        requests=len(through),
+        whole=sum(call.is_whole for call in through),
+        tokens_per_s=tokens / (_MEASURED_S + spread_s),
+        core_share=used[0].core_share,
+        resident_mb=used[0].resident_bytes / mega,
+        import_floor_mb=import_floor_bytes() / mega,
+        entry_p50_s=entry_50,
+        entry_p95_s=entry_95,
+        direct_p50_s=direct_50,
+        direct_p95_s=direct_95,
+        added_p50_s=entry_50 - direct_50,
+        added_p95_s=entry_95 - direct_95,
+        took_p95_s=percentile(took, 95),
+        gap_s=percentile((call.longest_gap_s for call in through), 95),
+        late_s=percentile((call.sent_s for call in calls), 95),
+        client_core_shares=[client.core_share for client in clients],
+        engine_core_shares=[each.core_share for each in used[1:]],
+        errors=sorted({call.error for call in calls if call.error})[:5],
+    )
+
+
+def _first_tokens(calls: list[EntryCall]) -> tuple[float, float]:
+    times = [
+        call.first_token_s for call in calls if call.first_token_s is not None
+    ]
+    return percentile(times, 50), percentile(times, 95)
--- a/features/support/plan.py
+++ b/features/support/plan.py
@@ -70,11 +70,13 @@
     """A whole system.
 
     :param instances_each: instances in each data centre.
+    :param instance_data_centres: data centres that have instances.
     :param engine_processes: processes that serve the engines.
     :param services: names of plain services whose calls may not be repeated.
     """
 
     instances_each: int = 3
+    instance_data_centres: tuple[str, ...] = DATA_CENTRES
     deployments: tuple[DeploymentPlan, ...] = ()
     engine_processes: int = 3
     services: tuple[str, ...] = ()
