Measure control, policies, longs and a data centre's change

The demonstration and the measures share the loads on a whole system. A reading of a process also says how long it waited for a core, which shows disturbed runs.

Tried and reverted: a pause of 40 ms between two reads of a stream, so that tokens gather, with the library's descriptor lists replaced by sets.

--- a/features/support/entry_caller.py
+++ b/features/support/entry_caller.py
@@ -170,12 +170,11 @@
             async for data in answer.content.iter_any():
                 parts.append(data)
                 now_s = monotonic()
-                if call.first_token_s is None:
-                    if first.search(data):
-                        call.first_token_s = self._since(call)
-                else:
+                if call.first_token_s is not None:
                     gap_s = now_s - heard_s
                     call.longest_gap_s = max(call.longest_gap_s, gap_s)
+                elif first.search(data):
+                    call.first_token_s = self._since(call)
                 heard_s = now_s
         return b''.join(parts)
 
--- /dev/null
+++ b/features/support/fleet_runs.py
@@ -0,0 +1,142 @@
+"""Loads on a whole system, and a data centre that goes out and comes back."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from time import monotonic
+from typing import Final, final
+
+import msgspec
+
+from .cluster import Cluster
+from .load import Load
+from .load_plan import LoadPlan
+from .load_report import ChatRecord, LoadResult, percentile
+
+__all__ = (
+    'OUT_WITHIN_S',
+    'DataCentreChange',
+    'Phase',
+    'first_token_s',
+    'run_load',
+    'say',
+    'shorts_of',
+)
+
+#: After so long a data centre that is out must get no new work.
+OUT_WITHIN_S: Final = 5
+_SHORT_TOKENS: Final = 2000
+_PROGRESS_S: Final = 5
+_PERCENT: Final = 95
+
+
+@final
+class Phase(msgspec.Struct, frozen=True):
+    """A part of a run, in seconds from its start."""
+
+    label: str
+    from_s: float
+    to_s: float
+
+    def shorts(self, chats: Iterable[ChatRecord]) -> list[ChatRecord]:
+        """Return the short requests that arrived in it."""
+        return [
+            chat
+            for chat in shorts_of(chats)
+            if self.from_s <= chat.arrived_s < self.to_s
+        ]
+
+
+@final
+class DataCentreChange:
+    """Takes a data centre out and brings it back during a load.
+
+    :param out_at_s: seconds from the start of the load.
+    :param in_at_s: the same for its return.
+    """
+
+    def __init__(
+        self, cluster: Cluster, name: str, out_at_s: float, in_at_s: float
+    ) -> None:
+        """Give no order yet."""
+        self._cluster = cluster
+        self._name = name
+        self._out_at_s = out_at_s
+        self._in_at_s = in_at_s
+        self._out_s = monotonic()
+        self._in_s = self._out_s
+
+    async def run(self) -> None:
+        """Give both orders at their times."""
+        await asyncio.sleep(self._out_at_s)
+        await asyncio.to_thread(self._order, 'out')
+        self._out_s = monotonic()
+        await asyncio.sleep(self._in_at_s - self._out_at_s)
+        self._in_s = monotonic()
+        await asyncio.to_thread(self._order, 'in')
+
+    def late_work(self) -> int:
+        """Return how much work its engines took while it had to be out."""
+        late_s = self._out_s + OUT_WITHIN_S
+        names = [
+            endpoint.name
+            for endpoint in self._cluster.configuration.endpoints
+            if endpoint.data_centre == self._name
+        ]
+        facts = [self._cluster.engine_facts(name) for name in names]
+        return sum(
+            late_s < at_s < self._in_s
+            for each in facts
+            for at_s in each['arrivals_s']
+        )
+
+    def _order(self, state: str) -> None:
+        say(f'order: data_centre/{self._name} {state}')
+        instance = next(
+            name
+            for name, settings in self._cluster.instances.items()
+            if settings.data_centre != self._name
+        )
+        self._cluster.order(instance, f'data_centre/{self._name}', state)
+
+
+async def run_load(
+    cluster: Cluster,
+    plan: LoadPlan,
+    beside: Callable[[], Awaitable[None]] | None = None,
+) -> LoadResult:
+    """Send a load; ``beside`` runs from its start."""
+    load = Load(plan, cluster.caller_addresses())
+    others = [asyncio.create_task(_show_progress(load, plan))]
+    if beside is not None:
+        others.append(asyncio.create_task(beside()))
+    result = await load.run()
+    others.pop(0).cancel()
+    await asyncio.gather(*others)
+    return result
+
+
+def shorts_of(chats: Iterable[ChatRecord]) -> list[ChatRecord]:
+    """Return the requests whose prompts are short."""
+    return [chat for chat in chats if chat.prompt_tokens <= _SHORT_TOKENS]
+
+
+def first_token_s(
+    chats: Iterable[ChatRecord], percent: float = _PERCENT
+) -> float:
+    """Return a percentile of the times to first token."""
+    times = [chat.first_token_s for chat in chats]
+    return percentile(filter(None, times), percent)
+
+
+def say(text: str) -> None:
+    """Print a line of progress at once."""
+    print(text, flush=True)
+
+
+async def _show_progress(load: Load, plan: LoadPlan) -> None:
+    started_s = monotonic()
+    while True:
+        await asyncio.sleep(_PROGRESS_S)
+        elapsed_s = monotonic() - started_s
+        ended = len(load.result.chats)
+        say(f'{elapsed_s:.0f} of about {plan.duration_s} s, {ended} answers')
--- a/features/support/load_plan.py
+++ b/features/support/load_plan.py
@@ -14,6 +14,7 @@
     'TokenRange',
     'arrivals',
     'prompt_text',
+    'rate_for_load',
     'service_arrivals',
 )
 
@@ -109,6 +110,16 @@
     ]
 
 
+def rate_for_load(plan: LoadPlan, tokens_per_s: float) -> float:
+    """Return the requests a second whose prompts are ``tokens_per_s``."""
+    # The sample at one request a second only has to be long.
+    sample = arrivals(
+        msgspec.structs.replace(plan, requests_per_s=1, duration_s=50_000)
+    )
+    mean_tokens = sum(each.prompt_tokens for each in sample) / len(sample)
+    return tokens_per_s / mean_tokens
+
+
 def service_arrivals(plan: LoadPlan) -> list[ServiceArrival]:
     """Return the calls to the plain service, in order of time."""
     random = Random(f'{plan.seed}/calls')
--- a/features/support/measure_entry.py
+++ b/features/support/measure_entry.py
@@ -1,5 +1,6 @@
 """One entry process at twice its share of the later size."""
 
+from contextlib import ExitStack
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -63,6 +64,7 @@
     whole: int
     tokens_per_s: float
     core_share: float
+    waited_share: float
     resident_mb: float
     import_floor_mb: float
     entry_p50_s: float
@@ -87,15 +89,16 @@
         )
 
 
-def measure_entry(seed: int, *, cluster_type: type[Cluster] = Cluster):
+def measure_entry(
+    seed: int, *, cluster_type: type[Cluster] = Cluster
+) -> EntryFigures:
     """Run the load once."""
     with cluster_type(_PLAN) as cluster, TemporaryDirectory() as folder:
         sleep(_LEASES_S)
         processes = ProcessGroup(Path(folder))
-        try:
+        with ExitStack() as stack:
+            stack.callback(processes.kill_all)
             return _run(cluster, processes, Path(folder), seed)
-        finally:
-            processes.kill_all()
 
 
 def _run(
@@ -169,22 +172,23 @@
     took = [call.took_s for call in through]
     spread_s = max(took, default=0) - min(took, default=0)
     tokens = sum(call.tokens for call in through if call.is_whole)
-    entry_50, entry_95 = _first_tokens(through)
-    direct_50, direct_95 = _first_tokens(direct)
+    entry_median, entry_high = _first_tokens(through)
+    direct_median, direct_high = _first_tokens(direct)
     mega = 1_000_000
     return EntryFigures(
         requests=len(through),
         whole=sum(call.is_whole for call in through),
         tokens_per_s=tokens / (_MEASURED_S + spread_s),
         core_share=used[0].core_share,
+        waited_share=used[0].waited_share,
         resident_mb=used[0].resident_bytes / mega,
         import_floor_mb=import_floor_bytes() / mega,
-        entry_p50_s=entry_50,
-        entry_p95_s=entry_95,
-        direct_p50_s=direct_50,
-        direct_p95_s=direct_95,
-        added_p50_s=entry_50 - direct_50,
-        added_p95_s=entry_95 - direct_95,
+        entry_p50_s=entry_median,
+        entry_p95_s=entry_high,
+        direct_p50_s=direct_median,
+        direct_p95_s=direct_high,
+        added_p50_s=entry_median - direct_median,
+        added_p95_s=entry_high - direct_high,
         took_p95_s=percentile(took, 95),
         gap_s=percentile((call.longest_gap_s for call in through), 95),
         late_s=percentile((call.sent_s for call in calls), 95),
--- a/features/support/measures.py
+++ b/features/support/measures.py
@@ -4,15 +4,29 @@
 Everything runs on loopback and ends with the program.
 """
 
-from typing import Any
+from typing import Any, Final
 
 import defopt
 import msgspec
 
+from .measure_control import ControlCase, measure_control
 from .measure_entry import measure_entry
+from .measure_fleet import measure_data_centre, measure_longs
+from .policy_bench import BenchPlan, run_bench
 
 __all__ = ('main',)
 
+_SEEDS: Final = 3
+_CONTROL_CASES: Final = (
+    ControlCase(3, 10),
+    ControlCase(3, 25),
+    ControlCase(3, 51),
+    ControlCase(1, 25),
+    ControlCase(2, 25),
+    ControlCase(6, 25),
+    ControlCase(3, 25, 10),
+)
+
 
 def entry(*, seed: int = 1) -> None:
     """Load one entry process with twice its share of the later size."""
@@ -20,9 +34,33 @@
     _show('entry', seed, {**_fields(figures), 'kept_up': figures.kept_up})
 
 
+def control(*, seed: int = 1) -> None:
+    """Measure what control costs, by number of instances and endpoints."""
+    for case in _CONTROL_CASES:
+        _show('control', seed, _fields(measure_control(case, seed)))
+
+
+def policy(*, seed: int = 1) -> None:
+    """Compare routing policies in virtual time, for three seeds from this."""
+    tables = [run_bench(BenchPlan(each)) for each in range(seed, seed + _SEEDS)]
+    lines = [line for table in tables for line in table]
+    print('\n'.join(lines))
+    print(_line('policy', seed, {'table': lines}))
+
+
+def longs(*, seed: int = 1) -> None:
+    """Measure shorts beside longs on real processes."""
+    _show('longs', seed, _fields(measure_longs(seed)))
+
+
+def data_centre(*, seed: int = 1) -> None:
+    """Measure shorts while a data centre is taken out and returns."""
+    _show('data-centre', seed, _fields(measure_data_centre(seed)))
+
+
 def main() -> None:
     """Run the measure that the command line names."""
-    defopt.run([entry])
+    defopt.run([entry, control, policy, longs, data_centre])
 
 
 def _fields(figures: Any) -> dict[str, Any]:
@@ -34,8 +72,12 @@
     width = max(map(len, rounded))
     for key, figure in rounded.items():
         print(f'{key:<{width}}  {figure}')
-    line = {'measure': name, 'seed': seed, **rounded}
-    print(msgspec.json.encode(line).decode())
+    print(_line(name, seed, rounded), flush=True)
+
+
+def _line(name: str, seed: int, figures: dict[str, Any]) -> str:
+    line = {'measure': name, 'seed': seed, **figures}
+    return msgspec.json.encode(line).decode()
 
 
 def _rounded(figure: Any) -> Any:
--- a/features/support/policy_bench.py
+++ b/features/support/policy_bench.py
@@ -20,6 +20,7 @@
 from typing import Final, final
 
 import defopt
+import msgspec
 
 from bergamotturn.connection.exchange import Address
 from bergamotturn.connection.peer_messages import AskClass, Cost
@@ -36,7 +37,13 @@
 from features.standins.engine_model import EngineModel, Stream, StreamAsk
 
 from .engine_settings import EngineSettings
-from .load_plan import Arrival, LoadPlan, TokenRange, arrivals
+from .load_plan import (
+    Arrival,
+    LoadPlan,
+    TokenRange,
+    arrivals,
+    rate_for_load,
+)
 from .load_report import percentile
 from .prompts import BLOCK_TOKENS, PromptFacts
 
@@ -78,23 +85,17 @@
 
     def arrivals(self) -> list[Arrival]:
         """Return all requests, longs among them."""
-        plan = self._load_plan(1)
-        sample = arrivals(plan)
-        mean_tokens = sum(each.prompt_tokens for each in sample) / len(sample)
-        capacity = self.engines * self.engine.prefill_tokens_per_s
-        return arrivals(self._load_plan(self.load * capacity / mean_tokens))
-
-    def _load_plan(self, rate: float) -> LoadPlan:
-        # The sample at one request a second only has to be long.
-        duration_s = self.duration_s if rate > 1 else 50_000
-        return LoadPlan(
+        plan = LoadPlan(
             seed=self.seed,
-            duration_s=duration_s,
-            requests_per_s=rate,
+            duration_s=self.duration_s,
+            requests_per_s=1,
             model=_DEPLOYMENT,
             workspaces=('north', 'south', 'east'),
             longs=self.longs,
         )
+        capacity = self.engines * self.engine.prefill_tokens_per_s
+        rate = rate_for_load(plan, self.load * capacity)
+        return arrivals(msgspec.structs.replace(plan, requests_per_s=rate))
 
 
 @final
--- a/features/support/process_cost.py
+++ b/features/support/process_cost.py
@@ -13,6 +13,7 @@
 
 _TICKS_PER_S: Final = sysconf('SC_CLK_TCK')
 _PAGE_BYTES: Final = sysconf('SC_PAGE_SIZE')
+_NS_PER_S: Final = 1_000_000_000
 #: Places of user and system time after the command's closing bracket.
 _USER_FIELD: Final = 11
 _SYSTEM_FIELD: Final = 12
@@ -25,9 +26,14 @@
 
 @final
 class Usage(msgspec.Struct, frozen=True):
-    """What a process used between two readings."""
+    """What a process used between two readings.
+
+    :param waited_share: part of the time in which it was ready to run and had
+        no core; more than some hundredths mean that the run was disturbed.
+    """
 
     core_share: float
+    waited_share: float
     resident_bytes: int
 
 
@@ -37,13 +43,17 @@
 
     at_s: float
     processor_s: float
+    waited_s: float
     resident_bytes: int
 
     def until(self, later: 'Reading') -> Usage:
         """Return the use between this reading and a later one."""
         elapsed_s = later.at_s - self.at_s
         used_s = later.processor_s - self.processor_s
-        return Usage(used_s / elapsed_s, later.resident_bytes)
+        waited_s = later.waited_s - self.waited_s
+        return Usage(
+            used_s / elapsed_s, waited_s / elapsed_s, later.resident_bytes
+        )
 
 
 def read_process(process_id: int) -> Reading:
@@ -52,7 +62,13 @@
     fields = (folder / 'stat').read_text().rpartition(')')[2].split()
     ticks = int(fields[_USER_FIELD]) + int(fields[_SYSTEM_FIELD])
     pages = int((folder / 'statm').read_text().split()[1])
-    return Reading(monotonic(), ticks / _TICKS_PER_S, pages * _PAGE_BYTES)
+    waited_ns = int((folder / 'schedstat').read_text().split()[1])
+    return Reading(
+        at_s=monotonic(),
+        processor_s=ticks / _TICKS_PER_S,
+        waited_s=waited_ns / _NS_PER_S,
+        resident_bytes=pages * _PAGE_BYTES,
+    )
 
 
 def import_floor_bytes() -> int:
