--- a/features/process_faults.feature
+++ b/features/process_faults.feature
@@ -1,3 +1,4 @@
+@fleet
 Feature: A whole system under failure
   The design's targets, proved with real processes: nine instances, engines, a plain service and the platform.
 
