Use usual terms in the server, membership and adoption

Cause: farewell, claim, heard and tell are not the field's words for a lingering close, a member's own update, a peer's version and a message sent. Change: names only. Conclusion: behaviour unchanged.

--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -35,7 +35,7 @@
 
 #: How long and how much input of a refused connection is thrown away while its
 #: caller reads the answer.
-_FAREWELL_S: Final = 2
+_LINGER_S: Final = 2
 
 _NOT_READY: Final = (
     BlockingIOError,
@@ -49,7 +49,7 @@
     """Check whether the caller on ``sock`` takes bytes."""
 
 
-class _farewell_passed(Event):
+class _linger_passed(Event):
     """Close ``sock``."""
 
 
@@ -59,14 +59,14 @@
     """State of one connection.
 
     :param progress_s: monotonic time at which the caller last took bytes.
-    :param is_farewell: whether input is thrown away until the end.
+    :param is_lingering: whether input is thrown away until the end.
     """
 
     pending_bytes: int = 0
     progress_s: float = 0
     is_watched: bool = False
     is_handshaking: bool = False
-    is_farewell: bool = False
+    is_lingering: bool = False
 
 
 @final
@@ -102,25 +102,23 @@
     def is_open(self, sock: socket) -> bool:
         """Return whether ``sock`` is open and not refused."""
         outlet = self._outlets.get(sock)
-        return outlet is not None and not outlet.is_farewell
+        return outlet is not None and not outlet.is_lingering
 
-    @handler('_farewell_passed')
+    @handler('_linger_passed')
     def abort(self, sock: socket) -> None:
         """Close ``sock`` now, whatever waits to be sent."""
         self._close(sock)
 
-    def say_farewell(self, sock: socket, content: bytes) -> None:
+    def close_after(self, sock: socket, content: bytes) -> None:
         """Send ``content`` as the last bytes and take no more input."""
         outlet = self._outlets.get(sock)
-        if outlet is None or outlet.is_farewell:
+        if outlet is None or outlet.is_lingering:
             return
         self.write(sock, content)
-        outlet.is_farewell = True
+        outlet.is_lingering = True
         if sock in self._outlets and not self._poller.isWriting(sock):
             self._poller.addWriter(self, sock)
-        self._timers.call_after(
-            _FAREWELL_S, _farewell_passed(sock), self.channel
-        )
+        self._timers.call_after(_LINGER_S, _linger_passed(sock), self.channel)
 
     @handler('write')
     def write(self, sock: socket, data: bytes) -> None:
@@ -129,7 +127,7 @@
         What the socket does not take at once waits until it is writable.
         """
         outlet = self._outlets.get(sock)
-        if outlet is None or outlet.is_farewell:
+        if outlet is None or outlet.is_lingering:
             return
         if self._is_too_much(outlet):
             self._close(sock)
@@ -196,7 +194,7 @@
             self._flush_buffer(sock, outlet)
         if outlet.pending_bytes or sock not in self._outlets:
             return
-        if outlet.is_farewell and self._tls is None:
+        if outlet.is_lingering and self._tls is None:
             with suppress(OSError):
                 sock.shutdown(SHUT_WR)
         if sock in self._closeq:
@@ -240,7 +238,7 @@
         if not data:
             self._close(sock)
             return
-        if not outlet.is_farewell:
+        if not outlet.is_lingering:
             self.fire(net_events.read(sock, data))
         if self._tls is not None and sock.pending():
             # The poller does not see bytes that are decrypted already.
--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -347,7 +347,7 @@
     def _refuse(self, sock: socket, failure: Failure) -> None:
         REFUSALS.labels(failure.kind.value).inc()
         self._end_turn(sock)
-        self._server.say_farewell(sock, encode_refusal(failure))
+        self._server.close_after(sock, encode_refusal(failure))
 
 
 def _refusal(error: h11.RemoteProtocolError) -> Failure:
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -273,7 +273,7 @@
         if call is not None and call.is_head_written:
             self._server.abort(sock)
             return
-        self._server.say_farewell(
+        self._server.close_after(
             sock, encode_refusal(Failure(ErrorKind.internal))
         )
 
--- a/bergamotturn/process/configuration_task.py
+++ b/bergamotturn/process/configuration_task.py
@@ -24,7 +24,13 @@
 from ..connection.store_events import STORES, StoreOutcome, store_operation
 from ..errors import ErrorKind, Failure
 from ..request.call_actions import Operate
-from ..version.adoption import Adopt, Adoption, AdoptionAction, Reject, Tell
+from ..version.adoption import (
+    Adopt,
+    Adoption,
+    AdoptionAction,
+    Reject,
+    SendToPeer,
+)
 from ..version.configuration import decode_configuration
 from ..version.publication import (
     Publication,
@@ -90,9 +96,9 @@
             and member.state in {MemberState.alive, MemberState.leaving}
         )
 
-    def configuration_heard(self, instance: str, version_number: int) -> None:
+    def peer_version_seen(self, instance: str, version_number: int) -> None:
         """Take the number in force at a peer."""
-        self._follow(self._adoption.on_heard(instance, version_number))
+        self._follow(self._adoption.on_peer_version(instance, version_number))
 
     def peer_message(self, envelope: Envelope) -> None:
         """Take a peer's offer, question or content."""
@@ -111,7 +117,7 @@
         for action in actions:
             if isinstance(action, Operate):
                 self.fire(store_operation(action.operation), STORES)
-            elif isinstance(action, Tell):
+            elif isinstance(action, SendToPeer):
                 message = send_message(action.instance, action.message)
                 self.fire(message, _PEERS)
             elif isinstance(action, Reject):
--- a/bergamotturn/process/events.py
+++ b/bergamotturn/process/events.py
@@ -12,7 +12,7 @@
     'OrderView',
     'ShutdownPhase',
     'configuration_changed',
-    'configuration_heard',
+    'peer_version_seen',
     'coordinators_changed',
     'endpoint_list_changed',
     'in_flight_changed',
@@ -69,7 +69,7 @@
     """Publish ``version_number`` and ``configuration`` to all."""
 
 
-class configuration_heard(Event):
+class peer_version_seen(Event):
     """Tell ``configuration`` that ``instance`` has ``version_number``.
 
     Fired for each number on a ping that is not the own one.
--- a/bergamotturn/process/member_table.py
+++ b/bergamotturn/process/member_table.py
@@ -88,11 +88,11 @@
         ]
 
     def merge(
-        self, now_s: float, update: MemberUpdate, is_claim: bool = False
+        self, now_s: float, update: MemberUpdate, is_first_hand: bool = False
     ) -> bool:
         """Take ``update`` about any member.
 
-        :param is_claim: whether the member itself sent it.
+        :param is_first_hand: whether the member itself sent it.
         :returns: whether it was news, also when it made this instance raise
             its own incarnation.
         """
@@ -108,8 +108,8 @@
             record.update = replace(update, in_flight=load)
             record.changed_s = now_s
             self.revision += 1
-        if is_claim:
-            self._merge_claim(now_s, update)
+        if is_first_hand:
+            self._merge_first_hand(now_s, update)
         return news
 
     def note_contact(self, now_s: float, instance: str) -> None:
@@ -131,7 +131,7 @@
         self.revision += 1
         return record.update
 
-    def claim_again(self, above: int = 0, state: int | None = None) -> None:
+    def announce_again(self, above: int = 0, state: int | None = None) -> None:
         """Raise the own incarnation, and set the own state if given."""
         self.me = replace(
             self.me,
@@ -179,17 +179,17 @@
                 self.records.pop(instance)
                 self.revision += 1
 
-    def _merge_claim(self, now_s: float, claim: MemberUpdate) -> None:
+    def _merge_first_hand(self, now_s: float, update: MemberUpdate) -> None:
         """Take the load that a member reports about itself.
 
         The load is taken only from the member itself: what travels through
         others is older.
         """
-        self.note_contact(now_s, claim.instance)
-        record = self.records.get(claim.instance)
-        if record is None or record.update.in_flight == claim.in_flight:
+        self.note_contact(now_s, update.instance)
+        record = self.records.get(update.instance)
+        if record is None or record.update.in_flight == update.in_flight:
             return
-        record.update = replace(record.update, in_flight=claim.in_flight)
+        record.update = replace(record.update, in_flight=update.in_flight)
         self.load_revision += 1
 
     def _add(self, now_s: float, update: MemberUpdate) -> bool:
@@ -211,7 +211,7 @@
         own_incarnation = update.incarnation == self.me.incarnation
         if same_boot and own_incarnation and update.state <= self.me.state:
             return False
-        self.claim_again(above=update.incarnation)
+        self.announce_again(above=update.incarnation)
         return True
 
 
--- a/bergamotturn/process/membership.py
+++ b/bergamotturn/process/membership.py
@@ -129,7 +129,7 @@
 
     def leave(self) -> list[Action]:
         """Announce that this instance stops after a while."""
-        self.table.claim_again(state=MemberState.leaving)
+        self.table.announce_again(state=MemberState.leaving)
         return self._fanout.tell(self.table.me, ())
 
     def _runs_steadily(self, now_s: float) -> bool:
@@ -218,11 +218,11 @@
     ) -> list[Action]:
         actions: list[Action] = []
         for update in updates:
-            is_claim = _is_claim(envelope, update)
-            if self.table.merge(now_s, update, is_claim):
+            is_first_hand = _is_first_hand(envelope, update)
+            if self.table.merge(now_s, update, is_first_hand):
                 passed_on = self._fanout.pass_on(update, envelope.sender)
                 actions.extend(passed_on)
-            elif is_claim and self.table.outranks(update):
+            elif is_first_hand and self.table.outranks(update):
                 # Whoever is held for something worse than it says, or for an
                 # earlier boot, must hear it to raise its incarnation.
                 known = self.table.records[update.instance].update
@@ -253,7 +253,7 @@
         return SendTo(instance, ack)
 
 
-def _is_claim(envelope: Envelope, update: MemberUpdate) -> bool:
+def _is_first_hand(envelope: Envelope, update: MemberUpdate) -> bool:
     return (envelope.sender, envelope.boot_id) == (
         update.instance,
         update.boot_id,
--- a/bergamotturn/process/membership_task.py
+++ b/bergamotturn/process/membership_task.py
@@ -38,7 +38,7 @@
     MemberView,
     OrderView,
     ShutdownPhase,
-    configuration_heard,
+    peer_version_seen,
     endpoint_list_changed,
     members_changed,
     order_placed,
@@ -183,7 +183,7 @@
             return
         number = message.configuration_version
         if number > self._membership.configuration_version:
-            heard = configuration_heard(envelope.sender, number)
+            heard = peer_version_seen(envelope.sender, number)
             self.fire(heard, 'configuration')
 
     def _tell_changes(self) -> None:
--- a/bergamotturn/request/idempotency.py
+++ b/bergamotturn/request/idempotency.py
@@ -204,7 +204,7 @@
         return '/'.join(('result', self._terms.token))
 
 
-class _Claim(_RecordWriter):
+class _RecordCreation(_RecordWriter):
     """Claims the row for this attempt, or answers from an earlier one."""
 
     def start(self, now_s: float) -> list[Action]:
@@ -342,7 +342,7 @@
 
 
 @final
-class IdempotentCall(_Claim):
+class IdempotentCall(_RecordCreation):
     """One attempt of a call that may not be repeated."""
 
     @property
--- a/bergamotturn/version/adoption.py
+++ b/bergamotturn/version/adoption.py
@@ -29,7 +29,7 @@
     decode_version_row,
 )
 
-__all__ = ('Adopt', 'Adoption', 'AdoptionAction', 'Reject', 'Tell')
+__all__ = ('Adopt', 'Adoption', 'AdoptionAction', 'Reject', 'SendToPeer')
 
 #: Polls in a row without an answer after which the table counts as down.
 _DOWN_AFTER: Final = 2
@@ -57,14 +57,14 @@
 
 
 @final
-class Tell(msgspec.Struct, frozen=True):
+class SendToPeer(msgspec.Struct, frozen=True):
     """Send ``message`` to ``instance``."""
 
     instance: str
     message: ConfigurationContent | ConfigurationFetch | ConfigurationOffer
 
 
-AdoptionAction = Adopt | Operate | Reject | Tell
+AdoptionAction = Adopt | Operate | Reject | SendToPeer
 
 
 class _Learning:
@@ -123,7 +123,7 @@
         """Send the version in force to a peer that has an older one."""
         if self._content is None or self._in_force <= fetch.above:
             return []
-        return [Tell(sender, self._content)]
+        return [SendToPeer(sender, self._content)]
 
     def _is_wanted(self, content: ConfigurationContent) -> bool:
         floor = max(self._in_force, self._rejected)
@@ -220,13 +220,13 @@
         self._offered_by = sender
         return self._learn_of(offer)
 
-    def on_heard(
+    def on_peer_version(
         self, instance: str, version_number: int
     ) -> list[AdoptionAction]:
         """Fetch a version that is in force at a peer."""
         if version_number <= max(self._known, self._rejected):
             return []
-        return [Tell(instance, ConfigurationFetch(above=self._in_force))]
+        return [SendToPeer(instance, ConfigurationFetch(above=self._in_force))]
 
     def _on_polled(self, outcome: StoreOutcome) -> list[AdoptionAction]:
         if outcome.status in {StoreStatus.refused, StoreStatus.unknown}:
@@ -272,7 +272,7 @@
         if not self._offered_by or self._known <= self._in_force:
             return []
         fetch = ConfigurationFetch(above=self._in_force)
-        return [Tell(self._offered_by, fetch)]
+        return [SendToPeer(self._offered_by, fetch)]
 
     def _ask_peers(self, peers: tuple[str, ...]) -> list[AdoptionAction]:
         lacks_known = self._known > max(self._in_force, self._rejected)
@@ -282,6 +282,6 @@
         fetch = ConfigurationFetch(above=self._in_force)
         asked = []
         for _ in range(min(_PEERS_ASKED, len(peers))):
-            asked.append(Tell(peers[self._turn % len(peers)], fetch))
+            asked.append(SendToPeer(peers[self._turn % len(peers)], fetch))
             self._turn += 1
         return asked
--- a/features/support/publication_history.py
+++ b/features/support/publication_history.py
@@ -15,7 +15,7 @@
 from bergamotturn.connection.store_events import StoreStatus
 from bergamotturn.errors import ErrorKind, answer_for
 from bergamotturn.request.call_actions import Operate
-from bergamotturn.version.adoption import Adopt, Adoption, Tell
+from bergamotturn.version.adoption import Adopt, Adoption, SendToPeer
 from bergamotturn.version.configuration import (
     Configuration,
     Policy,
@@ -181,7 +181,7 @@
             if isinstance(action, Operate):
                 report = partial(self._report, instance)
                 self.stores.submit(instance, action.operation, report)
-            elif isinstance(action, Tell):
+            elif isinstance(action, SendToPeer):
                 names = [each.name for each in self.instances]
                 receiver = self.instances[names.index(action.instance)]
                 self._send(instance, receiver, action.message)
