--- a/features/process_faults.feature
+++ b/features/process_faults.feature
@@ -41,7 +41,7 @@
     Given nine instances serve 15 requests a second for 28 s
     When the data centre "a" is out for 8 s
     Then the data centre "a" got no new work from 5 s after its order until it was back
-    When the endpoint "letter-5" is out and "letter-2" listed as leaving for 8 s
+    When the endpoint "letter-4" is out and "letter-0" listed as leaving for 8 s
     Then neither endpoint got new work from 5 s after that until it was back
     And both endpoints and the data centre "a" got work again
     And every request is answered in full
