--- a/features/support/measure_entry.py
+++ b/features/support/measure_entry.py
@@ -21,9 +21,11 @@
 __all__ = ('EntryFigures', 'measure_entry')
 
 _MODEL: Final = 'letter'
-_REQUESTS_PER_S: Final = 58
-_TOKENS_PER_S: Final = 16_000
-_OUTPUT_TOKENS: Final = round(_TOKENS_PER_S / _REQUESTS_PER_S)
+#: One node's share of the later size: 10,000 requests and 2.8 million tokens
+#: a second before 350 nodes.
+_SHARE_REQUESTS_PER_S: Final = 29
+_SHARE_TOKENS_PER_S: Final = 8000
+_OUTPUT_TOKENS: Final = round(_SHARE_TOKENS_PER_S / _SHARE_REQUESTS_PER_S)
 _DIRECT_PER_S: Final = 6
 _CLIENTS: Final = 3
 #: Answers take 5.5 s, so that the streams in flight are steady after this.
@@ -60,6 +62,7 @@
     :param gap_s: longest pause between two reads of an answer, p95 of calls.
     """
 
+    shares: float
     requests: int
     whole: int
     tokens_per_s: float
@@ -85,28 +88,38 @@
         """Return whether all was answered at the rate at which it came."""
         return (
             self.whole == self.requests
-            and self.tokens_per_s > 0.95 * _TOKENS_PER_S
+            and self.tokens_per_s > 0.95 * self.shares * _SHARE_TOKENS_PER_S
         )
 
 
 def measure_entry(
-    seed: int, *, cluster_type: type[Cluster] = Cluster
+    seed: int, shares: float = 2, *, cluster_type: type[Cluster] = Cluster
 ) -> EntryFigures:
-    """Run the load once."""
+    """Run the load once.
+
+    :param shares: load, in shares of one node at the later size.
+    """
     with cluster_type(_PLAN) as cluster, TemporaryDirectory() as folder:
         sleep(_LEASES_S)
         processes = ProcessGroup(Path(folder))
         with ExitStack() as stack:
             stack.callback(processes.kill_all)
-            return _run(cluster, processes, Path(folder), seed)
+            return _run(cluster, processes, Path(folder), seed, shares)
 
 
 def _run(
-    cluster: Cluster, processes: ProcessGroup, folder: Path, seed: int
+    cluster: Cluster,
+    processes: ProcessGroup,
+    folder: Path,
+    seed: int,
+    shares: float,
 ) -> EntryFigures:
     start_s = monotonic() + 2
     for number in range(_CLIENTS):
         plan = _caller_plan(cluster, seed, number, start_s)
+        plan = msgspec.structs.replace(
+            plan, requests_per_s=shares * _SHARE_REQUESTS_PER_S / _CLIENTS
+        )
         path = folder / f'{plan.name}.json'
         path.write_bytes(msgspec.json.encode(plan))
         processes.start(
@@ -134,7 +147,7 @@
             raise RuntimeError(processes.log_tail(name))
         content = (folder / f'{name}.result').read_bytes()
         clients.append(msgspec.json.decode(content, type=CallerResult))
-    return _figures(used, clients)
+    return _figures(shares, used, clients)
 
 
 def _caller_plan(
@@ -145,7 +158,7 @@
         seed=seed,
         start_s=start_s,
         duration_s=_RAMP_S + _MEASURED_S,
-        requests_per_s=_REQUESTS_PER_S / _CLIENTS,
+        requests_per_s=_SHARE_REQUESTS_PER_S / _CLIENTS,
         direct_per_s=_DIRECT_PER_S / _CLIENTS,
         entry=cluster.caller_addresses()[0],
         engines=tuple(
@@ -158,7 +171,9 @@
     )
 
 
-def _figures(used: list[Usage], clients: list[CallerResult]) -> EntryFigures:
+def _figures(
+    shares: float, used: list[Usage], clients: list[CallerResult]
+) -> EntryFigures:
     calls = [
         call
         for client in clients
@@ -176,6 +191,7 @@
     direct_median, direct_high = _first_tokens(direct)
     mega = 1_000_000
     return EntryFigures(
+        shares=shares,
         requests=len(through),
         whole=sum(call.is_whole for call in through),
         tokens_per_s=tokens / (_MEASURED_S + spread_s),
--- a/features/support/measures.py
+++ b/features/support/measures.py
@@ -30,9 +30,12 @@
 )
 
 
-def entry(*, seed: int = 1) -> None:
-    """Load one entry process with twice its share of the later size."""
-    figures = measure_entry(seed)
+def entry(*, seed: int = 1, shares: float = 2) -> None:
+    """Load one entry process with twice its share of the later size.
+
+    :param shares: load, in shares of one node at the later size.
+    """
+    figures = measure_entry(seed, shares)
     _show('entry', seed, {**_fields(figures), 'kept_up': figures.kept_up})
 
 
