Log changes of members, orders, coordinators and leaving endpoints

Cause: the daemon logged its start, its version and its stop, but not what operators look for after a failure. Ruled out: lines in each component, which would repeat the comparison with what was published before. Change: process/change_log.py compares what components publish. Conclusion: one line for each change of state, none per request.

--- a/bergamotturn/connection/operator_listener.py
+++ b/bergamotturn/connection/operator_listener.py
@@ -35,7 +35,11 @@
     PublishRequest,
     StatusReport,
 )
-from .peer_messages import CoordinatorAnnounce, OrderUpdate
+from .peer_messages import (
+    MEMBER_STATE_NAMES,
+    CoordinatorAnnounce,
+    OrderUpdate,
+)
 from .web_server import WebCall, WebServer
 
 __all__ = ('OPERATORS_CHANNEL', 'OperatorListener')
@@ -43,8 +47,6 @@
 #: Channel of the component.
 OPERATORS_CHANNEL: Final = 'operators'
 
-_STATES: Final = ('alive', 'leaving', 'suspect', 'dead')
-
 _Route: TypeAlias = Callable[['OperatorListener', WebCall], None]
 
 
@@ -159,7 +161,7 @@
                     instance=member.instance,
                     boot_id=member.boot_id,
                     data_centre=member.data_centre,
-                    state=_STATES[member.state],
+                    state=MEMBER_STATE_NAMES[member.state],
                     in_flight=member.in_flight,
                     operator_address=str(member.operator_address),
                 )
--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -15,6 +15,7 @@
 
 __all__ = (
     'CHANNELS',
+    'MEMBER_STATE_NAMES',
     'Ack',
     'AskClass',
     'BurnAsk',
@@ -58,6 +59,10 @@
     dead: Final = 3
 
 
+#: Names of the states of a member, by their numbers.
+MEMBER_STATE_NAMES: Final = ('alive', 'leaving', 'suspect', 'dead')
+
+
 class OrderState:
     """What operators want of a target."""
 
--- a/bergamotturn/process/daemon.py
+++ b/bergamotturn/process/daemon.py
@@ -25,6 +25,7 @@
 from .admission_task import AdmissionTask
 from .burn_task import BurnTask
 from .cancel_task import CancelTask
+from .change_log import ChangeLog
 from .configuration_task import ConfigurationTask
 from .entry_choice import EntryChoice
 from .membership_task import MembershipTask
@@ -66,6 +67,7 @@
         RequestTask(settings, boot_id, timers, HttpEngineAdapter(), Random()),
         ServiceTask(settings, boot_id, timers),
         BurnTask(settings, timers),
+        ChangeLog(),
         CallerListener(settings, boot_id, timers, entry_choice),
         OperatorListener(settings, boot_id, timers),
         ShutdownTask(settings, boot_id, timers),
--- a/features/support/chaos.py
+++ b/features/support/chaos.py
@@ -65,7 +65,7 @@
         self._away: set[str] = set()
 
     def run(self, seconds: float) -> None:
-        """Do damage for so long, then undo what is left of it."""
+        """Inject faults for ``seconds``, then undo what is left of them."""
         until_s = monotonic() + seconds
         faults = (
             self._kill,
