Name the parts of deadlines and cancels

Cause: two tuples were passed as records. Change: names only; a cancel carries its number of tries. Measured: lifecycle and http_client scenarios pass. Conclusion: behaviour unchanged.

--- a/bergamotturn/process/cancel_task.py
+++ b/bergamotturn/process/cancel_task.py
@@ -38,16 +38,18 @@
     :param work_id: id under which the engine lists it.
     :param is_group_memory: whether it is memory held for a group, not a stream.
     :param release: permit that goes back afterwards.
+    :param tries: cancels that were sent so far without a confirmation.
     """
 
     address: Address
     work_id: str
     is_group_memory: bool
     release: PermitRelease
+    tries: int = 0
 
 
 class cancel_work(Event):
-    """Cancel ``target``, a :class:`CancelTarget`; ``tried`` times so far."""
+    """Cancel ``target``, a :class:`CancelTarget`."""
 
 
 @final
@@ -60,39 +62,41 @@
         """Start with no cancels."""
         super().__init__()
         self._timers = timers
-        self._pending: dict[int, tuple[CancelTarget, int]] = {}
+        self._pending: dict[int, CancelTarget] = {}
 
     @handler('cancel_work')
-    def _on_cancel_work(self, target: CancelTarget, tried: int = 0) -> None:
+    def _on_cancel_work(self, target: CancelTarget) -> None:
         call = cancel_stream_call
         if target.is_group_memory:
             call = free_memory_call
         exchange = call(target.address, self.channel, target.work_id)
-        self._pending[exchange.exchange_id] = (target, tried)
+        self._pending[exchange.exchange_id] = target
         self.fire(start_exchange(exchange), HTTP_CLIENT)
 
     @handler('exchange_head')
     def _on_head(
         self, exchange: Exchange, status: int, headers: tuple[Header, ...]
     ) -> None:
-        target, tried = self._pending.pop(exchange.exchange_id)
+        target = self._pending.pop(exchange.exchange_id)
         if status < _ERROR_STATUS or status == _NOT_FOUND:
             STREAM_EVENTS.labels('cancel').inc()
             self.fire(give_back(target.release), PERMITS_CHANNEL)
         else:
-            self._try_again(target, tried)
+            self._try_again(target)
 
     @handler('exchange_failed')
     def _on_failed(
         self, exchange: Exchange, failure: object, sent: bool
     ) -> None:
-        pending = self._pending.pop(exchange.exchange_id, None)
-        if pending is not None:
-            self._try_again(*pending)
+        target = self._pending.pop(exchange.exchange_id, None)
+        if target is not None:
+            self._try_again(target)
 
-    def _try_again(self, target: CancelTarget, tried: int) -> None:
-        if tried == len(_PAUSES_S):
+    def _try_again(self, target: CancelTarget) -> None:
+        if target.tries == len(_PAUSES_S):
             STREAM_EVENTS.labels('cancel_failed').inc()
             return
-        again = cancel_work(target, tried + 1)
-        self._timers.call_after(_PAUSES_S[tried], again, self.channel)
+        again = msgspec.structs.replace(target, tries=target.tries + 1)
+        self._timers.call_after(
+            _PAUSES_S[target.tries], cancel_work(again), self.channel
+        )
--- a/bergamotturn/process/timers.py
+++ b/bergamotturn/process/timers.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+from dataclasses import dataclass
 from itertools import count
 from time import monotonic
 from typing import final
@@ -15,6 +16,15 @@
 __all__ = ('Timers',)
 
 
+@final
+@dataclass(slots=True, frozen=True)
+class _Deadline:
+    """What to fire, and where."""
+
+    event: Event
+    channel: str
+
+
 @final
 class Timers(Component):
     """Fires events when their time comes."""
@@ -26,7 +36,7 @@
         super().__init__()
         self._numbers = count(1)
         self._heap: list[tuple[float, int]] = []
-        self._due: dict[int, tuple[Event, str]] = {}
+        self._due: dict[int, _Deadline] = {}
 
     def call_after(self, delay_s: float, event: Event, channel: str) -> int:
         """Fire ``event`` at ``channel`` after ``delay_s``.
@@ -34,7 +44,7 @@
         :returns: number by which the deadline can be cancelled.
         """
         number = next(self._numbers)
-        self._due[number] = (event, channel)
+        self._due[number] = _Deadline(event, channel)
         heapq.heappush(self._heap, (monotonic() + delay_s, number))
         return number
 
@@ -58,6 +68,6 @@
             _, number = heapq.heappop(self._heap)
             due = self._due.pop(number, None)
             if due is not None:
-                self.fire(due[0], due[1])
+                self.fire(due.event, due.channel)
                 has_fired = True
         return has_fired
