Use one action for messages to an instance

Cause: fanout.py had a twin of the action in actions.py. Measured: membership and orders scenarios pass, 15 of 15. Conclusion: behaviour unchanged.

--- a/bergamotturn/process/admission.py
+++ b/bergamotturn/process/admission.py
@@ -23,6 +23,7 @@
 from .actions import SendTo
 from .ask_queue import AskQueue, Waiting
 from .invariants import check_invariant
+from .lease import PERMIT_START_S
 from .ledger import (
     ARRIVAL_S,
     CoordinatorTerms,
@@ -32,7 +33,6 @@
     has_cold_room,
     has_warm_room,
 )
-from .lease import PERMIT_START_S
 
 __all__ = ('Coordinator',)
 
--- a/bergamotturn/process/fanout.py
+++ b/bergamotturn/process/fanout.py
@@ -5,11 +5,12 @@
 
 import msgspec
 
-from ..connection.peer_messages import MemberState, MemberUpdate, Message
+from ..connection.peer_messages import MemberState, MemberUpdate
+from .actions import SendTo
 from .gossip import Gossip
 from .member_table import MemberTable
 
-__all__ = ('Action', 'Fanout', 'ReplaceLink', 'SendTo')
+__all__ = ('Action', 'Fanout', 'ReplaceLink')
 
 #: Waiting for the next pings would add up to a second to the time in which
 #: all nine instances see a member dead.
@@ -20,14 +21,6 @@
 _MESSAGES_SAVED: Final = 24
 
 
-@final
-class SendTo(msgspec.Struct, frozen=True):
-    """Send ``message`` to ``instance``."""
-
-    instance: str
-    message: Message
-
-
 @final
 class ReplaceLink(msgspec.Struct, frozen=True):
     """Close the silent link to ``instance`` and dial anew."""
--- a/bergamotturn/process/membership.py
+++ b/bergamotturn/process/membership.py
@@ -22,7 +22,8 @@
     Ping,
     PingRequest,
 )
-from .fanout import Action, Fanout, ReplaceLink, SendTo
+from .actions import SendTo
+from .fanout import Action, Fanout, ReplaceLink
 from .gossip import Gossip
 from .member_table import MemberTable
 from .ping_target import PingTarget
--- a/bergamotturn/process/membership_task.py
+++ b/bergamotturn/process/membership_task.py
@@ -34,17 +34,18 @@
 )
 from ..version.configuration import Configuration
 from ..version.settings import Settings
+from .actions import SendTo
 from .events import (
     MemberView,
     OrderView,
     ShutdownPhase,
-    peer_version_seen,
     endpoint_list_changed,
     members_changed,
     order_placed,
     orders_changed,
+    peer_version_seen,
 )
-from .fanout import Action, SendTo
+from .fanout import Action
 from .membership import TICK_S, Membership
 from .order_rows import OrderRows
 from .timers import Timers
--- a/features/simulated_fleet.py
+++ b/features/simulated_fleet.py
@@ -16,8 +16,8 @@
     decode_envelope,
     encode_envelope,
 )
+from bergamotturn.process.actions import SendTo
 from bergamotturn.process.events import OrderView
-from bergamotturn.process.fanout import SendTo
 from bergamotturn.process.membership import TICK_S, Membership
 
 __all__ = (
