Close idle connections of an address when one of them goes silent

When what lies between two ends drops its state, the idle connections of the pool go silent together with the one in use. A resumed stream then took an idle one, waited its silence limit of 2 s, took the next, and ran out of resume tries: "cut endpoint_lost".

Ruled out: the silence limit itself (a cut stream had waited it three times, each on another connection that was opened before the fault); the port race of parallel fleets, which fails at the start and not under load.

Change: when an exchange passes its silence limit, the client closes the idle connections of that address too. The next exchange opens a new connection.

Measured: the new scenario "Open connections that go silent together" fails without the change (second exchange endpoint_lost) and passes with it; http_client.feature 19 of 19.

Conclusion: a silent address costs one silence limit, not one for each kept connection.

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -114,6 +114,10 @@
             return idle.pop(0)
         return None
 
+    def idle_at(self, address: Address) -> tuple[PeerConnection, ...]:
+        """Return the idle connections of ``address``."""
+        return tuple(self._idle.get(address, ()))
+
     def remove(self, connection: PeerConnection) -> None:
         """Forget ``connection``; unknown ones are ignored."""
         idle = self._idle.get(connection.address, [])
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -447,6 +447,10 @@
                 left_s, _silence_limit_passed(transfer), self.channel
             )
             return
+        # What silenced this connection may have silenced the idle ones too;
+        # each of them would cost the next exchanges a silence limit more.
+        for idle in self._pool.idle_at(connection.address):
+            self._close(idle)
         self._fail(connection, ErrorKind.endpoint_lost, 'silent for too long')
 
     @handler('_total_limit_passed')
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -100,6 +100,15 @@
     When 3 "GET" are sent to the peer at once by a client that keeps 3 for 0.2 s
     Then 3 connections of the peer end
 
+  Scenario: Open connections that go silent together
+    Guards against retries that wait on one silent kept connection after the other.
+    Given a peer whose first 3 connections go silent after an answer each
+    When 3 "GET" are sent to the peer at once by a client that keeps 3 for 600 s
+    And a "GET" is sent to the peer with silence_s = 0.3
+    Then the exchange fails as "endpoint_lost" with bytes sent
+    When a "GET" is sent to the peer with silence_s = 0.3
+    Then the peer's answer is "kept"
+
   Scenario: A cancelled exchange
     Guards against an answer that is reported to an owner that has given up.
     Given a peer that answers one byte each 0.05 s for ever
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -196,6 +196,17 @@
     sock.recv(1)
 
 
+def _go_silent(barrier, peer, sock, number):
+    """Answer once on the first connections, then read on without a word."""
+    if number > barrier.parties:
+        _keep(peer, sock, number)
+        return
+    peer.read_request(sock, number)
+    barrier.wait(_HANG_S)
+    sock.sendall(_answer('first'))
+    _say_nothing(peer, sock, number)
+
+
 def _close_under_next(peer, sock, number):
     peer.read_request(sock, number)
     sock.sendall(_answer('first'))
@@ -254,6 +265,13 @@
     _serve_peer(context, partial(_gather, threading.Barrier(count)))
 
 
+@given(
+    'a peer whose first {count:d} connections go silent after an answer each'
+)
+def silent_peer(context, count):
+    _serve_peer(context, partial(_go_silent, threading.Barrier(count)))
+
+
 @when('a "{method}" is sent to the peer')
 @when('a "{method}" is sent to the peer with {option} = {number:g}')
 def send_one(context, method, option='', number=0):
