Reserve the ports of a test fleet with file locks

Cause: 2 of 20 fleets that were started in parallel ended with "Address already in use". Each run chose ports that were free at that moment and bound them seconds later; two runs could choose the same one.

Ruled out: ports given to outgoing connections (the range lies below the kernel's); a process of an earlier run (all are killed with their parent).

Change: a chosen port is also locked with flock on a file of its own in the temporary folder. The kernel frees the locks when the run ends, however it ends.

Measured before: 2 of 20 parallel starts failed. After: two runs of free_ports in parallel no longer return a port in common, which the lock alone decides; parallel fleets were not counted again.

Conclusion: parallel fleets on one machine share no port.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -1,6 +1,7 @@
 """Processes of one run: started with logs, ended in all cases."""
 
 import ctypes
+import fcntl
 import os
 import random
 import signal
@@ -8,7 +9,8 @@
 import subprocess
 import sys
 from pathlib import Path
-from typing import Final, final
+from tempfile import gettempdir
+from typing import Final, TextIO, final
 
 __all__ = ('ROOT', 'ProcessGroup', 'free_ports')
 
@@ -16,6 +18,10 @@
 #: Ports below the range that the kernel gives to outgoing connections, so
 #: that none is taken between its choice and its use.
 _PORTS: Final = (12_000, 32_000)
+#: One lock file for each port that a run has chosen.
+_RESERVATIONS: Final = Path(gettempdir()) / 'bergamotturn-ports'
+#: Locks that this process holds until it ends.
+_HELD_LOCKS: Final[list[TextIO]] = []
 _DEATH_SIGNAL: Final = 1
 _LOG_TAIL_CHARACTERS: Final = 2000
 
@@ -92,9 +98,29 @@
 
 
 def free_ports(wanted: int) -> list[int]:
-    """Return TCP ports on loopback that are free now."""
-    candidates = random.Random().sample(range(*_PORTS), wanted * 4)
-    return [port for port in candidates if _is_free(port)][:wanted]
+    """Return TCP ports on loopback that are free and reserved for this run.
+
+    Runs in parallel would otherwise choose the same port, since each binds
+    it some seconds after its choice.
+    """
+    _RESERVATIONS.mkdir(exist_ok=True)
+    ports: list[int] = []
+    while len(ports) < wanted:
+        port = random.Random().randrange(*_PORTS)
+        if _reserve(port) and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _reserve(port: int) -> bool:
+    lock = (_RESERVATIONS / str(port)).open('w')
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except BlockingIOError:
+        lock.close()
+        return False
+    _HELD_LOCKS.append(lock)
+    return True
 
 
 def _is_free(port: int) -> bool:
