Keep one release of unused permits and one rule for prompt tokens

Cause: the release of a permit under which nothing was sent stood in six places, the length of a prompt in tokens in two (one with ceil of a division, one with integers), and the engine adapter kept a status type, its parser and a cancel that engine_control replaced.

Ruled out: a difference between the copies; all six built the same message, one of them with the incarnation that the status showed.

Change: peer_messages.unused_release serves all; cost.prompt_tokens_of is the rule for prompts and runs once for each call; the dead code is gone.

Conclusion: no behaviour changes.

--- a/bergamotturn/connection/caller_routes.py
+++ b/bergamotturn/connection/caller_routes.py
@@ -12,7 +12,8 @@
 from ..errors import ErrorKind, Failure
 from ..process.events import MemberView, OrderView
 from ..request.calls import ChatCall, ServiceCall
-from ..request.chat import ChatRequest, count_tokens, parse_chat
+from ..request.chat import ChatRequest, parse_chat
+from ..request.cost import prompt_tokens_of
 from ..version.configuration import (
     Configuration,
     Deployment,
@@ -207,8 +208,9 @@
         if chat.model not in workspace.uses:
             return Failure(ErrorKind.forbidden)
         prompt = chat.prompt()
-        if count_tokens(prompt) > deployment.max_prompt_tokens:
-            return _prompt_too_long(count_tokens(prompt), deployment)
+        prompt_tokens = prompt_tokens_of(prompt)
+        if prompt_tokens > deployment.max_prompt_tokens:
+            return _prompt_too_long(prompt_tokens, deployment)
         timeout_s = _timeout_s(request, deployment.deadline_s)
         if timeout_s is None:
             return _bad_timeout()
@@ -217,7 +219,7 @@
             workspace=workspace.name,
             model=chat.model,
             prompt=prompt,
-            prompt_tokens=count_tokens(prompt),
+            prompt_tokens=prompt_tokens,
             max_tokens=chat.output_limit(),
             stream=bool(chat.stream),
             arrived_s=now_s,
--- a/bergamotturn/connection/engine_adapter.py
+++ b/bergamotturn/connection/engine_adapter.py
@@ -11,7 +11,6 @@
 
 __all__ = (
     'EngineAdapter',
-    'EngineStatus',
     'EventStreamParser',
     'HttpEngineAdapter',
     'StreamOrder',
@@ -35,22 +34,6 @@
 _JSON_HEADERS: Final = (Header('content-type', 'application/json'),)
 
 
-@final
-class EngineStatus(msgspec.Struct, frozen=True):
-    """What an engine says of itself now.
-
-    :param state: ``cold`` or ``warm``.
-    """
-
-    start_id: str
-    cold_count: int
-    state: str
-
-    def incarnation(self) -> EndpointIncarnation:
-        """Return the engine's start as permits name it."""
-        return EndpointIncarnation(self.start_id, self.cold_count)
-
-
 @final
 class StreamOrder(msgspec.Struct, frozen=True, kw_only=True):
     """A stream to start.
@@ -101,12 +84,6 @@
     ) -> Exchange:
         """Return the exchange that reads a stream on from ``offset``."""
 
-    def cancel(self, address: Address, owner: str, stream_id: str) -> Exchange:
-        """Return the exchange that cancels a stream; it may be repeated."""
-
-    def parse_status(self, body: bytes) -> EngineStatus | None:
-        """Return the status in an answer's ``body``."""
-
     def new_parser(self) -> StreamParser:
         """Return a parser for one answer to a start or a resume."""
 
@@ -263,24 +240,6 @@
             is_batched=True,
         )
 
-    def cancel(self, address: Address, owner: str, stream_id: str) -> Exchange:
-        """Return the exchange that cancels a stream; it may be repeated."""
-        return Exchange(
-            exchange_id=next_exchange_id(),
-            owner=owner,
-            address=address,
-            method='DELETE',
-            path=_stream_path(stream_id),
-            total_s=_CONTROL_S,
-        )
-
-    def parse_status(self, body: bytes) -> EngineStatus | None:
-        """Return the status in an answer's ``body``."""
-        try:
-            return msgspec.json.decode(body, type=EngineStatus)
-        except (msgspec.DecodeError, UnicodeDecodeError):
-            return None
-
     def new_parser(self) -> StreamParser:
         """Return a parser for one answer to a start or a resume."""
         return EventStreamParser()
--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -43,6 +43,7 @@
     'encode_envelope',
     'peer_message',
     'send_message',
+    'unused_release',
 )
 
 
@@ -386,6 +387,21 @@
     return _ENCODER.encode(envelope)
 
 
+def unused_release(
+    grant: PermitGrant, incarnation: EndpointIncarnation | None = None
+) -> PermitRelease:
+    """Return the release of a permit under which nothing was sent.
+
+    :param incarnation: what the endpoint's status said, when it differed.
+    """
+    return PermitRelease(
+        permit_id=grant.permit_id,
+        endpoint=grant.endpoint,
+        used=False,
+        incarnation=incarnation,
+    )
+
+
 def decode_envelope(data: bytes) -> Envelope:
     """Return the envelope in ``data``.
 
--- a/bergamotturn/process/permits.py
+++ b/bergamotturn/process/permits.py
@@ -17,6 +17,7 @@
     PermitBusy,
     PermitGrant,
     PermitRelease,
+    unused_release,
 )
 from ..version.configuration import EndpointSettings
 from .actions import SendTo
@@ -134,7 +135,7 @@
         self, now_s: float, sender: str, grant: PermitGrant
     ) -> list[PermitAction]:
         """Take a grant, or give it back when it is old or comes too late."""
-        unused = SendTo(sender, _unused(grant))
+        unused = SendTo(sender, unused_release(grant))
         opened = self._open.get(grant.ask_id)
         if opened is None or opened.ask.endpoint != grant.endpoint:
             return [unused]
@@ -242,12 +243,6 @@
     return status.incarnation == grant.incarnation
 
 
-def _unused(grant: PermitGrant) -> PermitRelease:
-    return PermitRelease(
-        permit_id=grant.permit_id, endpoint=grant.endpoint, used=False
-    )
-
-
 def _refusal(ask: PermitAsk, reason: str, wait_s: float) -> Refused:
     return Refused(
         PermitBusy(
--- a/bergamotturn/process/request_holder.py
+++ b/bergamotturn/process/request_holder.py
@@ -15,12 +15,7 @@
     cancel_exchange,
     start_exchange,
 )
-from ..connection.peer_messages import (
-    AskClass,
-    PermitAsk,
-    PermitGrant,
-    PermitRelease,
-)
+from ..connection.peer_messages import AskClass, PermitAsk
 from ..errors import ErrorKind
 from ..request.actions import Action
 from ..request.cost import cost_of, group_size
@@ -47,7 +42,6 @@
     'PlacementRunner',
     'RequestHolder',
     'request_wake',
-    'unused_release',
 )
 
 #: Channel of the component.
@@ -197,10 +191,3 @@
 
     def _run(self, live: LiveRequest, actions: Iterable[Action]) -> None:
         raise NotImplementedError
-
-
-def unused_release(grant: PermitGrant) -> PermitRelease:
-    """Return the release of a permit under which nothing was sent."""
-    return PermitRelease(
-        permit_id=grant.permit_id, endpoint=grant.endpoint, used=False
-    )
--- a/bergamotturn/process/request_task.py
+++ b/bergamotturn/process/request_task.py
@@ -8,7 +8,11 @@
 
 from ..connection.engine_control import parse_status
 from ..connection.exchange import Exchange, ExchangePart, Header
-from ..connection.peer_messages import PermitBusy, PermitGrant
+from ..connection.peer_messages import (
+    PermitBusy,
+    PermitGrant,
+    unused_release,
+)
 from ..errors import ErrorKind, Failure
 from ..request.calls import ChatCall
 from ..request.chat_reply import ChatReply
@@ -21,7 +25,6 @@
 from .permit_events import PERMITS_CHANNEL, give_back
 from .permits import may_start
 from .request_answers import CHAT
-from .request_holder import unused_release
 from .request_runner import RequestRunner
 from .routing import LeastWait
 
--- a/bergamotturn/process/service_task.py
+++ b/bergamotturn/process/service_task.py
@@ -24,7 +24,7 @@
     MemberUpdate,
     PermitBusy,
     PermitGrant,
-    PermitRelease,
+    unused_release,
 )
 from ..connection.service_adapter import HttpService, is_repeatable_method
 from ..connection.store_events import (
@@ -234,10 +234,7 @@
             lambda flow: flow.on_granted(grant, now_s),
         ):
             return
-        release = PermitRelease(
-            permit_id=grant.permit_id, endpoint=grant.endpoint, used=False
-        )
-        self.fire(give_back(release), PERMITS_CHANNEL)
+        self.fire(give_back(unused_release(grant)), PERMITS_CHANNEL)
 
     def permit_refused(self, busy: PermitBusy) -> None:
         """Take the refusal of a permit."""
--- a/bergamotturn/request/chat.py
+++ b/bergamotturn/request/chat.py
@@ -1,6 +1,5 @@
 """Chat completions in the OpenAI form: requests, whole answers and streams."""
 
-from math import ceil
 from typing import Annotated, Final, Literal, final
 
 import msgspec
@@ -16,7 +15,6 @@
     'ChatMessage',
     'ChatRequest',
     'ContentPart',
-    'count_tokens',
     'error_event',
     'parse_chat',
 )
@@ -24,9 +22,6 @@
 #: Last event of a whole streamed answer; a cut answer has none.
 STREAM_END: Final = b'data: [DONE]\n\n'
 
-#: Rule of the platform's engines for the length of a prompt.
-_CHARACTERS_PER_TOKEN: Final = 4
-
 #: Used when the caller sets no limit.
 _DEFAULT_MAX_TOKENS: Final = 1024
 
@@ -207,11 +202,6 @@
         return Error(Failure(ErrorKind.bad_request, 'The JSON is too deep.'))
 
 
-def count_tokens(prompt: str) -> int:
-    """Return the length of ``prompt`` in tokens."""
-    return ceil(len(prompt) / _CHARACTERS_PER_TOKEN)
-
-
 def error_event(failure: Failure) -> bytes:
     """Return the event that ends a cut answer."""
     content = encode_failure(failure, has_started=True)
--- a/bergamotturn/request/cost.py
+++ b/bergamotturn/request/cost.py
@@ -14,6 +14,7 @@
     'prompt_tokens_of',
 )
 
+#: Rule of the platform's engines for the length of a prompt.
 _CHARACTERS_PER_TOKEN: Final = 4
 
 
--- a/bergamotturn/request/group.py
+++ b/bergamotturn/request/group.py
@@ -17,6 +17,7 @@
     PermitAsk,
     PermitGrant,
     PermitRelease,
+    unused_release,
 )
 
 __all__ = (
@@ -143,7 +144,7 @@
     def granted(self, now_s: float, grant: PermitGrant) -> list[GroupAction]:
         """Take a permit; one that is not waited for goes back at once."""
         if grant.ask_id != self._asked:
-            return [_give_back(grant)]
+            return [GiveBack(unused_release(grant))]
         self._asked = ''
         self._grants.append(grant)
         if now_s >= self._started_s + _GATHER_S:
@@ -202,14 +203,6 @@
 
     def _release(self) -> list[GroupAction]:
         self._asked = ''
-        released = [_give_back(grant) for grant in self._grants]
+        released = [GiveBack(unused_release(grant)) for grant in self._grants]
         self._grants = []
         return list(released)
-
-
-def _give_back(grant: PermitGrant) -> GiveBack:
-    return GiveBack(
-        PermitRelease(
-            permit_id=grant.permit_id, endpoint=grant.endpoint, used=False
-        )
-    )
--- a/bergamotturn/request/lifecycle.py
+++ b/bergamotturn/request/lifecycle.py
@@ -15,6 +15,7 @@
     EndpointIncarnation,
     PermitGrant,
     PermitRelease,
+    unused_release,
 )
 from ..errors import ErrorKind, Failure
 from .actions import (
@@ -114,7 +115,9 @@
     def granted(self, grants: tuple[PermitGrant, ...]) -> Sequence[Action]:
         """Take one permit, or those of a whole group with the leader first."""
         if self.phase is not RequestPhase.placing:
-            return tuple(_unused(grant) for grant in grants)
+            return tuple(
+                ReturnPermit(unused_release(grant)) for grant in grants
+            )
         self._grants = grants
         members = grants[1:]
         if not members:
@@ -203,7 +206,7 @@
         if not self._grants:
             return NOTHING
         return (
-            _unused(self._grants[0], incarnation),
+            ReturnPermit(unused_release(self._grants[0], incarnation)),
             *self._free_members(),
         )
 
@@ -389,16 +392,3 @@
         used=True,
         tokens_served=tokens_served,
     )
-
-
-def _unused(
-    grant: PermitGrant, incarnation: EndpointIncarnation | None = None
-) -> ReturnPermit:
-    return ReturnPermit(
-        PermitRelease(
-            permit_id=grant.permit_id,
-            endpoint=grant.endpoint,
-            used=False,
-            incarnation=incarnation,
-        ),
-    )
--- a/bergamotturn/request/service_flow.py
+++ b/bergamotturn/request/service_flow.py
@@ -18,6 +18,7 @@
     PermitBusy,
     PermitGrant,
     PermitRelease,
+    unused_release,
 )
 from ..connection.service_adapter import ServiceAdapter, ServiceSending
 from ..connection.store_events import StoreOutcome
@@ -150,11 +151,7 @@
     def on_granted(self, grant: PermitGrant, now_s: float) -> list[FlowAction]:
         """Send under ``grant`` if it still holds, else return it."""
         ask = self._ask
-        unused = GiveBack(
-            PermitRelease(
-                permit_id=grant.permit_id, endpoint=grant.endpoint, used=False
-            )
-        )
+        unused = GiveBack(unused_release(grant))
         if ask is None or ask.ask_id != grant.ask_id:
             return [unused]
         self._ask = None
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -22,9 +22,9 @@
 from bergamotturn.request.chat import (
     STREAM_END,
     ChatAnswerWriter,
-    count_tokens,
     error_event,
 )
+from bergamotturn.request.cost import prompt_tokens_of
 
 _TEXTS = st.lists(st.text(max_size=6), max_size=12)
 
@@ -286,5 +286,5 @@
 
 @then('prompts of 0, 1, 4 and 5 characters have 0, 1, 1 and 2 tokens')
 def prompt_tokens(context):
-    counts = [count_tokens('å' * characters) for characters in (0, 1, 4, 5)]
+    counts = [prompt_tokens_of('å' * characters) for characters in (0, 1, 4, 5)]
     assert counts == [0, 1, 1, 2], counts
