Size longs and groups by the memory that engines leave to them

Cause: coordinators let longs and groups use 0.8 of an engine's KV memory (short_reserve), but requests were classed and groups sized by the whole of it. A prompt between 0.8 and 1 times an engine's memory, or a group whose parts were that large (with engines of 400,000 tokens: 320,000 to 400,000, 640,000 to 800,000, 960,000 and more), was refused as busy by every coordinator at any load, until its deadline. Parts of a group were also rounded up one by one, which could exceed a full engine by a token.

Ruled out: the load; the new property fails at an idle engine.

Change: Policy.long_kv_tokens is the one limit, used by the coordinator, the class, the size of a group and the choice for longs. The memory of a part is divided as a whole. A group that lacks usable engines now waits for them as other requests do and is then refused as endpoint_unavailable; prompt_too_long is left for prompts that all engines of the deployment together cannot hold. A measure of such prompts beside others is new ("measures groups").

--- a/bergamotturn/process/ledger.py
+++ b/bergamotturn/process/ledger.py
@@ -190,4 +190,4 @@
     if usage.long_requests >= max(1, int(limits.warm_requests * share)):
         return False
     long_kv_tokens = usage.long_kv_tokens + ask.cost.kv_tokens
-    return long_kv_tokens <= limits.kv_tokens * share
+    return long_kv_tokens <= terms.policy.long_kv_tokens(limits.kv_tokens)
--- a/bergamotturn/process/request_holder.py
+++ b/bergamotturn/process/request_holder.py
@@ -18,7 +18,7 @@
 from ..connection.peer_messages import AskClass, PermitAsk
 from ..errors import ErrorKind
 from ..request.actions import Action
-from ..request.cost import cost_of, group_size
+from ..request.cost import group_size, share_of
 from ..request.group import (
     AskMember,
     GiveBack,
@@ -138,19 +138,15 @@
     ) -> Sequence[Action]:
         if live.reservation is not None:
             self._release_group(live.reservation.end())
-        smallest = min(
-            endpoint.kv_tokens
-            for endpoint in self._configuration.endpoints_of(
-                live.request.call.model
-            )
-        )
-        size = group_size(live.cost, smallest)
-        if size > len(names):
+        endpoints = self._configuration.endpoints_of(live.request.call.model)
+        smallest = min(endpoint.kv_tokens for endpoint in endpoints)
+        limit = self._configuration.policy.long_kv_tokens(smallest)
+        size = group_size(live.cost, limit)
+        if not 0 < size <= len(endpoints):
             return live.request.refuse(ErrorKind.prompt_too_long)
-        share = cost_of(
-            -(-live.cost.prompt_tokens // size),
-            -(-live.cost.output_tokens // size),
-        )
+        if size > len(names):
+            return self._lack_engines(live)
+        share = share_of(live.cost, size)
         call = live.request.call
         live.group_engines = size
         live.reservations += 1
@@ -164,6 +160,13 @@
         self._run_group(live, live.reservation.start(monotonic()))
         return ()
 
+    def _lack_engines(self, live: LiveRequest) -> Sequence[Action]:
+        """Wait a little for engines that are out or failed."""
+        now_s = monotonic()
+        if self._is_hopeless(now_s, live):
+            return live.request.refuse(ErrorKind.endpoint_unavailable)
+        return live.request.choose(now_s, ())
+
     def _run_group(
         self, live: LiveRequest, actions: Iterable[GroupAction]
     ) -> None:
--- a/bergamotturn/process/routing.py
+++ b/bergamotturn/process/routing.py
@@ -211,7 +211,11 @@
                 candidate.name
                 for candidate in sorted(usable, key=outlook.group_order)
             )
-        apart = [known for known in usable if known.name in longs]
+        apart = [
+            known
+            for known in usable
+            if known.name in longs and self._bears(need, known.endpoint)
+        ]
         if need.work_class == AskClass.long:
             # Longs are rare, so instances hardly ever choose at once, and a
             # bad choice costs many seconds: all endpoints are looked at.
@@ -225,6 +229,13 @@
         tries = sorted(chosen + spare[:1], key=outlook.score)
         return _names(tries + spare[1:])
 
+    def _bears(self, need: Need, endpoint: EndpointSettings) -> bool:
+        """Whether what the endpoint leaves to longs is enough for a long."""
+        if need.work_class != AskClass.long:
+            return True
+        limit = self._policy.long_kv_tokens(endpoint.kv_tokens)
+        return need.cost.kv_tokens <= limit
+
 
 def excluded_endpoints(
     endpoints: Iterable[EndpointSettings],
--- a/bergamotturn/request/cost.py
+++ b/bergamotturn/request/cost.py
@@ -12,6 +12,7 @@
     'group_size',
     'largest_kv_tokens',
     'prompt_tokens_of',
+    'share_of',
 )
 
 #: Rule of the platform's engines for the length of a prompt.
@@ -42,20 +43,39 @@
 ) -> str:
     """Return the class of a request, one of :class:`AskClass`.
 
+    A prompt that is not short must fit what an engine leaves to longs, else
+    no engine would ever admit it.
+
     :param endpoints: all endpoints of the deployment.
     """
-    if cost.kv_tokens > largest_kv_tokens(endpoints):
-        return AskClass.group
-    if cost.prompt_tokens > policy.long_prompt_tokens:
+    largest = largest_kv_tokens(endpoints)
+    is_short = cost.prompt_tokens <= policy.long_prompt_tokens
+    if is_short and cost.kv_tokens <= largest:
+        return AskClass.short
+    if cost.kv_tokens <= policy.long_kv_tokens(largest):
         return AskClass.long
-    return AskClass.short
+    return AskClass.group
 
 
 def group_size(cost: Cost, kv_tokens: int) -> int:
-    """Return how many engines of ``kv_tokens`` hold the request, at least 1.
+    """Return how many engines hold the request, at least 1.
 
+    :param kv_tokens: KV memory that a group may use of each engine.
     :returns: 0 when engines have no KV memory, so that none can hold it.
     """
     if kv_tokens <= 0:
         return 0
     return max(1, -(-cost.kv_tokens // kv_tokens))
+
+
+def share_of(cost: Cost, engines: int) -> Cost:
+    """Return the cost at each of ``engines`` that share a request.
+
+    The memory is divided as a whole: parts that are rounded up one by one
+    could need more than the engines have.
+    """
+    return Cost(
+        prompt_tokens=-(-cost.prompt_tokens // engines),
+        output_tokens=-(-cost.output_tokens // engines),
+        kv_tokens=-(-cost.kv_tokens // engines),
+    )
--- a/bergamotturn/version/configuration.py
+++ b/bergamotturn/version/configuration.py
@@ -116,6 +116,10 @@
     entry_answer_s: float = 5
     result_keep_s: float = 604_800
 
+    def long_kv_tokens(self, kv_tokens: int) -> int:
+        """Return how much of an engine's KV memory longs and groups may use."""
+        return int(kv_tokens * (1 - self.short_reserve))
+
 
 @final
 class Configuration(_Part, frozen=True, kw_only=True):
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -43,6 +43,12 @@
       | 1000   | 500    | short | 1       |
       | 32000  | 500    | short | 1       |
       | 32001  | 500    | long  | 1       |
-      | 99500  | 500    | long  | 1       |
-      | 99501  | 500    | group | 2       |
-      | 250000 | 1000   | group | 3       |
+      | 32000  | 60000  | short | 1       |
+      | 32000  | 68001  | group | 2       |
+      | 79500  | 500    | long  | 1       |
+      | 79501  | 500    | group | 2       |
+      | 250000 | 1000   | group | 4       |
+
+  Scenario: Every prompt fits the engines that it is sent to
+    Guards against prompts that no coordinator ever admits, since longs and groups may use only a part of an engine.
+    Then an idle engine has room for each part of any request
--- a/features/support/measures.py
+++ b/features/support/measures.py
@@ -14,6 +14,7 @@
 from .measure_control import ControlCase, measure_control
 from .measure_entry import measure_entry
 from .measure_fleet import measure_data_centre, measure_longs
+from .measure_groups import measure_groups
 from .policy_bench import BenchPlan, run_bench
 
 __all__ = ('main',)
@@ -58,6 +59,11 @@
     _show('longs', seed, _fields(measure_longs(seed)))
 
 
+def groups(*, seed: int = 1) -> None:
+    """Measure prompts that need a group of engines, beside others."""
+    _show('groups', seed, _fields(measure_groups(seed)))
+
+
 def data_centre(*, seed: int = 1) -> None:
     """Measure shorts while a data centre is taken out and returns."""
     _show('data-centre', seed, _fields(measure_data_centre(seed)))
@@ -70,7 +76,7 @@
 
 def main() -> None:
     """Run the measure that the command line names."""
-    defopt.run([entry, control, policy, longs, data_centre, capacity])
+    defopt.run([entry, control, policy, longs, groups, data_centre, capacity])
 
 
 def _fields(figures: Any) -> dict[str, Any]:
