Show the failing step and assertion in the output of the checks

Ruled out: the plain format, whose 700 lines bury the failure.

Change: the checks use progress3, one line for each scenario and the step with its assertion on a failure.

Measured: a scenario broken on purpose prints its step and assertion.

Conclusion: a failed run on record can be read.

--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -95,7 +95,7 @@
 
 def _behave(tags: str) -> subprocess.Popen[str]:
     return subprocess.Popen(  # noqa: S603
-        (str(_PYTHON), '-m', 'behave', '--format', 'progress', '--tags', tags),
+        (str(_PYTHON), '-m', 'behave', '--format', 'progress3', '--tags', tags),
         cwd=_ROOT,
         stdout=subprocess.PIPE,
         text=True,
