Wait for idempotency records at a planned stop

Cause: the end of a planned stop was decided by the callers' listener alone, which counts open calls. A call with an idempotency record leaves that count when its caller has the answer or is gone, while its flow goes on in the service task: it waits for the service, or writes the result. 1 s after draining began such an instance stopped, the row stayed "started", and a repeat was told outcome_unknown.

Ruled out: counting these calls as requests in flight (balancing of callers and the status page would show calls that nobody waits for, and a table that is down would hold the stop up for the longest deadline, 120 s by default); answering the caller only after the write (the table's time would be added to each call).

Change: the service task tells how many calls may still bring a result and how many answered ones have an unfinished record. The stop waits for the former as for requests in flight, and for the latter at most 10 s after the last request ended: an operation without an answer takes 1.5 s and is tried again after 1 s, so the bound is four tries. Writes that wait for their next try, which may be 30 s away, are tried at once when the stop begins. What is given up is counted in bergamotturn_records_given_up_total and logged; a gauge shows what is still written.

Conclusion: a planned stop loses a result only when a store stays down for longer than the bound.

--- a/bergamotturn/process/events.py
+++ b/bergamotturn/process/events.py
@@ -22,6 +22,7 @@
     'place_order',
     'publication_answered',
     'publish_configuration',
+    'records_changed',
     'shutdown_phase_changed',
     'stop_requested',
 )
@@ -92,6 +93,14 @@
     """Publish ``in_flight_requests``, the open calls, to all channels."""
 
 
+class records_changed(Event):
+    """Publish the open idempotency records of this instance to all channels.
+
+    Arguments: ``unanswered``, calls that may still bring a result, and
+    ``unwritten``, answered calls whose record is not yet finished.
+    """
+
+
 class coordinators_changed(Event):
     """Publish ``announces``, a tuple of announcements, to all channels.
 
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -16,6 +16,8 @@
     'IN_FLIGHT',
     'PEER_BYTES',
     'PERMITS',
+    'RECORDS_GIVEN_UP',
+    'RECORDS_UNWRITTEN',
     'REFUSALS',
     'REQUESTS',
     'STORE_OPERATIONS',
@@ -42,6 +44,14 @@
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.7, 3.5, 7, 15, 30, 60, 120),
 )
 IN_FLIGHT: Final = Gauge('bergamotturn_in_flight', 'Requests in flight')
+RECORDS_UNWRITTEN: Final = Gauge(
+    'bergamotturn_records_unwritten',
+    'Answered calls whose idempotency record is not yet finished',
+)
+RECORDS_GIVEN_UP: Final = Counter(
+    'bergamotturn_records_given_up',
+    'Idempotency records left unfinished by a planned stop',
+)
 PERMITS: Final = Counter(
     'bergamotturn_permits',
     'Permit events at coordinators',
--- a/bergamotturn/process/service_holder.py
+++ b/bergamotturn/process/service_holder.py
@@ -37,7 +37,9 @@
 from ..request.service_flow import FlowPlace, FlowStep, ServiceFlow
 from ..request.table_health import TableHealth
 from ..version.settings import Settings
-from .metrics import REQUESTS
+from .events import records_changed
+from .metrics import RECORDS_UNWRITTEN, REQUESTS
+from .open_records import OpenRecords
 from .permit_events import PERMITS_CHANNEL, ask_permit, give_back
 from .timers import Timers
 
@@ -66,6 +68,7 @@
     flow: ServiceFlow
     row_key: str
     timer: int
+    retry_timer: int = 0
 
 
 _ANSWERS: Final = (Refuse, Reply, PassHead, PassData, PassEnd)
@@ -97,6 +100,8 @@
         self._by_row: dict[str, str] = {}
         self._by_exchange: dict[int, str] = {}
         self._by_operation: dict[int, str] = {}
+        self._records = OpenRecords()
+        self._longest_retry_s = float('inf')
 
     def _hold(self, call: ServiceCall, flow: ServiceFlow, row_key: str) -> None:
         now_s = monotonic()
@@ -108,6 +113,7 @@
         self._held[call.call_id] = _Held(call, flow, row_key, timer)
         if row_key:
             self._by_row.setdefault(row_key, call.call_id)
+            self._records.begin(call.call_id)
         self._advance(call.call_id, lambda started: started.start(now_s))
 
     def _advance(self, call_id: str, decide: FlowStep) -> bool:
@@ -117,12 +123,20 @@
         for action in decide(held.flow):
             if isinstance(action, _ANSWERS):
                 self._answer(call_id, action)
+                self._records.answer(call_id)
             elif isinstance(action, _BACKGROUND):
                 self._keep(held, action)
             else:
                 self._send(call_id, action)
+        self._tell_records()
         return True
 
+    def _tell_records(self) -> None:
+        counts = self._records.take_change()
+        if counts is not None:
+            RECORDS_UNWRITTEN.set(counts[1])
+            self.fire(records_changed(*counts), '*')
+
     def _answer(
         self,
         call_id: str,
@@ -153,16 +167,22 @@
             self._by_operation[action.operation.operation_id] = call_id
             self.fire(store_operation(action.operation), STORES)
         elif isinstance(action, Retry):
-            self._timers.call_after(
-                action.delay_s, service_retry(call_id), SERVICES
-            )
+            self._retry_after(held, action.delay_s)
         else:
             self._timers.cancel(held.timer)
             held.flow.close()
+            self._records.end(call_id)
             self._held.pop(call_id, None)
             if self._by_row.get(held.row_key) == call_id:
                 self._by_row.pop(held.row_key)
 
+    def _retry_after(self, held: _Held, delay_s: float) -> None:
+        held.retry_timer = self._timers.call_after(
+            min(delay_s, self._longest_retry_s),
+            service_retry(held.call.call_id),
+            SERVICES,
+        )
+
     def _send(
         self,
         call_id: str,
--- a/bergamotturn/process/service_task.py
+++ b/bergamotturn/process/service_task.py
@@ -33,7 +33,7 @@
 )
 from ..version.configuration import Configuration
 from ..version.settings import Settings
-from .events import MemberView, OrderView
+from .events import MemberView, OrderView, ShutdownPhase
 from .permit_events import PERMITS_CHANNEL, give_back
 from .service_holder import SERVICES, FlowHolder
 from .timers import Timers
@@ -43,6 +43,9 @@
 #: Calls held at once, those whose record is still written among them.
 _MAX_FLOWS: Final = 4096
 _TOKEN_BYTES: Final = 16
+#: Longest delay between two tries of a background write during a planned stop,
+#: which waits 10 s for them.
+_STOP_RETRY_S: Final = 1.0
 
 
 class _FlowReports(FlowHolder):
@@ -117,6 +120,9 @@
 
     def service_retry(self, call_id: str) -> None:
         """Let a flow go on in the background."""
+        held = self._held.get(call_id)
+        if held is not None:
+            held.retry_timer = 0
         self._advance(call_id, lambda flow: flow.on_retry())
 
 
@@ -164,6 +170,19 @@
         """Take the names of leaving endpoints."""
         self._place.choice.on_leaving(leaving)
 
+    def shutdown_phase_changed(self, phase: str) -> None:
+        """Hasten background writes, since a stop waits for them only so long.
+
+        A write that failed often would else be tried again after 30 s.
+        """
+        if phase != ShutdownPhase.leaving:
+            return
+        self._longest_retry_s = _STOP_RETRY_S
+        for held in self._held.values():
+            if held.retry_timer:
+                self._timers.cancel(held.retry_timer)
+                self._retry_after(held, 0)
+
     def configuration_changed(
         self, version_number: int, configuration: Configuration
     ) -> None:
--- a/bergamotturn/process/shutdown_task.py
+++ b/bergamotturn/process/shutdown_task.py
@@ -10,6 +10,7 @@
 from ..version.configuration import Configuration, Deployment, Policy
 from ..version.settings import Settings
 from .events import ShutdownPhase, shutdown_phase_changed
+from .metrics import RECORDS_GIVEN_UP
 from .shutdown import Shutdown
 from .timers import Timers
 
@@ -59,6 +60,10 @@
     def _on_in_flight_changed(self, in_flight_requests: int) -> None:
         self._shutdown.take_in_flight(in_flight_requests)
 
+    @handler('records_changed', channel='*')
+    def _on_records_changed(self, unanswered: int, unwritten: int) -> None:
+        self._shutdown.take_records(unanswered, unwritten)
+
     @handler('configuration_changed', channel='*')
     def _on_configuration_changed(
         self, version_number: int, configuration: Configuration
@@ -74,6 +79,7 @@
         if self._shutdown.advance(monotonic()):
             self._tell_phase()
         if self._shutdown.phase == ShutdownPhase.ended:
+            self._give_up_records()
             self.fire(shutdown_ended())
             return
         self._timers.call_after(_TICK_S, shutdown_tick(), self.channel)
@@ -82,6 +88,16 @@
     def _on_ended(self) -> None:
         self.root.stop()
 
+    def _give_up_records(self) -> None:
+        given_up = self._shutdown.unwritten_records
+        if not given_up:
+            return
+        RECORDS_GIVEN_UP.inc(given_up)
+        # Nothing reads the counter of a process that ends now.
+        log_message(
+            'records_given_up', instance=self._instance, records=given_up
+        )
+
     def _tell_phase(self) -> None:
         phase = self._shutdown.phase
         log_message('shutdown_phase', instance=self._instance, phase=phase)
--- a/features/steps/component_steps.py
+++ b/features/steps/component_steps.py
@@ -1,12 +1,15 @@
 """Steps that run the components in one process over a fake HTTP client."""
 
+from base64 import b64decode
 from threading import RLock
 from time import monotonic
+from urllib.parse import quote
 
 import msgspec
 from behave import given, then, when
 from circuits import Component
 from circuits.core.events import generate_events
+from prometheus_client import REGISTRY
 
 from bergamotturn.connection.exchange import (
     Address,
@@ -24,11 +27,17 @@
 from bergamotturn.connection.stores import Stores
 from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.process.configuration_task import ConfigurationTask
-from bergamotturn.process.events import publish_configuration
+from bergamotturn.process.events import (
+    publish_configuration,
+    stop_requested,
+)
 from bergamotturn.process.permit_events import permit_granted
 from bergamotturn.process.service_task import ServiceTask
+from bergamotturn.process.shutdown import Shutdown
+from bergamotturn.process.shutdown_task import ShutdownTask
 from bergamotturn.process.timers import Timers
-from bergamotturn.request.calls import submit_service
+from bergamotturn.request.call_record import call_row_key, decode_record
+from bergamotturn.request.calls import caller_gone, submit_service
 from bergamotturn.version.configuration import encode_configuration
 from bergamotturn.version.settings import PlatformSettings, Settings
 from features.support.samples import call, fees, grant
@@ -51,8 +60,17 @@
         self.answer = answer
         self.kept = {}
         self.served = []
+        self.waiting = []
+        self.refuses_results = False
+        self.holds_calls = False
 
     def start_exchange(self, exchange):
+        if self.holds_calls and exchange.address != _HERE:
+            self.waiting.append(exchange)
+        else:
+            self.finish(exchange)
+
+    def finish(self, exchange):
         if self.answer in {'lost after send', 'not sent'}:
             sent = self.answer == 'lost after send'
             failure = Failure(ErrorKind.endpoint_lost)
@@ -73,6 +91,8 @@
             self.kept.setdefault(exchange.path, exchange.body)
             return 200, self.kept[exchange.path]
         version, row = self.kept.get(exchange.path, (0, ''))
+        if self.refuses_results and version and exchange.method == 'PUT':
+            return _BROKEN['503']
         if exchange.method == 'PUT':
             form = msgspec.json.decode(exchange.body)
             if form['expected_version'] == version:
@@ -97,6 +117,10 @@
         self.outcomes = []
         self.bodies = []
         self.permits = 0
+        self.phases = {}
+
+    def shutdown_phase_changed(self, phase):
+        self.phases[phase] = monotonic()
 
     def store_outcome(self, outcome):
         self.outcomes.append(outcome.status.value)
@@ -125,9 +149,11 @@
         ),
         operator_token_digest='',
     )
+    context.settings = settings
     context.root = Component()
     context.lock = RLock()
     timers = Timers().register(context.root)
+    context.timers = timers
     context.http = _FakeHttp(answer).register(context.root)
     context.observer = _Observer().register(context.root)
     for component in (Stores, ServiceTask, ConfigurationTask):
@@ -174,14 +200,7 @@
 @when('the same charge of {size:d} bytes is submitted twice')
 def submit_twice(context, size):
     for number in range(2):
-        charge = call(
-            f'a/boot/{number}',
-            monotonic() + 5,
-            headers=(Header('authorization', 'Bearer secret'),),
-            body=bytes(size),
-        )
-        context.root.fire(submit_service(charge), 'services')
-        _turn(context)
+        _charge(context, number, size)
 
 
 @then('the service ran it once and did not see the API key')
@@ -202,6 +221,124 @@
     assert context.observer.permits == 0
 
 
+@given('a planned stop that waits {wait_s:d} s for records')
+def short_stop(context, wait_s):
+    context.given_up = _given_up()
+    task = ShutdownTask(context.settings, 'boot', context.timers)
+    task._shutdown = Shutdown(0, 20, wait_s)
+    task.register(context.root)
+
+
+@when('the table refuses results')
+def refuse_results(context):
+    context.http.refuses_results = True
+
+
+@when('a charge is answered and its instance stopped')
+def charge_and_stop(context):
+    _charge(context, 0, 40)
+    assert context.observer.bodies, 'the caller has no answer'
+    context.root.fire(stop_requested())
+
+
+@when('the table takes results again {back_s:g} s after draining began')
+def take_results(context, back_s):
+    if _runs_on(context, back_s):
+        context.http.refuses_results = False
+
+
+@when(
+    'a charge is answered and its result tried until the next try is 2 s away'
+)
+def charge_tried_often(context):
+    _charge(context, 0, 40)
+    # The tries are 0.5, 1 and 2 s apart.
+    _turn(context, 1.7)
+    refused = context.observer.outcomes.count('refused')
+    assert refused == 3, context.observer.outcomes
+
+
+@when('the table takes results again and the instance is stopped')
+def take_results_and_stop(context):
+    context.http.refuses_results = False
+    context.root.fire(stop_requested())
+
+
+@when('the service takes its time over a charge whose caller leaves')
+def slow_charge(context):
+    context.http.holds_calls = True
+    _charge(context, 0, 40)
+    assert context.http.waiting
+    context.root.fire(caller_gone('a/boot/0'), 'services')
+
+
+@when('the instance is stopped')
+def stop_instance(context):
+    context.root.fire(stop_requested())
+
+
+@when('the service answers {late_s:g} s after draining began')
+def late_service(context, late_s):
+    if _runs_on(context, late_s):
+        context.http.finish(context.http.waiting.pop())
+
+
+@then('the instance ends {least_s:g} to {most_s:g} s after draining began')
+def ends_in_time(context, least_s, most_s):
+    phases = context.observer.phases
+    while 'draining' not in phases:
+        _turn(context, 0.02)
+    until_s = phases['draining'] + most_s
+    while 'ended' not in phases and monotonic() < until_s:
+        _turn(context, 0.02)
+    took_s = phases.get('ended', float('inf')) - phases['draining']
+    assert least_s <= took_s <= most_s, took_s
+
+
+@then('the result of the charge is {kept}, with {given_up:d} records given up')
+def compare_kept(context, kept, given_up):
+    assert _is_kept(context) == (kept == 'kept')
+    assert _given_up() - context.given_up == given_up
+
+
+@then('the result of the charge is kept within {most_s:g} s')
+def kept_soon(context, most_s):
+    _turn(context, most_s)
+    assert _is_kept(context)
+
+
+def _charge(context, number, size):
+    charge = call(
+        f'a/boot/{number}',
+        monotonic() + 20,
+        headers=(Header('authorization', 'Bearer secret'),),
+        body=bytes(size),
+    )
+    context.root.fire(submit_service(charge), 'services')
+    _turn(context)
+
+
+def _runs_on(context, after_s):
+    """Return whether the instance still runs ``after_s`` into draining."""
+    phases = context.observer.phases
+    while 'ended' not in phases:
+        _turn(context, 0.02)
+        if monotonic() >= phases.get('draining', float('inf')) + after_s:
+            return True
+    return False
+
+
+def _is_kept(context):
+    path = '/rows/{0}'.format(quote(call_row_key('w', 'k'), safe=''))
+    _, value = context.http.kept[path]
+    return decode_record(b64decode(value)).kept is not None
+
+
+def _given_up():
+    name = 'bergamotturn_records_given_up_total'
+    return REGISTRY.get_sample_value(name) or 0
+
+
 def _write(context):
     operation = RowWrite(
         operation_id=next_operation_id(),
