Judge a stalled caller by what it read, and make the limit a setting

Cause: the stall limit of the callers' listener had no scenario, and the first one failed. The server took the time at which the socket last took bytes as the caller's progress. The kernel holds up to 4 MB for a slow caller and reports the socket as writable only when a third of that is free. A caller that read 16 KB each 0.1 s was closed after 3.9 MB under a limit of 1 s; under the usual 30 s this meets callers slower than 47 KB/s (4 MB / 3 in 30 s, computed).

Ruled out: a smaller send buffer (it would bound the throughput of every connection over long distances); counting writable events (they come as seldom as the bytes are taken).

Change: the server looks at a watched caller four times in the limit and compares what it acknowledged (bytes written, less those pending here and those in the kernel's queue, TIOCOUTQ). It is closed after a whole limit without a change. The limit is the setting stall_s of [limits], 30 as before.

Conclusion: the limit closes who reads nothing and spares who reads slowly.

--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -8,9 +8,12 @@
 """
 
 import ssl
+import struct
 from contextlib import suppress
 from dataclasses import dataclass
+from fcntl import ioctl
 from socket import SHUT_WR, socket
+from termios import TIOCOUTQ
 from time import monotonic
 from typing import Final, final
 
@@ -26,8 +29,9 @@
 
 _READ_BYTES: Final = 65_536
 
-#: A caller that takes no byte for this long is closed.
-_STALL_S: Final = 30
+#: Looks at a caller in one stall limit. It is closed at the first look after
+#: the limit, hence at most a quarter later.
+_STALL_LOOKS: Final = 4
 
 #: Output that may wait for one caller when more is added; one whole answer may
 #: be longer.
@@ -37,6 +41,9 @@
 #: caller reads the answer.
 _LINGER_S: Final = 2
 
+#: Form of the kernel's count of output that was not acknowledged.
+_INT: Final = struct.Struct('i')
+
 _NOT_READY: Final = (
     BlockingIOError,
     InterruptedError,
@@ -45,7 +52,7 @@
 )
 
 
-class _stall_limit_passed(Event):
+class _stall_look(Event):
     """Check whether the caller on ``sock`` takes bytes."""
 
 
@@ -58,11 +65,16 @@
 class _Outlet:
     """State of one connection.
 
-    :param progress_s: monotonic time at which the caller last took bytes.
+    :param pending_bytes: output that the socket did not take yet.
+    :param written_bytes: all output so far.
+    :param taken_bytes: how much of it the caller had taken at the last look.
+    :param progress_s: monotonic time at which it last was more than before.
     :param is_lingering: whether input is thrown away until the end.
     """
 
     pending_bytes: int = 0
+    written_bytes: int = 0
+    taken_bytes: int = 0
     progress_s: float = 0
     is_watched: bool = False
     is_handshaking: bool = False
@@ -74,6 +86,7 @@
     """The library's TCP server with limits.
 
     :param unread_total: output in bytes that may wait for all callers.
+    :param stall_s: a caller that takes no byte for this long is closed.
     """
 
     def __init__(
@@ -82,6 +95,7 @@
         channel: str,
         timers: Timers,
         unread_total: int,
+        stall_s: float,
         tls: TlsSettings | None = None,
     ) -> None:
         """Listen on ``address``."""
@@ -90,6 +104,7 @@
         )
         self._timers = timers
         self._unread_total = unread_total
+        self._stall_s = stall_s
         self._pending_total = 0
         self._outlets: dict[socket, _Outlet] = {}
         self._tls = _tls_context(tls) if tls else None
@@ -133,6 +148,7 @@
             self._close(sock)
             return
         outlet.pending_bytes += len(data)
+        outlet.written_bytes += len(data)
         self._pending_total += len(data)
         self._buffers[sock].append(data)
         if outlet.is_handshaking or self._poller.isWriting(sock):
@@ -163,24 +179,31 @@
             return
         outlet.is_watched = True
         outlet.progress_s = monotonic()
+        outlet.taken_bytes = _taken_bytes(sock, outlet)
+        self._look_later(sock)
+
+    def _look_later(self, sock: socket) -> None:
         self._timers.call_after(
-            _STALL_S, _stall_limit_passed(sock), self.channel
+            self._stall_s / _STALL_LOOKS, _stall_look(sock), self.channel
         )
 
-    @handler('_stall_limit_passed')
-    def _on_stall_limit(self, sock: socket) -> None:
+    @handler('_stall_look')
+    def _on_stall_look(self, sock: socket) -> None:
         outlet = self._outlets.get(sock)
         if outlet is None:
             return
-        outlet.is_watched = False
         if not outlet.pending_bytes:
+            outlet.is_watched = False
             return
-        left_s = outlet.progress_s + _STALL_S - monotonic()
-        if left_s <= 0:
+        now_s = monotonic()
+        taken_bytes = _taken_bytes(sock, outlet)
+        if taken_bytes != outlet.taken_bytes:
+            outlet.taken_bytes = taken_bytes
+            outlet.progress_s = now_s
+        if now_s - outlet.progress_s >= self._stall_s:
             self._close(sock)
             return
-        outlet.is_watched = True
-        self._timers.call_after(left_s, _stall_limit_passed(sock), self.channel)
+        self._look_later(sock)
 
     @handler('_write', priority=1)
     def _on_write(self, sock: socket) -> None:
@@ -215,7 +238,6 @@
             self._close(sock)
             return
         if taken:
-            outlet.progress_s = monotonic()
             outlet.pending_bytes -= taken
             self._pending_total -= taken
         if taken < len(data):
@@ -287,6 +309,17 @@
         super()._close(sock)
 
 
+def _taken_bytes(sock: socket, outlet: _Outlet) -> int:
+    """Return how much output the caller has taken.
+
+    The kernel holds megabytes for a slow caller and asks for more only when a
+    third of that is free, so what the socket takes shows no progress for long.
+    """
+    queued = ioctl(sock.fileno(), TIOCOUTQ, bytes(_INT.size))
+    unsent_bytes = outlet.pending_bytes + _INT.unpack(queued)[0]
+    return outlet.written_bytes - unsent_bytes
+
+
 def _tls_context(tls: TlsSettings) -> ssl.SSLContext:
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(tls.certificate, tls.private_key)
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -71,7 +71,12 @@
         self._timers = timers
         self._calls: dict[socket, WebCall] = {}
         self._server = GuardedServer(
-            address, self.channel, timers, limits.buffered_bytes, tls
+            address,
+            self.channel,
+            timers,
+            limits.buffered_bytes,
+            limits.stall_s,
+            tls,
         ).register(self)
         self._guard = InputGuard(
             self.channel, self._server, limits, timers
--- a/bergamotturn/version/settings.py
+++ b/bergamotturn/version/settings.py
@@ -43,10 +43,12 @@
 
 @final
 class Limits(_Part, frozen=True, kw_only=True):
-    """Limits on what callers may send.
+    """Limits on what callers may send, and on how they read.
 
     :param request_s: longest time to a complete request.
     :param buffered_bytes: most bytes held for requests that are incomplete.
+    :param stall_s: a caller that takes no byte of its answer for so long is
+        closed.
     """
 
     header_bytes: int = 16_384
@@ -54,6 +56,7 @@
     buffered_bytes: int = 134_217_728
     request_s: float = 30
     connections: int = 2000
+    stall_s: float = 30
 
 
 @final
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -140,6 +140,14 @@
     Then the components are told that its caller is gone
     And the process never held more than 40 MB above its start
 
+  Scenario: A caller that reads nothing of a long answer
+    Guards against an answer and its connection that are held for ever by a
+    caller which stops reading, and against closing one which reads slowly.
+    Given a listener process that closes stalled callers after 1 s
+    When a streamed call to "long" is sent by a caller that does not read
+    Then the components are told after 1 to 4 s
+    And a caller that reads a little of "long" each 0.1 s gets all
+
   Scenario: A fault in the process
     Guards against a trace that is shown to a caller.
     When a streamed call to "fault" is sent
--- a/features/listener_process.py
+++ b/features/listener_process.py
@@ -1,7 +1,7 @@
 """A caller listener in a process of its own, with stubs behind it.
 
 Started by the steps of ``bad_input.feature``; the arguments are the port and
-the time to a complete request.
+the limits that differ from the usual ones, as JSON.
 Chat calls for the model ``echo`` are answered with their prompt; the other
 models are named after what their stub does wrong.
 """
@@ -34,6 +34,8 @@
 _STREAM = (Header('Content-Type', 'text/event-stream'),)
 _JSON = (Header('Content-Type', 'application/json'),)
 _FLOOD_PART = bytes(65_536)
+#: More than the buffers of both ends of a connection take.
+_LONG_PART = bytes(16_000_000)
 
 
 class _flood(Event):
@@ -83,6 +85,10 @@
         self._flooding.add(call.call_id)
         self._on_flood(call.call_id)
 
+    def _answer_long(self, call):
+        self._reply(reply_head(call.call_id, 200, _STREAM))
+        self._reply(reply_data(call.call_id, _LONG_PART))
+
     def _answer_fault(self, call):
         self._reply(reply_head(call.call_id, 'not a status', ()))
 
@@ -119,7 +125,7 @@
     sys.stdout.flush()
 
 
-def _settings(port, request_s):
+def _settings(port, limits):
     nowhere = {'host': '127.0.0.1', 'port': 1}
     content = {
         'instance': 'a1',
@@ -135,15 +141,24 @@
             'header_bytes': 8_192,
             'body_bytes': 1_000_000,
             'buffered_bytes': 3_000_000,
-            'request_s': request_s,
             'connections': 40,
+            **limits,
         },
     }
     return msgspec.convert(content, Settings)
 
 
 def _configuration():
-    models = ('echo', 'cut', 'flood', 'fault', 'drain', 'silent', 'other')
+    models = (
+        'echo',
+        'cut',
+        'flood',
+        'long',
+        'fault',
+        'drain',
+        'silent',
+        'other',
+    )
     limits = {'max_prompt_tokens': 200_000, 'deadline_s': 20}
     digest = sha256(b'north-key').hexdigest()
     uses = (*models[:-1], 'fees')
@@ -159,7 +174,7 @@
     """Serve until killed."""
     timers = Timers()
     listener = CallerListener(
-        _settings(int(sys.argv[1]), float(sys.argv[2])),
+        _settings(int(sys.argv[1]), msgspec.json.decode(sys.argv[2])),
         'b',
         timers,
         _NoChoice(),
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -183,9 +183,19 @@
 
 @given('a listener process that gives requests {request_s:g} s')
 def start_listener(context, request_s):
+    _start(context, request_s=request_s)
+
+
+@given('a listener process that closes stalled callers after {stall_s:g} s')
+def start_stall_listener(context, stall_s):
+    _start(context, stall_s=stall_s)
+
+
+def _start(context, **limits):
     with socket.create_server(('127.0.0.1', 0)) as free:
         context.port = free.getsockname()[1]
-    arguments = ('features.listener_process', str(context.port), str(request_s))
+    port, encoded = str(context.port), json.dumps(limits)
+    arguments = ('features.listener_process', port, encoded)
     context.process = subprocess.Popen(  # noqa: S603
         (sys.executable, '-m', *arguments),
         cwd=_ROOT,
@@ -361,6 +371,35 @@
     context.caller.send(_chat(model, stream=True))
 
 
+@when('a streamed call to "{model}" is sent by a caller that does not read')
+def unread_call(context, model):
+    context.began_s = time.monotonic()
+    streamed_call(context, model)
+
+
+@then('the components are told after {least_s:g} to {most_s:g} s')
+def told_in_time(context, least_s, most_s):
+    told_gone(context)
+    took_s = time.monotonic() - context.began_s
+    assert least_s <= took_s <= most_s, took_s
+
+
+@then('a caller that reads a little of "{model}" each {pause_s:g} s gets all')
+def slow_reader(context, model, pause_s):
+    """Read slowly for three stall limits, then the rest."""
+    streamed_call(context, model)
+    sock = context.caller.sock
+    count = 0
+    until_s = time.monotonic() + 3
+    while time.monotonic() < until_s:
+        time.sleep(pause_s)
+        count += len(sock.recv(16_384))
+    while count < 16_000_000:
+        data = sock.recv(65_536)
+        assert data, f'the connection ended after {count} bytes'
+        count += len(data)
+
+
 @then('its answer ends with an error event and no end marker')
 def cut_answer(context):
     status, _, body = context.caller.read_answer()
