Test the callers' listener over TLS

Cause: TLS of the callers' listener had been tried by hand only.

Ruled out: a certificate made at each run (it would need the openssl command or an undeclared library); one without a fixed long validity. The pair in features/support/tls is self-signed for 127.0.0.1, valid from 2020 to 2120, and used by nothing but these tests.

Change: tls.feature with a listener process of its own: whole and streamed answers of 5 and 600,000 characters on one connection, a plain HTTP call, and 8 clients that stall before or within the first message of the handshake. The listener process takes the certificate beside its limits. No change of the program.

The code that reads on while the TLS layer holds decrypted bytes makes no difference to these scenarios: a read of 64 KB takes a whole record of 16 KB.

Conclusion: calls over TLS are served whole, and neither plain HTTP nor a stalled handshake holds anything up.

--- a/features/listener_process.py
+++ b/features/listener_process.py
@@ -1,7 +1,7 @@
 """A caller listener in a process of its own, with stubs behind it.
 
-Started by the steps of ``bad_input.feature``; the arguments are the port and
-the limits that differ from the usual ones, as JSON.
+Started by the steps of ``bad_input.feature`` and ``tls.feature``; the arguments
+are the port and, as JSON, the limits and the certificate in the settings.
 Chat calls for the model ``echo`` are answered with their prompt; the other
 models are named after what their stub does wrong.
 """
@@ -125,7 +125,7 @@
     sys.stdout.flush()
 
 
-def _settings(port, limits):
+def _settings(port, limits, caller_tls=None):
     nowhere = {'host': '127.0.0.1', 'port': 1}
     content = {
         'instance': 'a1',
@@ -144,6 +144,7 @@
             'connections': 40,
             **limits,
         },
+        'caller_tls': caller_tls,
     }
     return msgspec.convert(content, Settings)
 
@@ -174,7 +175,7 @@
     """Serve until killed."""
     timers = Timers()
     listener = CallerListener(
-        _settings(int(sys.argv[1]), msgspec.json.decode(sys.argv[2])),
+        _settings(int(sys.argv[1]), **msgspec.json.decode(sys.argv[2])),
         'b',
         timers,
         _NoChoice(),
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -4,6 +4,7 @@
 import re
 import select
 import socket
+import ssl
 import subprocess  # noqa: S404
 import sys
 import threading
@@ -21,6 +22,9 @@
 #: Far above any expected time; reached only by a hang.
 _HANG_S = 30
 
+#: A self-signed certificate for 127.0.0.1, valid until 2120, and its key.
+_CERTIFICATE = _ROOT / 'features' / 'support' / 'tls' / 'listener.crt'
+
 _KEY = b'Host: a\r\nAuthorization: Bearer north-key\r\n'
 _POST = b'POST /v1/chat/completions HTTP/1.1\r\n%b' % _KEY
 _MODELS = b'GET /v1/models HTTP/1.1\r\n%b\r\n' % _KEY
@@ -34,6 +38,10 @@
         self.sock = socket.create_connection(
             ('127.0.0.1', context.port), timeout=_HANG_S
         )
+        if 'tls' in context:
+            self.sock = context.tls.wrap_socket(
+                self.sock, server_hostname='127.0.0.1'
+            )
         self.received = b''
         context.add_cleanup(self.sock.close)
 
@@ -92,8 +100,8 @@
         assert not self.received, self.received
 
 
-def _chat(model, stream=False, headers=b''):
-    messages = [{'role': 'user', 'content': 'hello'}]
+def _chat(model, stream=False, headers=b'', text='hello'):
+    messages = [{'role': 'user', 'content': text}]
     content = {'model': model, 'stream': stream, 'messages': messages}
     return _post(json.dumps(content).encode(), headers)
 
@@ -191,10 +199,21 @@
     _start(context, stall_s=stall_s)
 
 
-def _start(context, **limits):
+@given('a listener process with a certificate that gives requests {time_s:g} s')
+def start_tls_listener(context, time_s):
+    context.tls = ssl.create_default_context(cafile=_CERTIFICATE)
+    certificate = {
+        'certificate': str(_CERTIFICATE),
+        'private_key': str(_CERTIFICATE.with_suffix('.key')),
+    }
+    _start(context, certificate, request_s=time_s)
+
+
+def _start(context, certificate=None, **limits):
     with socket.create_server(('127.0.0.1', 0)) as free:
         context.port = free.getsockname()[1]
-    port, encoded = str(context.port), json.dumps(limits)
+    changes = {'limits': limits, 'caller_tls': certificate}
+    port, encoded = str(context.port), json.dumps(changes)
     arguments = ('features.listener_process', port, encoded)
     context.process = subprocess.Popen(  # noqa: S603
         (sys.executable, '-m', *arguments),
@@ -428,3 +447,89 @@
 @then('its answer is "{code}" and the end of its connection')
 def internal_error(context, code):
     context.caller.read_last_error(code)
+
+
+@then('calls over TLS with {size:d} characters are answered in full')
+def answered_over_tls(context, size):
+    text = 'a' * size
+    caller = _Caller(context)
+    caller.send(_chat('echo', text=text))
+    status, _, body = caller.read_answer()
+    content = json.loads(body)['choices'][0]['message']['content']
+    assert (status, content) == (200, f'user: {text}'), (status, len(body))
+    caller.send(_chat('echo', stream=True, text=text))
+    status, _, body = caller.read_answer()
+    assert status == 200
+    events = body.decode().split('\n\n')
+    assert events[-2:] == ['data: [DONE]', ''], events[-2:]
+    chunks = [json.loads(event.partition(' ')[2]) for event in events[:-2]]
+    parts = [chunk['choices'][0]['delta'].get('content') for chunk in chunks]
+    assert ''.join(filter(None, parts)) == f'user: {text}'
+
+
+@when('{count:d} clients {stall} and send nothing more')
+def stalled_clients(context, count, stall):
+    sent = _handshake_start(context) if 'first' in stall else b''
+    context.stalled = [_connect(context) for _ in range(count)]
+    for sock in context.stalled:
+        sock.sendall(sent)
+    context.began_s = time.monotonic()
+
+
+@then('a call over TLS is answered within {most_s:g} s meanwhile')
+def answered_meanwhile(context, most_s):
+    began_s = time.monotonic()
+    assert _serves(context)
+    took_s = time.monotonic() - began_s
+    assert took_s <= most_s, took_s
+    ready, _, _ = select.select(context.stalled, (), (), 0)
+    assert not ready, 'a stalled client was closed or answered already'
+
+
+@then('each stalled client is closed without an answer within {most_s:g} s')
+def stalled_closed(context, most_s):
+    for sock in context.stalled:
+        assert not _read_all(sock)
+    took_s = time.monotonic() - context.began_s
+    assert took_s <= most_s, took_s
+
+
+@then('a plain HTTP call gets no answer and the end of its connection')
+def plain_call(context):
+    sock = _connect(context)
+    sock.sendall(_MODELS)
+    received = _read_all(sock)
+    # A TLS alert may come before the end.
+    assert not received or received[0] == 21, received
+    assert len(received) <= 7, received
+
+
+def _handshake_start(context):
+    """Return the first half of a client's first message."""
+    outgoing = ssl.MemoryBIO()
+    client = context.tls.wrap_bio(
+        ssl.MemoryBIO(), outgoing, server_hostname='127.0.0.1'
+    )
+    with suppress(ssl.SSLWantReadError):
+        client.do_handshake()
+    data = outgoing.read()
+    return data[: len(data) // 2]
+
+
+def _connect(context):
+    sock = socket.create_connection(
+        ('127.0.0.1', context.port), timeout=_HANG_S
+    )
+    context.add_cleanup(sock.close)
+    return sock
+
+
+def _read_all(sock):
+    received = b''
+    data = b'more'
+    while data:
+        data = b''
+        with suppress(ConnectionResetError):
+            data = sock.recv(65536)
+        received += data
+    return received
