--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -17,8 +17,11 @@
     'IN_FLIGHT',
     'PEER_BYTES',
     'PERMITS',
+    'RECORDS_GIVEN_UP',
+    'RECORDS_UNWRITTEN',
     'REFUSALS',
     'REQUESTS',
+    'RESULTS_SWEPT',
     'STORE_OPERATIONS',
     'STREAM_EVENTS',
     'prompt_bucket',
@@ -43,6 +46,18 @@
     buckets=(0.05, 0.1, 0.2, 0.4, 0.8, 1.7, 3.5, 7, 15, 30, 60, 120),
 )
 IN_FLIGHT: Final = Gauge('bergamotturn_in_flight', 'Requests in flight')
+RECORDS_UNWRITTEN: Final = Gauge(
+    'bergamotturn_records_unwritten',
+    'Answered calls whose idempotency record is not yet finished',
+)
+RECORDS_GIVEN_UP: Final = Counter(
+    'bergamotturn_records_given_up',
+    'Idempotency records left unfinished by a planned stop',
+)
+RESULTS_SWEPT: Final = Counter(
+    'bergamotturn_results_swept',
+    'Expired results of idempotent calls dropped by the sweep',
+)
 PERMITS: Final = Counter(
     'bergamotturn_permits',
     'Permit events at coordinators',
