--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -27,6 +27,7 @@
     'Cost',
     'EndpointIncarnation',
     'Envelope',
+    'LeaseAnnounce',
     'MemberState',
     'MemberUpdate',
     'OrderState',
@@ -269,21 +270,42 @@
 
 @final
 class CoordinatorAnnounce(_Message, frozen=True, kw_only=True):
-    """Tell who coordinates an endpoint, and under which epoch."""
+    """Who coordinates an endpoint, and under which epoch.
+
+    Instances hear it as part of a :class:`LeaseAnnounce`.
+    """
 
     endpoint: str
     instance: str
     epoch: int
 
 
+@final
+class LeaseAnnounce(_Message, frozen=True, kw_only=True):
+    """Tell who coordinates the endpoints of a lease group.
+
+    :param epoch: fencing number of the coordinator.
+    """
+
+    group: str
+    instance: str
+    epoch: int
+    endpoints: tuple[str, ...]
+
+
 @final
 class PromiseAsk(_Message, frozen=True, kw_only=True):
-    """Ask a peer not to take over a lease for ``promise_s``."""
+    """Ask a peer not to take over a lease for ``promise_s``.
+
+    :param epoch: of the lease row.
+    :param version: configuration version in force at the asker.
+    """
 
     number: int
-    endpoint: str
+    group: str
     epoch: int
     promise_s: float
+    version: int
 
 
 @final
@@ -291,7 +313,7 @@
     """Promise not to take over, counted by the asker from its ask."""
 
     number: int
-    endpoint: str
+    group: str
     epoch: int
 
 
@@ -326,7 +348,7 @@
     | PermitGrant
     | PermitBusy
     | PermitRelease
-    | CoordinatorAnnounce
+    | LeaseAnnounce
     | PromiseAsk
     | PromiseGiven
     | BurnAsk
@@ -361,7 +383,7 @@
         PermitGrant: 'permits',
         PermitBusy: 'permits',
         PermitRelease: 'admission',
-        CoordinatorAnnounce: 'admission',
+        LeaseAnnounce: 'admission',
         PromiseAsk: 'admission',
         PromiseGiven: 'admission',
         BurnAsk: 'burn',
--- a/bergamotturn/process/admission.py
+++ b/bergamotturn/process/admission.py
@@ -23,7 +23,7 @@
 from .actions import SendTo
 from .ask_queue import AskQueue, Waiting
 from .invariants import check_invariant
-from .lease import PERMIT_START_S
+from .lease_actions import PERMIT_START_S
 from .ledger import (
     ARRIVAL_S,
     CoordinatorTerms,
--- a/bergamotturn/process/admission_duty.py
+++ b/bergamotturn/process/admission_duty.py
@@ -1,17 +1,20 @@
-"""One instance's part in coordinating one endpoint.
+"""One instance's part in coordinating one lease group of endpoints.
 
-Joins the lease and the coordinator that lives while the lease is held, and
-turns messages and answers into actions. No socket, no clock.
+Joins the group's lease and the coordinators of its endpoints, which live
+while the lease is held, and turns messages and answers into actions. No
+socket, no clock.
 """
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from operator import attrgetter
 from typing import Final, assert_never, final
 
 from ..connection.engine_control import EngineLoad, EngineStatus
 from ..connection.peer_messages import (
     CoordinatorAnnounce,
     Envelope,
+    LeaseAnnounce,
     MemberState,
     MemberUpdate,
     PermitAsk,
@@ -22,90 +25,31 @@
 )
 from ..connection.store_events import StoreOutcome
 from .actions import SendTo
-from .admission import Coordinator
-from .lease import (
+from .endpoint_coordination import EndpointCoordination, EngineAction
+from .lease import Lease
+from .lease_actions import (
     LEASE_S,
     AskPromises,
     Identity,
-    Lease,
     LeaseAction,
     LeaseLost,
     LeaseTaken,
     ReadLease,
     WriteLease,
 )
+from .lease_group import fencing_number, lease_epoch
 from .ledger import CoordinatorTerms
 from .orphans import alive_instances, rank_instances
 
-__all__ = (
-    'AskLoad',
-    'AskStatus',
-    'Duty',
-    'DutyAction',
-    'GiveEpoch',
-)
+__all__ = ('Duty', 'DutyAction', 'coordinators_of')
 
-#: Time between two looks at an engine, and between repeated announcements.
-_LOOK_S: Final = 1.0
-#: After a mismatch the status is asked for sooner, but not in a tight loop.
-_LOOK_AGAIN_S: Final = 0.1
+#: Time between repeated announcements.
+_REPEAT_S: Final = 1.0
 #: Instances that watch a lease beside its holder.
 _CANDIDATES: Final = 2
 
 
-@final
-@dataclass(slots=True, frozen=True)
-class AskStatus:
-    """Ask the engine for its status."""
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class AskLoad:
-    """Ask the engine for its load report."""
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class GiveEpoch:
-    """Tell the engine the coordinator's epoch."""
-
-    epoch: int
-
-
-DutyAction = SendTo | ReadLease | WriteLease | AskStatus | AskLoad | GiveEpoch
-
-
-@final
-@dataclass(slots=True)
-class _EngineView:
-    """When the engine was last looked at, and which epoch it knows."""
-
-    status_s: float = 0
-    load_s: float = 0
-    epoch: int = 0
-    start_id: str = ''
-
-    def note(self, status: EngineStatus | None) -> None:
-        """Give the epoch again after a restart, which forgets it."""
-        if status is None or status.incarnation.start_id == self.start_id:
-            return
-        self.start_id = status.incarnation.start_id
-        self.epoch = 0
-
-    def look(self, now_s: float, coordinator: Coordinator) -> list[DutyAction]:
-        actions: list[DutyAction] = []
-        pause_s = _LOOK_AGAIN_S if coordinator.wants_status else _LOOK_S
-        if now_s - self.status_s >= pause_s:
-            self.status_s = now_s
-            actions.append(AskStatus())
-        if now_s - self.load_s < _LOOK_S:
-            return actions
-        self.load_s = now_s
-        actions.append(AskLoad())
-        if self.epoch < coordinator.epoch:
-            actions.append(GiveEpoch(coordinator.epoch))
-        return actions
+DutyAction = SendTo | ReadLease | WriteLease | EngineAction
 
 
 @final
@@ -113,12 +57,12 @@
 class _Announcements:
     """The newest coordinator that is known, and who is told of it."""
 
-    newest: CoordinatorAnnounce | None = None
+    newest: LeaseAnnounce | None = None
     members: tuple[str, ...] = ()
     told_s: float = 0
     turn: int = 0
 
-    def note(self, announce: CoordinatorAnnounce) -> None:
+    def note(self, announce: LeaseAnnounce) -> None:
         if self.newest is None or announce.epoch > self.newest.epoch:
             self.newest = announce
 
@@ -133,7 +77,7 @@
         A message can be lost and a new instance knows no coordinator; one
         member a second costs little in a large fleet.
         """
-        if now_s - self.told_s < _LOOK_S or not self.members:
+        if now_s - self.told_s < _REPEAT_S or not self.members:
             return []
         self.told_s = now_s
         self.turn = (self.turn + 1) % len(self.members)
@@ -143,34 +87,91 @@
 
 @final
 class Duty:
-    """Lease and, while it is held, coordinator of one endpoint."""
+    """Lease and, while it is held, coordinators of one group's endpoints."""
 
     __slots__ = (
         '_announcements',
-        '_engine',
         '_identity',
         '_lease',
-        'coordinator',
-        'terms',
+        '_taken_s',
+        '_version',
+        'endpoints',
+        'group',
     )
 
     def __init__(
-        self, identity: Identity, terms: CoordinatorTerms, started_s: float
+        self, identity: Identity, group: str, started_s: float
     ) -> None:
-        """Start without a part in the endpoint's coordination."""
+        """Start without endpoints and without a part in the coordination."""
         self._identity = identity
+        self.group = group
         self._lease = Lease(identity, started_s)
-        self._engine = _EngineView()
         self._announcements = _Announcements()
-        #: Set while the lease is held.
-        self.coordinator: Coordinator | None = None
-        self.terms = terms
+        self._taken_s: float = 0
+        self._version = 0
+        #: By name, as the configuration in force here has them.
+        self.endpoints: dict[str, EndpointCoordination] = {}
 
     @property
-    def announce(self) -> CoordinatorAnnounce | None:
-        """Return the newest coordinator that is known."""
+    def announce(self) -> LeaseAnnounce | None:
+        """Return the newest announcement that is known."""
         return self._announcements.newest
 
+    @property
+    def is_coordinator(self) -> bool:
+        """Return whether this instance coordinates an endpoint here."""
+        return any(
+            known.coordinator is not None for known in self.endpoints.values()
+        )
+
+    def configure(
+        self,
+        now_s: float,
+        version_number: int,
+        all_terms: Iterable[CoordinatorTerms],
+    ) -> list[DutyAction]:
+        """Take the endpoints that a configuration version has in the group.
+
+        An instance that skipped a version cannot know whether another group
+        had an endpoint meanwhile, so it starts with each anew.
+        """
+        followed = version_number == self._version + 1
+        earlier = self.endpoints
+        self.endpoints = {}
+        for terms in all_terms:
+            name = terms.endpoint.name
+            kept = earlier.pop(name, None) if followed else None
+            self.endpoints[name] = kept or EndpointCoordination(terms, now_s)
+            self.endpoints[name].change_terms(terms)
+        self._version = version_number
+        self._lease.use_version(version_number)
+        return _stop_all(earlier.values())
+
+    def confirmed(
+        self, now_s: float, version_number: int, asked_s: float
+    ) -> list[DutyAction]:
+        """Take that the table showed the version in force here as accepted.
+
+        Only then does a holder coordinate, so that its fencing number has
+        a version no older than that of any coordinator before it.
+
+        :param asked_s: monotonic time before the read left.
+        """
+        if version_number != self._version:
+            return []
+        self._lease.confirmed(asked_s)
+        epoch = self._lease.epoch
+        if epoch is None or asked_s < self._taken_s:
+            return []
+        if not self._lease.may_grant(now_s):
+            return []
+        lacking = [
+            known
+            for known in self.endpoints.values()
+            if known.coordinator is None
+        ]
+        return self._start(epoch) if lacking else []
+
     def members_known(
         self, now_s: float, members: Sequence[MemberUpdate]
     ) -> None:
@@ -186,29 +187,28 @@
         )
         self._announcements.members = others
         holder = self.announce.instance if self.announce else ''
-        ranked = rank_instances(
-            self.terms.endpoint.name, alive_instances(members)
-        )
+        ranked = rank_instances(self.group, alive_instances(members))
         watching = [name for name in ranked if name != holder][:_CANDIDATES]
         own = self._identity.instance
         rank = watching.index(own) if own in watching else None
         self._lease.watch(rank, others)
-        if self.coordinator is not None:
-            self.coordinator.owners_gone(now_s, _dead_owners(members))
-
-    def change_terms(self, terms: CoordinatorTerms) -> None:
-        """Take a changed configuration of the endpoint or the fleet."""
-        self.terms = terms
-        if self.coordinator is not None:
-            self.coordinator.terms = terms
+        if self.is_coordinator:
+            gone = _dead_owners(members)
+            for known in self.endpoints.values():
+                known.owners_gone(now_s, gone)
 
     def tick(self, now_s: float) -> list[DutyAction]:
-        """Act on the time; called several times a second."""
+        """Act on the time; called several times a second.
+
+        The lease of a group without endpoints is left to lapse.
+        """
+        if not self.endpoints:
+            return []
         actions = self._carry_out(self._lease.tick(now_s))
-        if self.coordinator is None:
+        if not self.is_coordinator:
             return actions
-        if not self.terms.is_service:
-            actions += self._engine.look(now_s, self.coordinator)
+        for known in self.endpoints.values():
+            actions.extend(known.look(now_s))
         actions += self._announcements.repeat(now_s)
         return actions + self._serve(now_s)
 
@@ -223,18 +223,20 @@
         return self._carry_out(self._lease.row_written(now_s, outcome))
 
     def message(self, now_s: float, envelope: Envelope) -> list[DutyAction]:
-        """Take a message about this endpoint."""
+        """Take a message about this group or one of its endpoints."""
         sender = envelope.sender
         match envelope.message:
             case PermitAsk():
                 return self._ask(now_s, envelope, envelope.message)
             case PermitRelease() as release:
-                if self.coordinator is not None:
-                    self.coordinator.release(now_s, release)
+                known = self.endpoints.get(release.endpoint)
+                if known is not None:
+                    known.release(now_s, release)
                 return self._serve(now_s)
-            case CoordinatorAnnounce() as announce:
+            case LeaseAnnounce() as announce:
                 self._announcements.note(announce)
-                return self._carry_out(self._lease.hear_epoch(announce.epoch))
+                epoch = lease_epoch(announce.epoch)
+                return self._carry_out(self._lease.hear_epoch(epoch))
             case PromiseAsk() as ask:
                 promised = self._lease.promise(now_s, ask)
                 return [_promise(sender, ask)] if promised else []
@@ -243,45 +245,55 @@
         return []
 
     def status_answered(
-        self, now_s: float, asked_s: float, status: EngineStatus | None
+        self,
+        now_s: float,
+        endpoint: str,
+        asked_s: float,
+        status: EngineStatus | None,
     ) -> list[DutyAction]:
-        """Take the engine's status, ``None`` when it did not answer."""
-        if self.coordinator is None:
-            return []
-        self._engine.note(status)
-        self.coordinator.status_known(asked_s, status)
+        """Take an engine's status, ``None`` when it did not answer."""
+        known = self.endpoints.get(endpoint)
+        if known is not None:
+            known.status_known(asked_s, status)
         return self._serve(now_s)
 
-    def load_answered(self, now_s: float, load: EngineLoad) -> list[DutyAction]:
-        """Take the engine's load report."""
-        if self.coordinator is None:
-            return []
-        self.coordinator.load_known(now_s, load)
+    def load_answered(
+        self, now_s: float, endpoint: str, load: EngineLoad
+    ) -> list[DutyAction]:
+        """Take an engine's load report."""
+        known = self.endpoints.get(endpoint)
+        if known is not None:
+            known.load_known(now_s, load)
         return self._serve(now_s)
 
-    def epoch_answered(self, epoch: int) -> None:
-        """Note that the engine knows ``epoch``."""
-        self._engine.epoch = max(self._engine.epoch, epoch)
+    def epoch_answered(self, endpoint: str, epoch: int) -> None:
+        """Note that an engine knows ``epoch``."""
+        known = self.endpoints.get(endpoint)
+        if known is not None:
+            known.epoch_known(epoch)
 
     def _ask(
         self, now_s: float, envelope: Envelope, ask: PermitAsk
     ) -> list[DutyAction]:
-        coordinator = self.coordinator
-        if coordinator is None or not self._lease.may_grant(now_s):
+        known = self.endpoints.get(ask.endpoint)
+        coordinated = known is not None and known.coordinator is not None
+        if not coordinated or not self._lease.may_grant(now_s):
             refusal = PermitBusy(
                 ask_id=ask.ask_id,
                 endpoint=ask.endpoint,
                 reason='not_coordinator',
             )
             return [SendTo(envelope.sender, refusal)]
-        refused = coordinator.ask(now_s, envelope.sender, envelope.boot_id, ask)
+        refused = known.ask(now_s, envelope, ask) if known else []
         return [*refused, *self._serve(now_s)]
 
     def _serve(self, now_s: float) -> list[DutyAction]:
-        if self.coordinator is None:
-            return []
         may_grant = self._lease.may_grant(now_s)
-        return list(self.coordinator.serve(now_s, may_grant=may_grant))
+        return [
+            action
+            for known in self.endpoints.values()
+            for action in known.serve(now_s, may_grant=may_grant)
+        ]
 
     def _carry_out(
         self, lease_actions: Iterable[LeaseAction]
@@ -291,47 +303,69 @@
             match action:
                 case ReadLease() | WriteLease():
                     actions.append(action)
-                case LeaseTaken(epoch, quiescent_s):
-                    actions.extend(self._taken(epoch, quiescent_s))
+                case LeaseTaken(_, taken_s):
+                    self._taken_s = taken_s
                 case LeaseLost():
-                    actions.extend(_abandon(self.coordinator))
-                    self.coordinator = None
+                    actions.extend(_stop_all(self.endpoints.values()))
                     self._announcements.forget(self._identity.instance)
                 case AskPromises():
-                    actions.extend(_ask_promises(action, self.terms))
+                    actions.extend(_ask_promises(action, self.group))
                 case _:
                     assert_never(action)
         return actions
 
-    def _taken(self, epoch: int, quiescent_s: float) -> list[SendTo]:
-        self.coordinator = Coordinator(self.terms, epoch, quiescent_s)
-        announce = CoordinatorAnnounce(
-            endpoint=self.terms.endpoint.name,
+    def _start(self, epoch: int) -> list[DutyAction]:
+        """Coordinate all endpoints under one fencing number, and say so."""
+        fencing = fencing_number(self._version, epoch)
+        for known in self.endpoints.values():
+            known.start(fencing, self._taken_s)
+        announce = LeaseAnnounce(
+            group=self.group,
             instance=self._identity.instance,
-            epoch=epoch,
+            epoch=fencing,
+            endpoints=tuple(self.endpoints),
         )
         self._announcements.note(announce)
         members = self._announcements.members
         return [SendTo(member, announce) for member in members]
 
 
-def _abandon(coordinator: Coordinator | None) -> list[SendTo]:
-    return coordinator.abandon() if coordinator else []
+def coordinators_of(
+    announces: Iterable[LeaseAnnounce],
+) -> tuple[CoordinatorAnnounce, ...]:
+    """Return the newest coordinator of each endpoint, in order of name.
+
+    Groups of different configuration versions may name the same endpoint.
+    """
+    newest: dict[str, LeaseAnnounce] = {}
+    for announce in sorted(announces, key=attrgetter('epoch')):
+        newest.update(dict.fromkeys(announce.endpoints, announce))
+    return tuple(
+        CoordinatorAnnounce(
+            endpoint=endpoint,
+            instance=newest[endpoint].instance,
+            epoch=newest[endpoint].epoch,
+        )
+        for endpoint in sorted(newest)
+    )
+
+
+def _stop_all(stopped: Iterable[EndpointCoordination]) -> list[DutyAction]:
+    return [refusal for each in stopped for refusal in each.stop()]
 
 
 def _promise(asker: str, ask: PromiseAsk) -> SendTo:
-    given = PromiseGiven(
-        number=ask.number, endpoint=ask.endpoint, epoch=ask.epoch
-    )
+    given = PromiseGiven(number=ask.number, group=ask.group, epoch=ask.epoch)
     return SendTo(asker, given)
 
 
-def _ask_promises(asked: AskPromises, terms: CoordinatorTerms) -> list[SendTo]:
+def _ask_promises(asked: AskPromises, group: str) -> list[SendTo]:
     ask = PromiseAsk(
         number=asked.number,
-        endpoint=terms.endpoint.name,
+        group=group,
         epoch=asked.epoch,
         promise_s=LEASE_S,
+        version=asked.version,
     )
     return [SendTo(member, ask) for member in sorted(asked.members)]
 
--- a/bergamotturn/process/admission_task.py
+++ b/bergamotturn/process/admission_task.py
@@ -22,8 +22,8 @@
     start_exchange,
 )
 from ..connection.peer_messages import (
-    CoordinatorAnnounce,
     Envelope,
+    LeaseAnnounce,
     MemberUpdate,
     Message,
     PermitBusy,
@@ -41,9 +41,16 @@
 from ..version.configuration import Configuration
 from ..version.settings import Settings
 from .actions import SendTo
-from .admission_duty import AskLoad, AskStatus, Duty, DutyAction, GiveEpoch
+from .admission_duty import Duty, DutyAction, coordinators_of
+from .endpoint_coordination import AskLoad, AskStatus, EngineAction, GiveEpoch
 from .events import MemberView, coordinators_changed
-from .lease import Identity, ReadLease, WriteLease, encode_lease_row
+from .lease_actions import (
+    Identity,
+    ReadLease,
+    WriteLease,
+    encode_lease_row,
+)
+from .lease_group import lease_groups
 from .ledger import CoordinatorTerms
 from .metrics import PERMITS
 from .timers import Timers
@@ -65,7 +72,7 @@
 
 @final
 class AdmissionTask(Component):
-    """Owns this instance's part in coordinating every endpoint."""
+    """Owns this instance's part in coordinating all lease groups."""
 
     channel = 'admission'
 
@@ -77,31 +84,45 @@
         self._identity = Identity(settings.instance, boot_id)
         self._timers = timers
         self._started_s = monotonic()
+        #: By lease group.
         self._duties: dict[str, Duty] = {}
+        #: Lease group of each endpoint of the configuration in force.
+        self._groups: dict[str, str] = {}
+        self._version = 0
         self._members: tuple[MemberUpdate, ...] = ()
         self._standing: tuple[tuple[str, str, int], ...] = ()
         self._operations: dict[int, tuple[str, bool]] = {}
         self._calls = EngineCalls()
-        self._published: dict[str, CoordinatorAnnounce | None] = {}
+        self._published: dict[str, LeaseAnnounce | None] = {}
         timers.call_after(_PERIOD_S, admission_tick(), self.channel)
 
     @handler('configuration_changed')
     def _on_configuration_changed(
         self, version_number: int, configuration: Configuration
     ) -> None:
-        for terms in _all_terms(configuration):
-            name = terms.endpoint.name
-            if name not in self._duties:
-                self._duties[name] = Duty(
-                    self._identity, terms, self._started_s
-                )
-            self._duties[name].change_terms(terms)
-        kept = {endpoint.name for endpoint in configuration.endpoints}
-        for gone in self._duties.keys() - kept:
-            self._duties.pop(gone)
-            self._published.pop(gone, None)
+        groups = _terms_by_group(configuration)
+        self._version = version_number
+        self._groups = {
+            terms.endpoint.name: group
+            for group, all_terms in groups.items()
+            for terms in all_terms
+        }
+        now_s = monotonic()
+        for group in self._duties.keys() | groups.keys():
+            actions = self._duty(group).configure(
+                now_s, version_number, groups.get(group, ())
+            )
+            self._carry_out(group, actions)
         self._assign()
 
+    @handler('configuration_confirmed')
+    def _on_configuration_confirmed(
+        self, version_number: int, asked_s: float
+    ) -> None:
+        for group, duty in self._duties.items():
+            actions = duty.confirmed(monotonic(), version_number, asked_s)
+            self._carry_out(group, actions)
+
     @handler('members_changed')
     def _on_members_changed(self, view: MemberView) -> None:
         self._members = view.members
@@ -118,26 +139,29 @@
     @handler('admission_tick')
     def _on_admission_tick(self) -> None:
         self._timers.call_after(_PERIOD_S, admission_tick(), self.channel)
-        for endpoint, duty in self._duties.items():
-            self._carry_out(endpoint, duty.tick(monotonic()))
+        for group, duty in self._duties.items():
+            self._carry_out(group, duty.tick(monotonic()))
 
     @handler('peer_message')
     def _on_peer_message(self, envelope: Envelope) -> None:
-        endpoint = getattr(envelope.message, 'endpoint', '')
-        duty = self._duties.get(endpoint)
+        message = envelope.message
+        if isinstance(message, LeaseAnnounce):
+            # Its sender may have a newer configuration.
+            self._duty(message.group)
+        endpoint = getattr(message, 'endpoint', '')
+        group = getattr(message, 'group', self._groups.get(endpoint, ''))
+        duty = self._duties.get(group)
         if duty is not None:
-            self._carry_out(endpoint, duty.message(monotonic(), envelope))
+            self._carry_out(group, duty.message(monotonic(), envelope))
 
     @handler('store_outcome')
     def _on_store_outcome(self, outcome: StoreOutcome) -> None:
-        endpoint, is_read = self._operations.pop(
-            outcome.operation_id, ('', False)
-        )
-        duty = self._duties.get(endpoint)
+        group, is_read = self._operations.pop(outcome.operation_id, ('', False))
+        duty = self._duties.get(group)
         if duty is None:
             return
         take = duty.row_read if is_read else duty.row_written
-        self._carry_out(endpoint, take(monotonic(), outcome))
+        self._carry_out(group, take(monotonic(), outcome))
 
     @handler('exchange_head')
     def _on_exchange_head(
@@ -164,29 +188,46 @@
         for duty in self._duties.values():
             duty.members_known(now_s, self._members)
 
+    def _duty(self, group: str) -> Duty:
+        """Return a group's duty, kept for good once it is known.
+
+        Answers to its lease's operations can come after the group has lost
+        its endpoints, and must not reach another lease object.
+        """
+        duty = self._duties.get(group)
+        if duty is None:
+            duty = Duty(self._identity, group, self._started_s)
+            # Without the version it would give promises for older ones.
+            duty.configure(monotonic(), self._version, ())
+            duty.members_known(monotonic(), self._members)
+            self._duties[group] = duty
+        return duty
+
     def _take_answer(self, answer: CallAnswer | None) -> None:
-        duty = self._duties.get(answer.endpoint) if answer else None
-        if answer is None or duty is None:
+        if answer is None:
             return
-        self._carry_out(answer.endpoint, _engine_answered(duty, answer))
+        group = self._groups.get(answer.endpoint, '')
+        duty = self._duties.get(group)
+        if duty is not None:
+            self._carry_out(group, _engine_answered(duty, answer))
 
-    def _carry_out(self, endpoint: str, actions: Iterable[DutyAction]) -> None:
+    def _carry_out(self, group: str, actions: Iterable[DutyAction]) -> None:
         for action in actions:
             match action:
                 case SendTo(instance, message):
                     _count(message)
                     self.fire(send_message(instance, message), _PEERS)
                 case ReadLease() | WriteLease():
-                    self._operate(endpoint, action)
+                    self._operate(group, action)
                 case AskStatus() | AskLoad() | GiveEpoch():
-                    self._call(endpoint, action)
+                    self._call(action)
                 case _:
                     assert_never(action)
-        self._publish(endpoint)
+        self._publish(group)
 
-    def _operate(self, endpoint: str, action: ReadLease | WriteLease) -> None:
+    def _operate(self, group: str, action: ReadLease | WriteLease) -> None:
         operation_id = next_operation_id()
-        row_key = f'lease/{endpoint}'
+        row_key = f'lease/{group}'
         operation: RowRead | RowWrite = RowRead(
             operation_id=operation_id, owner=self.channel, row_key=row_key
         )
@@ -199,20 +240,20 @@
                 expected_version=action.expected_version,
             )
         is_read = isinstance(action, ReadLease)
-        self._operations[operation_id] = (endpoint, is_read)
+        self._operations[operation_id] = (group, is_read)
         self.fire(store_operation(operation), STORES)
 
-    def _call(
-        self, endpoint: str, action: AskStatus | AskLoad | GiveEpoch
-    ) -> None:
-        address = self._duties[endpoint].terms.endpoint.address
+    def _call(self, action: EngineAction) -> None:
+        endpoint = action.endpoint
+        duty = self._duties[self._groups[endpoint]]
+        address = duty.endpoints[endpoint].terms.endpoint.address
         owner = self.channel
         match action:
             case AskStatus():
                 call, label = status_call(address, owner), _STATUS
             case AskLoad():
                 call, label = load_call(address, owner), _LOAD
-            case GiveEpoch(epoch):
+            case GiveEpoch(_, epoch):
                 call = fence_call(address, owner, epoch)
                 label = f'{_FENCE}{epoch}'
         if self._calls.is_open(label, endpoint):
@@ -220,15 +261,15 @@
         self._calls.opened(call, label, endpoint, monotonic())
         self.fire(start_exchange(call), HTTP_CLIENT)
 
-    def _publish(self, endpoint: str) -> None:
-        """Tell all components when an endpoint's coordinator has changed."""
-        duty = self._duties[endpoint]
-        if duty.announce == self._published.get(endpoint):
+    def _publish(self, group: str) -> None:
+        """Tell all components when a group's coordinator has changed."""
+        duty = self._duties[group]
+        if duty.announce == self._published.get(group):
             return
-        self._published[endpoint] = duty.announce
+        self._published[group] = duty.announce
         duty.members_known(monotonic(), self._members)
-        announces = tuple(filter(None, self._published.values()))
-        self.fire(coordinators_changed(announces), '*')
+        announces = filter(None, self._published.values())
+        self.fire(coordinators_changed(coordinators_of(announces)), '*')
 
 
 def _count(message: Message) -> None:
@@ -240,26 +281,32 @@
 
 def _engine_answered(duty: Duty, answer: CallAnswer) -> list[DutyAction]:
     now_s = monotonic()
+    name = answer.endpoint
     if answer.label == _STATUS:
         status = parse_status(answer.body) if answer.body else None
-        return duty.status_answered(now_s, answer.asked_s, status)
+        return duty.status_answered(now_s, name, answer.asked_s, status)
     if answer.body is None:
         return []
     if answer.label == _LOAD:
         load = parse_load(answer.body, answer.asked_s)
-        return duty.load_answered(now_s, load) if load else []
-    duty.epoch_answered(int(answer.label.removeprefix(_FENCE)))
+        return duty.load_answered(now_s, name, load) if load else []
+    duty.epoch_answered(name, int(answer.label.removeprefix(_FENCE)))
     return []
 
 
-def _all_terms(configuration: Configuration) -> list[CoordinatorTerms]:
+def _terms_by_group(
+    configuration: Configuration,
+) -> dict[str, list[CoordinatorTerms]]:
     weights = {
         workspace.name: workspace.weight
         for workspace in configuration.workspaces
     }
     deadlines = [service.deadline_s for service in configuration.services]
     life_s = max(deadlines, default=0) + _SERVICE_MARGIN_S
-    return [
-        CoordinatorTerms(endpoint, configuration.policy, weights, life_s)
-        for endpoint in configuration.endpoints
-    ]
+    return {
+        group: [
+            CoordinatorTerms(endpoint, configuration.policy, weights, life_s)
+            for endpoint in endpoints
+        ]
+        for group, endpoints in lease_groups(configuration).items()
+    }
--- a/bergamotturn/process/lease.py
+++ b/bergamotturn/process/lease.py
@@ -1,6 +1,6 @@
-"""Lease of an endpoint's coordinator: who may grant permits, and until when.
+"""Lease of a group of endpoints: who may grant permits, and until when.
 
-:class:`Lease` is one instance's side of the row ``lease/<endpoint>``. It
+:class:`Lease` is one instance's side of the row ``lease/<group>``. It
 observes the row as a candidate, takes it over, renews it as the holder, and
 answers :meth:`Lease.may_grant` right before each grant. All times are
 monotonic seconds of the own process.
@@ -8,34 +8,27 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 from typing import Final, final
 
 import msgspec
 
 from ..connection.peer_messages import PromiseAsk, PromiseGiven
 from ..connection.store_events import Row, StoreOutcome, StoreStatus
-
-__all__ = (
-    'LEASE_S',
-    'PERMIT_START_S',
-    'AskPromises',
-    'Identity',
-    'Lease',
-    'LeaseAction',
-    'LeaseLost',
-    'LeaseRow',
-    'LeaseTaken',
-    'ReadLease',
-    'WriteLease',
-    'encode_lease_row',
+from .lease_actions import (
+    LEASE_S,
+    PERIOD_S,
+    Identity,
+    LeaseAction,
+    LeaseLost,
+    LeaseRow,
+    LeaseTaken,
+    ReadLease,
 )
+from .lease_holder import LeaseHolder, OpenWrite
+
+__all__ = ('Lease',)
 
-#: How long a renewal keeps the lease.
-LEASE_S: Final = 3.0
-#: Time in which a permit must be used.
-PERMIT_START_S: Final = 1.0
-#: Time between renewals, and between a candidate's reads.
-_PERIOD_S: Final = 1.0
 #: A candidate sees the row unchanged for this long before it takes over.
 _OBSERVATION_S: Final = LEASE_S + 0.5
 #: The second candidate waits longer, so that the two rarely collide.
@@ -47,98 +40,6 @@
 _NEWCOMER_S: Final = LEASE_S * 2
 
 
-@final
-class LeaseRow(msgspec.Struct, frozen=True):
-    """Content of a lease row.
-
-    :param epoch: fencing number; grows by one at each takeover.
-    :param nonce: new for each write of one boot; a writer recognises its row
-        by all fields, since boot ids may be alike at two instances.
-    """
-
-    holder: str
-    boot_id: str
-    epoch: int
-    nonce: str
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class Identity:
-    """The instance and boot that a lease object acts for."""
-
-    instance: str
-    boot_id: str
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class ReadLease:
-    """Read the lease row."""
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class WriteLease:
-    """Write the lease row if its version is ``expected_version``."""
-
-    row: LeaseRow
-    expected_version: int
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class LeaseTaken:
-    """The lease was taken over.
-
-    :param quiescent_s: from then on no permit of an earlier holder can start.
-    """
-
-    epoch: int
-    quiescent_s: float
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class LeaseLost:
-    """The lease with ``epoch`` belongs to somebody else now."""
-
-    epoch: int
-
-
-@final
-@dataclass(slots=True, frozen=True)
-class AskPromises:
-    """Send ``ask`` to all ``members``."""
-
-    members: frozenset[str]
-    number: int
-    epoch: int
-
-
-LeaseAction = ReadLease | WriteLease | LeaseTaken | LeaseLost | AskPromises
-
-
-@final
-@dataclass(slots=True)
-class _Write:
-    """A conditional write that is tried until its outcome is known.
-
-    The same row is written at each try: whichever try takes effect, its nonce
-    shows it, and a late one cannot take effect after the row has moved on.
-    """
-
-    row: LeaseRow
-    expected_version: int
-    first_sent_s: float
-    sent_s: float
-    unresolved: bool = False
-
-    def repeat(self, now_s: float) -> list[LeaseAction]:
-        self.sent_s = now_s
-        return [WriteLease(self.row, self.expected_version)]
-
-
 @final
 @dataclass(slots=True)
 class _Observation:
@@ -149,16 +50,6 @@
     since_s: float
 
 
-@final
-@dataclass(slots=True)
-class _Promises:
-    """One round of asking all members for promises."""
-
-    number: int
-    asked_s: float
-    missing: set[str]
-
-
 @final
 class _Candidate:
     """Observes the row and decides when to take it over."""
@@ -175,7 +66,7 @@
         self.no_takeover_before_s = started_s + _NEWCOMER_S
         self.highest_epoch = 0
         self.rank: int | None = None
-        self.write: _Write | None = None
+        self.write: OpenWrite | None = None
         self._observation: _Observation | None = None
 
     def restart(self) -> None:
@@ -214,84 +105,9 @@
         return True
 
 
-@final
-class _Holder:
-    """Keeps the lease and knows how long it is valid."""
-
-    __slots__ = (
-        'epoch',
-        'failing',
-        'promises',
-        'renew_after_s',
-        'row_version',
-        'valid_until_s',
-        'write',
-    )
-
-    def __init__(
-        self, epoch: int, row_version: int, valid_until_s: float
-    ) -> None:
-        self.epoch = epoch
-        self.row_version = row_version
-        self.valid_until_s = valid_until_s
-        self.renew_after_s: float | None = None
-        self.failing = False
-        self.write: _Write | None = None
-        self.promises: _Promises | None = None
-
-    def is_valid(self, now_s: float) -> bool:
-        """Return whether the lease is certainly held."""
-        return now_s < self.valid_until_s and self.renew_after_s is None
-
-    def paused(self, now_s: float) -> None:
-        """Grant nothing until a renewal that leaves from now on."""
-        self.renew_after_s = now_s
-
-    def renewed(self, row_version: int, sent_s: float) -> None:
-        """Count the validity from before the request left."""
-        self.row_version = row_version
-        self.valid_until_s = max(self.valid_until_s, sent_s + LEASE_S)
-        if self.renew_after_s is not None and sent_s >= self.renew_after_s:
-            self.renew_after_s = None
-        self.write = None
-        self.failing = False
-        self.promises = None
-
-    def ask_promises(
-        self, now_s: float, members: frozenset[str], number: int
-    ) -> list[LeaseAction]:
-        """Ask for promises while the table does not answer.
-
-        Within a round those who have not answered are asked again, since one
-        lost message would cost the whole round.
-        """
-        if not self.failing or not self.is_valid(now_s):
-            return []
-        asked = self.promises
-        if asked is None or now_s - asked.asked_s >= _PERIOD_S:
-            asked = _Promises(number, now_s, set(members))
-            self.promises = asked
-        if not asked.missing:
-            return []
-        return [AskPromises(frozenset(asked.missing), asked.number, self.epoch)]
-
-    def promised(self, now_s: float, sender: str, number: int) -> None:
-        """Extend the lease when the last missing promise has come.
-
-        An expired lease is not revived: somebody may have held it since.
-        """
-        promises = self.promises
-        if promises is None or promises.number != number:
-            return
-        promises.missing.discard(sender)
-        if promises.missing or not self.is_valid(now_s):
-            return
-        self.valid_until_s = max(self.valid_until_s, promises.asked_s + LEASE_S)
-
-
 @final
 class Lease:
-    """One instance's side of the lease of one endpoint.
+    """One instance's side of the lease of one group of endpoints.
 
     At most one table operation is open at a time; each :class:`ReadLease` and
     :class:`WriteLease` is answered by one call of :meth:`row_read` or
@@ -300,6 +116,7 @@
 
     __slots__ = (
         '_candidate',
+        '_confirmed_s',
         '_holder',
         '_identity',
         '_members',
@@ -307,18 +124,21 @@
         '_number',
         '_operation_open',
         '_ticked_s',
+        '_version',
     )
 
     def __init__(self, identity: Identity, started_s: float) -> None:
         """Start as a candidate that does not watch."""
         self._identity = identity
         self._candidate = _Candidate(started_s)
-        self._holder: _Holder | None = None
+        self._holder: LeaseHolder | None = None
         self._members: frozenset[str] = frozenset()
         self._number = 0
         self._operation_open = False
         self._next_operation_s = started_s
         self._ticked_s = started_s
+        self._version = 0
+        self._confirmed_s = -inf
 
     @property
     def epoch(self) -> int | None:
@@ -339,7 +159,26 @@
         holder = self._holder
         if holder is None or now_s - self._ticked_s > _PAUSE_S:
             return False
-        return holder.is_valid(now_s)
+        return holder.may_grant(now_s)
+
+    def use_version(self, version_number: int) -> None:
+        """Take the number of the configuration version in force here.
+
+        What was confirmed of an earlier version stays true: whoever gets an
+        endpoint by a later one waits for longer than that lasts.
+        """
+        self._version = version_number
+        if self._holder is not None:
+            self._holder.version = version_number
+
+    def confirmed(self, asked_s: float) -> None:
+        """Note that the table showed the version in force here.
+
+        :param asked_s: monotonic time before the read left.
+        """
+        self._confirmed_s = max(self._confirmed_s, asked_s)
+        if self._holder is not None:
+            self._holder.confirmed(asked_s)
 
     def tick(self, now_s: float) -> list[LeaseAction]:
         """Return what is to be done now."""
@@ -356,7 +195,7 @@
         operation = self._next_operation(now_s)
         if operation:
             self._operation_open = True
-            self._next_operation_s = now_s + _PERIOD_S
+            self._next_operation_s = now_s + PERIOD_S
         return actions + operation
 
     def row_read(
@@ -376,10 +215,10 @@
             return self._read_back(now_s, row)
         candidate.observe(now_s, row)
         seen = candidate.due(now_s)
-        if seen is None:
+        if seen is None or now_s >= self._confirmed_s + LEASE_S:
             return []
         taken = self._row(seen.epoch + 1)
-        candidate.write = _Write(taken, seen.row_version, now_s, now_s)
+        candidate.write = OpenWrite(taken, seen.row_version, now_s, now_s)
         self._operation_open = True
         return candidate.write.repeat(now_s)
 
@@ -418,9 +257,13 @@
         return self._lose()
 
     def promise(self, now_s: float, ask: PromiseAsk) -> bool:
-        """Return whether this instance promises what ``ask`` asks for."""
+        """Return whether this instance promises what ``ask`` asks for.
+
+        By a newer configuration version another group may have the holder's
+        endpoints, so the holder of an older one gets no promise.
+        """
         self._note_running(now_s)
-        if self._holder is not None:
+        if self._holder is not None or ask.version < self._version:
             return False
         return self._candidate.promise(now_s, ask)
 
@@ -449,9 +292,11 @@
             watching = self._candidate.rank is not None
             unresolved = self._candidate.write is not None
             return [ReadLease()] if watching or unresolved else []
+        if not holder.keeps_row(now_s):
+            return []
         if holder.write is None:
             row = self._row(holder.epoch)
-            holder.write = _Write(row, holder.row_version, now_s, now_s)
+            holder.write = OpenWrite(row, holder.row_version, now_s, now_s)
         return holder.write.repeat(now_s)
 
     def _read_back(self, now_s: float, row: Row | None) -> list[LeaseAction]:
@@ -484,8 +329,10 @@
         self._candidate.restart()
         epoch = write.row.epoch if write else 0
         self.hear_epoch(epoch)
-        self._holder = _Holder(epoch, row_version, sent_s + LEASE_S)
-        return [LeaseTaken(epoch, now_s + LEASE_S + PERMIT_START_S)]
+        self._holder = LeaseHolder(epoch, row_version, sent_s + LEASE_S)
+        self._holder.version = self._version
+        self._holder.confirmed(self._confirmed_s)
+        return [LeaseTaken(epoch, now_s)]
 
     def _lose(self) -> list[LeaseAction]:
         lost = LeaseLost(self._holder.epoch if self._holder else 0)
@@ -494,11 +341,6 @@
         return [lost]
 
 
-def encode_lease_row(row: LeaseRow) -> bytes:
-    """Return the row's content as JSON."""
-    return msgspec.json.encode(row)
-
-
 def _decode(row: Row) -> LeaseRow:
     return msgspec.json.decode(row.value, type=LeaseRow)
 
--- a/bergamotturn/process/ledger.py
+++ b/bergamotturn/process/ledger.py
@@ -13,7 +13,7 @@
 from ..connection.peer_messages import AskClass, PermitAsk
 from ..version.configuration import EndpointSettings, Policy
 from .ask_queue import Waiting
-from .lease import PERMIT_START_S
+from .lease_actions import PERMIT_START_S
 
 __all__ = (
     'ARRIVAL_S',
--- a/bergamotturn/process/permits.py
+++ b/bergamotturn/process/permits.py
@@ -20,7 +20,7 @@
 )
 from ..version.configuration import EndpointSettings
 from .actions import SendTo
-from .lease import PERMIT_START_S
+from .lease_actions import PERMIT_START_S
 
 __all__ = (
     'Granted',
--- a/bergamotturn/version/configuration.py
+++ b/bergamotturn/version/configuration.py
@@ -108,6 +108,8 @@
     :param short_reserve: part of KV memory kept for shorts there.
     :param entry_answer_s: how long callers keep an answer of /v1/entries.
     :param result_keep_s: how long results of idempotent calls are kept.
+    :param endpoints_per_lease: most endpoints of one deployment or service
+        that share a lease and so a coordinator.
     """
 
     long_prompt_tokens: int = 32_000
@@ -115,6 +117,7 @@
     short_reserve: float = 0.2
     entry_answer_s: float = 5
     result_keep_s: float = 604_800
+    endpoints_per_lease: int = 8
 
 
 @final
--- a/bergamotturn/version/validation.py
+++ b/bergamotturn/version/validation.py
@@ -30,6 +30,9 @@
     }
 )
 _FRACTIONS: Final = ('long_share', 'short_reserve')
+#: One instance must serve all endpoints of a lease, and an announcement
+#: names them all.
+_MOST_PER_LEASE: Final = 64
 _MAY_BE_ZERO: Final = ('kv_tokens', 'cold_kv_tokens')
 _DIGEST_CHARACTERS: Final = 64
 
@@ -148,6 +151,8 @@
         return ''
     if field in _FRACTIONS and not 0 <= value <= 1:
         return 'must be between 0 and 1'
+    if field == 'endpoints_per_lease' and value > _MOST_PER_LEASE:
+        return f'must be at most {_MOST_PER_LEASE}'
     if field in _MAY_BE_ZERO or field in _FRACTIONS:
         return 'must not be negative' if value < 0 else ''
     return 'must be above 0' if value <= 0 else ''
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -8,6 +8,7 @@
     When 9 instances press an endpoint that ignores fencing in 20 fuzzed histories
     And 9 instances press an endpoint that checks fencing in 20 fuzzed histories
     Then the histories had cold starts, warm starts and changes of holder
+    And endpoints moved between lease groups, left and returned
 
   Scenario: A paused holder that wakes grants nothing
     Guards against a holder that trusts its lease after standing still.
@@ -63,6 +64,64 @@
     When in 24 histories an instance that nobody knows takes over from a holder whose last grants are late, and grants in 20
     Then the cold endpoint never had more work than its limit
 
+  Scenario: The coordinator of an endpoint's old lease group stops before that of the new one grants
+    Guards against two coordinators when instances have different configuration versions in force.
+    Given 9 instances with a coordinator
+    And the engines in lease groups of at most 3
+    And the coordinator of "engine-1" adopts versions 60 s late
+    When lease groups of at most 4 are accepted
+    And 25 s pass
+    Then the old coordinator of "engine-1" has not adopted that version
+    And "engine-1" has been granted under configuration version 3
+    And the cold endpoint never had more work than its limit
+
+  Scenario: A coordinator without the table gets no promise for a lease group of the past
+    Guards against an extension by members that know of the endpoint's new group.
+    Given 9 instances with a coordinator
+    And the engines in lease groups of at most 3
+    And the coordinator of "engine-1" adopts versions 60 s late
+    And it is cut off from the table
+    When lease groups of at most 4 are accepted
+    And 25 s pass
+    Then the old coordinator of "engine-1" has not adopted that version
+    And "engine-1" has been granted under configuration version 3
+    And the cold endpoint never had more work than its limit
+
+  Scenario: A coordinator that missed a configuration version starts anew
+    Guards against a ledger without the work that another group's coordinator granted meanwhile.
+    Given 9 instances with a coordinator
+    And the engines in lease groups of at most 3
+    And the coordinator of "engine-1" adopts versions 60 s late
+    When lease groups of at most 4 are accepted
+    And 7 s pass
+    Then "engine-1" has been granted under configuration version 3
+    When it adopts versions at once again
+    And lease groups of at most 3 are accepted
+    And 25 s pass
+    Then "engine-1" has been granted under configuration version 4
+    And the cold endpoint never had more work than its limit
+
+  Scenario: A coordinator that cannot adopt the accepted version leaves the lease to another
+    Guards against endpoints without permits for as long as one instance cannot read a version.
+    Given 9 instances with a coordinator
+    And the only coordinator adopts versions 90 s late
+    When lease groups of at most 3 are accepted
+    And 30 s pass
+    Then another instance has granted since
+
+  Scenario: A holder coordinates on a version that the table showed after the takeover
+    Guards against a fencing number below that of a coordinator before, who had a newer version.
+    Given the new holder of the lease of two endpoints
+    Then a version shown before the takeover starts nothing
+    And a version shown when the lease has lapsed starts nothing
+    And a version shown after the takeover starts both endpoints with one announcement to each member
+    And an announcement of a newer holder stops both endpoints
+
+  Scenario: Lease groups follow from the configuration and change little with it
+    Guards against groups on which instances disagree, that are too large, or that a new endpoint reshuffles.
+    Then groups have at most the configured size whatever the order
+    And one endpoint more moves endpoints of one group only
+
   Scenario Outline: A lost answer to a lease write is read back
     Guards against a takeover whose winner never learns that it won.
     Given a candidate whose takeover write got no answer and <effect>
@@ -126,4 +185,5 @@
     When the engine is down and an ask is made
     Then it is not granted
     And an ask at a plain service is granted
+    And a lease group that only a peer knows gets a promise for version 1 but not for version 0
     And no handler has failed
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps on leases, coordinators, permits, groups and orphans."""
 
 from collections import Counter
+from itertools import chain, product
 
 import msgspec
 from behave import given, then, when
@@ -13,15 +14,20 @@
 from bergamotturn.connection.store_events import StoreOutcome, StoreStatus
 from bergamotturn.process.actions import SendTo
 from bergamotturn.process.admission import Coordinator
-from bergamotturn.process import lease as leases
+from bergamotturn.process import lease_actions as leases
+from bergamotturn.process.admission_duty import Duty
+from bergamotturn.process.lease import Lease
+from bergamotturn.process.lease_group import fencing_number, lease_groups
 from bergamotturn.process.ledger import CoordinatorTerms
 from bergamotturn.process.orphans import Orphans, rank_instances
 from bergamotturn.process.permits import Granted, Permits, Refused, may_start
 from features.support.admission_wiring import Wiring
 from features.support.admission_world import (
+    ENGINES,
     FAULTS,
     Table,
     World,
+    configuration,
     member,
     storm,
     terms,
@@ -59,12 +65,17 @@
             seed=st.integers(0, 10**6),
             longest_s=st.sampled_from((4, 30)),
             is_warm=st.booleans(),
+            regroup_pause_s=st.sampled_from((0, 3, 12)),
         )
-        def start(self, seed, longest_s, is_warm):
+        def start(self, seed, longest_s, is_warm, regroup_pause_s):
             self.world = World(seed, checks_fencing=checks_fencing)
             self.world.longest_stream_s = longest_s
-            self.world.engine.is_warm = is_warm
+            for engine in self.world.engines.values():
+                engine.is_warm = is_warm
+            self.world.adoption_lags_s = (0.01, 0.5, 4, 12)
             self.world.run(15)
+            if regroup_pause_s:
+                self.world.regroup_often(regroup_pause_s)
 
         @stateful.rule(number=_NODES, seconds=_PAUSES, then_s=_THEN)
         def pause(self, number, seconds, then_s):
@@ -81,6 +92,14 @@
             FAULTS[name](self.world)
             self.world.run(then_s)
 
+        @stateful.rule(
+            then_s=st.lists(_THEN, min_size=1, max_size=3),
+        )
+        def regroup(self, then_s):
+            for each_s in then_s:
+                self.world.regroup()
+                self.world.run(each_s)
+
         @stateful.rule()
         def storm(self):
             storm(self.world)
@@ -126,6 +145,12 @@
         assert context.totals[kind] > 50, context.totals
 
 
+@then('endpoints moved between lease groups, left and returned')
+def machine_regrouped(context):
+    for kind in ('moves', 'returns'):
+        assert context.totals[kind] > 50, context.totals
+
+
 @given('{nodes:d} instances with a coordinator')
 def start_world(context, nodes):
     context.world = World(7, nodes=nodes)
@@ -140,6 +165,150 @@
     context.world.longest_stream_s = seconds
 
 
+@given('the engines in lease groups of at most {most:d}')
+def start_groups(context, most):
+    """The new groups are taken over and past their recovery in 20 s."""
+    context.world.publish(ENGINES, most)
+    context.world.run(20)
+
+
+@when('lease groups of at most {most:d} are accepted')
+def accept_groups(context, most):
+    context.world.publish(ENGINES, most)
+
+
+@given('the coordinator of "{name}" adopts versions {lag:d} s late')
+def lagging_coordinator(context, name, lag):
+    world = context.world
+    (holder,) = world.coordinators(name)
+    assert [holder] != world.coordinators(ENGINES[0])
+    world.adoption_lag_s = {holder.name: lag}
+    context.holder = holder
+    context.epoch = world.granted[name]
+
+
+@given('the only coordinator adopts versions {lag:d} s late')
+def lagging_holder(context, lag):
+    context.world.adoption_lag_s = {context.holder.name: lag}
+
+
+@given('it is cut off from the table')
+def holder_cut_off(context):
+    context.world.cut_off.add(context.holder.name)
+
+
+@when('it adopts versions at once again')
+def no_longer_late(context):
+    context.world.adoption_lag_s = {}
+
+
+@then('"{name}" has been granted under configuration version {number:d}')
+def granted_by_version(context, name, number):
+    epoch = context.world.granted[name]
+    assert fencing_number(number, 0) < epoch < fencing_number(number + 1, 0)
+
+
+@then('the old coordinator of "{name}" has not adopted that version')
+def still_lagging(context, name):
+    assert context.holder.version < len(context.world.versions)
+
+
+def _new_holder():
+    duty = Duty(leases.Identity('own', 'boot'), 'letters/', 0)
+    duty.configure(0, 1, [terms(), terms(name='engine-1')])
+    names = ('own', 'other')
+    alive = peers.MemberState.alive
+    duty.members_known(0, [member(name, 'boot', alive) for name in names])
+    table = Table()
+    now_s = 0
+    while not table.rows:
+        now_s += 0.25
+        duty.confirmed(now_s, 1, now_s)
+        for action in duty.tick(now_s):
+            for write in duty.row_read(now_s, table.apply(action)):
+                duty.row_written(now_s, table.apply(write))
+    return duty, now_s
+
+
+@given('the new holder of the lease of two endpoints')
+def new_holder(context):
+    context.duty, context.taken_s = _new_holder()
+
+
+@then('a version shown before the takeover starts nothing')
+def shown_before(context):
+    taken_s = context.taken_s
+    assert not context.duty.confirmed(taken_s + 0.1, 1, taken_s - 0.1)
+
+
+@then('a version shown when the lease has lapsed starts nothing')
+def shown_late(context):
+    duty, taken_s = _new_holder()
+    assert not duty.confirmed(taken_s + 5, 1, taken_s + 4)
+    assert not duty.is_coordinator
+
+
+@then(
+    'a version shown after the takeover starts both endpoints with one '
+    'announcement to each member'
+)
+def shown_after(context):
+    taken_s = context.taken_s
+    (told,) = context.duty.confirmed(taken_s + 0.2, 1, taken_s + 0.1)
+    assert told.instance == 'other'
+    assert told.message.epoch == fencing_number(1, 1)
+    assert told.message.endpoints == ('engine', 'engine-1')
+    assert not context.duty.confirmed(taken_s + 0.3, 1, taken_s + 0.2)
+
+
+@then('an announcement of a newer holder stops both endpoints')
+def newer_holder(context):
+    newer = peers.LeaseAnnounce(
+        group='letters/',
+        instance='other',
+        epoch=fencing_number(1, 2),
+        endpoints=('engine', 'engine-1'),
+    )
+    envelope = peers.Envelope('other', 'boot', newer)
+    context.duty.message(context.taken_s + 0.4, envelope)
+    assert not context.duty.is_coordinator
+
+
+@then('groups have at most the configured size whatever the order')
+def groups_bounded(context):
+    for most, count in product((1, 2, 6, 8, 64), (1, 9, 103)):
+        names = [f'engine-{number}' for number in range(count)]
+        groups = _group_names(names, most)
+        assert _group_names(reversed(names), most) == groups
+        assert sorted(chain.from_iterable(groups.values())) == sorted(names)
+        assert max(map(len, groups.values())) <= most
+        if most == 1:
+            assert groups == {name: {name} for name in names}
+
+
+@then('one endpoint more moves endpoints of one group only')
+def groups_stable(context):
+    """A group is divided, and the part with the new endpoint may be again."""
+    for most, count in product((2, 6, 8, 64), range(1, 150)):
+        names = [f'engine-{number}' for number in range(count + 1)]
+        before = _group_names(names[:-1], most)
+        after = _group_names(names, most)
+        changed = [
+            members
+            for group, members in before.items()
+            if members - after.get(group, set())
+        ]
+        assert len(changed) <= 1, (most, count, changed)
+
+
+def _group_names(names, most):
+    version = configuration(names, most)
+    return {
+        group: {endpoint.name for endpoint in members}
+        for group, members in lease_groups(version).items()
+    }
+
+
 @when('another instance is paused for {seconds:d} s')
 def pause_another(context, seconds):
     others = set(context.world.nodes) - {context.holder.name}
@@ -200,7 +369,7 @@
         world.run(18)
         (holder,) = world.holders()
         names = set(world.nodes) - {holder.name}
-        ranked = rank_instances('engine', tuple(names))
+        ranked = rank_instances('letters/', tuple(names))
         world.kill(ranked[0])
         world.unknown = {ranked[0]}
         world.cut_off = {holder.name}
@@ -218,13 +387,14 @@
 
 @given('a candidate whose takeover write got no answer and {effect}')
 def lost_takeover(context, effect):
-    context.lease = leases.Lease(leases.Identity('a', 'boot'), 0)
+    context.lease = Lease(leases.Identity('a', 'boot'), 0)
     context.lease.watch(0, ('a', 'b'))
     context.lease_table = Table()
     context.now_s = 0
     unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
     while context.now_s < 20:
         context.now_s += 0.5
+        context.lease.confirmed(context.now_s)
         for action in context.lease.tick(context.now_s):
             outcome = context.lease_table.apply(action)
             for write in context.lease.row_read(context.now_s, outcome):
@@ -241,6 +411,7 @@
     epochs = []
     for _ in range(10):
         context.now_s += 0.5
+        context.lease.confirmed(context.now_s)
         pending = context.lease.tick(context.now_s)
         while pending:
             action = pending.pop()
@@ -558,14 +729,18 @@
 @then('it is granted with epoch 1 and the engine knows the epoch')
 def granted_by_component(context):
     assert isinstance(context.answer, peers.PermitGrant), context.answer
-    assert context.answer.epoch == 1
+    epoch = fencing_number(1, 1)
+    assert context.answer.epoch == epoch
     assert context.answer.incarnation == _INCARNATION
-    assert context.wiring.outside.fence_epoch == 1
+    assert context.wiring.outside.fence_epoch == epoch
     known = [
         (announce.endpoint, announce.instance, announce.epoch)
         for announce in context.wiring.outside.announces
     ]
-    assert known == [('engine', 'own', 1), ('service', 'own', 1)], known
+    assert known == [
+        ('engine', 'own', epoch),
+        ('service', 'own', epoch),
+    ], known
 
 
 @then('a stream of a dead owner is cancelled at the engine')
@@ -598,6 +773,16 @@
     assert isinstance(answer, peers.PermitGrant), answer
 
 
+@then(
+    'a lease group that only a peer knows gets a promise for version '
+    '{current:d} but not for version {older:d}'
+)
+def promise_by_version(context, current, older):
+    """Else an instance with the next version would let an old holder go on."""
+    assert len(context.wiring.promises('past/', current)) == 1
+    assert not context.wiring.promises('past/1', older)
+
+
 @then('no handler has failed')
 def no_handler_failed(context):
     assert not context.wiring.outside.failures
--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -12,7 +12,7 @@
 from bergamotturn.connection.store_events import store_outcome
 from bergamotturn.process.admission_task import AdmissionTask
 from bergamotturn.process import events
-from bergamotturn.process.lease import LeaseRow, ReadLease, WriteLease
+from bergamotturn.process.lease_actions import LeaseRow, ReadLease, WriteLease
 from bergamotturn.process.orphan_task import OrphanTask
 from bergamotturn.process.permit_events import ask_permit
 from bergamotturn.process.permits_task import PermitsTask
@@ -61,6 +61,7 @@
         self.announces: tuple = ()
         self.answers: list = []
         self.failures: list = []
+        self.sent: list = []
 
     @handler('store_operation', channel='stores')
     def on_store_operation(self, operation):
@@ -69,12 +70,14 @@
             row = msgspec.json.decode(operation.value, type=LeaseRow)
             action = WriteLease(row, operation.expected_version)
         outcome = msgspec.structs.replace(
-            self.table.apply(action), operation_id=operation.operation_id
+            self.table.apply(action, operation.row_key),
+            operation_id=operation.operation_id,
         )
         self.fire(store_outcome(outcome), operation.owner)
 
     @handler('send_message', channel='peers')
     def on_send_message(self, instance, message):
+        self.sent.append((instance, message))
         if instance == 'own':
             envelope = peers.Envelope('own', 'boot', message)
             self.fire(
@@ -132,6 +135,7 @@
 
     def __init__(self):
         self.clock = Clock()
+        self.confirmed_s = 0
         self._patches = [
             mock.patch(
                 f'bergamotturn.process.{task}.monotonic', self.clock.monotonic
@@ -178,14 +182,43 @@
         until_s = self.clock.now_s + seconds
         while self.clock.now_s < until_s:
             self.clock.step(self.outside)
+            self._confirm()
             self._flush()
 
+    def promises(self, group, version):
+        """Return the promises to a holder that has announced itself."""
+        self.outside.sent.clear()
+        for message in (
+            peers.LeaseAnnounce(
+                group=group, instance='gone', epoch=1, endpoints=('x',)
+            ),
+            peers.PromiseAsk(
+                number=1, group=group, epoch=1, promise_s=3, version=version
+            ),
+        ):
+            envelope = peers.Envelope('gone', 'boot', message)
+            self.outside.fire(peers.peer_message(envelope), 'admission')
+        self._flush()
+        return [
+            message
+            for instance, message in self.outside.sent
+            if isinstance(message, peers.PromiseGiven) and instance == 'gone'
+        ]
+
     def ask(self, ask):
         self.outside.answers.clear()
         self.outside.fire(ask_permit(ask, 'requests'), 'permits')
         self.run(2)
         return self.outside.answers[0] if self.outside.answers else None
 
+    def _confirm(self):
+        """Stand in for the poll of the version row, once a second."""
+        now_s = self.clock.now_s
+        if now_s - self.confirmed_s >= 1:
+            self.confirmed_s = now_s
+            confirmed = events.configuration_confirmed(1, now_s)
+            self.outside.fire(confirmed, 'admission')
+
     def _flush(self):
         while len(self.outside):
             self.outside.flush()
--- a/features/support/admission_world.py
+++ b/features/support/admission_world.py
@@ -1,8 +1,10 @@
-"""Nine instances, a table and one engine on a simulated clock.
+"""Nine instances, a table and some engines on a simulated clock.
 
-The instances run the program's own decision classes; the engine here is the
-oracle. Each instance has its own clock offset, so that a comparison of two
-instances' clocks shows.
+The instances run the program's own decision classes; the engines here are the
+oracle. Configuration versions divide the engines into lease groups, and each
+instance adopts a version some time after the table or a peer shows it. Each
+instance has its own clock offset, so that a comparison of two instances'
+clocks shows.
 """
 
 import heapq
@@ -20,10 +22,16 @@
 from bergamotturn.connection.store_events import Row, StoreOutcome, StoreStatus
 from bergamotturn.process.actions import SendTo
 from bergamotturn.process import admission_duty as duties
-from bergamotturn.process import lease as leases
+from bergamotturn.process import endpoint_coordination as endpoints
+from bergamotturn.process import lease_actions as leases
+from bergamotturn.process.lease_group import lease_epoch, lease_groups
 from bergamotturn.process.ledger import CoordinatorTerms
 from bergamotturn.process.permits import Granted, Permits, Refused, may_start
-from bergamotturn.version.configuration import EndpointSettings, Policy
+from bergamotturn.version.configuration import (
+    Configuration,
+    EndpointSettings,
+    Policy,
+)
 
 NOWHERE = Address('127.0.0.1', 1)
 TICK_S = 0.25
@@ -32,6 +40,10 @@
 #: Longest transit of a request: below the coordinator's margin, beyond which
 #: the page promises nothing.
 TRANSIT_S = 0.4
+#: Names of the engines; by the hashes of their names, they make one lease
+#: group of four, two groups of up to two or three, or four groups.
+ENGINES = ('engine', 'engine-1', 'engine-2', 'engine-3')
+_POLL_S = 1.0
 
 
 def member(instance, boot_id, state):
@@ -115,30 +127,31 @@
 
 @dataclass
 class Table:
-    """One row and the faults of its service."""
+    """Lease rows by group, and the faults of their service."""
 
     mode: str = 'up'
-    row: Row | None = None
+    rows: dict[str, Row] = field(default_factory=dict)
 
-    def apply(self, action):
-        rows = (self.row,) if self.row else ()
+    def apply(self, action, group='group'):
+        row = self.rows.get(group)
+        rows = (row,) if row else ()
         if isinstance(action, leases.ReadLease):
             status = StoreStatus.found if rows else StoreStatus.absent
             return StoreOutcome(operation_id=0, status=status, rows=rows)
-        version = self.row.row_version if self.row else 0
+        version = row.row_version if row else 0
         if version != action.expected_version:
             return StoreOutcome(
                 operation_id=0, status=StoreStatus.conflict, rows=rows
             )
         content = leases.encode_lease_row(action.row)
-        self.row = Row('lease/engine', version + 1, content)
+        self.rows[group] = Row(f'lease/{group}', version + 1, content)
         return StoreOutcome(
             operation_id=0, status=StoreStatus.written, row_version=version + 1
         )
 
 
 class Node:
-    """One instance: its duty, its permits and its requests."""
+    """One instance: its duties, its permits and its requests."""
 
     def __init__(self, world, name):
         self.world = world
@@ -155,12 +168,17 @@
         self.paused_until_s = 0
         self.offset_s = self.world.random.uniform(0, 5000)
         self.boot_id = f'boot-{self.boots}'
-        identity = leases.Identity(self.name, self.boot_id)
-        self.duty = duties.Duty(identity, self.world.engine.terms, self.now_s)
+        self.version = 0
+        self.started_s = self.now_s
+        self.duties: dict[str, duties.Duty] = {}
+        self.groups: dict[str, str] = {}
         self.permits = Permits()
-        self.permits.configure([self.world.engine.terms.endpoint])
+        #: Those of instances that know only this one of all coordinators.
+        self.uninformed: dict[str, Permits] = {}
+        self.used: dict[str, Permits] = {}
         self.asked: dict[str, tuple[float, int]] = {}
         self.world.after(self.world.random.uniform(0, TICK_S), self, self.tick)
+        self.world.after(0, self, self.poll)
         self.world.after(0.1, self, self.see_members)
         self.world.after(0.2, self, self.press)
 
@@ -174,14 +192,79 @@
 
     def tick(self):
         self.world.after(TICK_S, self, self.tick)
-        self.act(self.duty.tick(self.now_s))
-        self.take(self.permits.tick(self.now_s))
+        for group, duty in self.duties.items():
+            self.act(group, duty.tick(self.now_s))
+        for permits in (self.permits, *self.uninformed.values()):
+            self.take(permits.tick(self.now_s))
+
+    def duty(self, group):
+        if group not in self.duties:
+            identity = leases.Identity(self.name, self.boot_id)
+            duty = duties.Duty(identity, group, self.started_s)
+            duty.configure(self.now_s, self.version, ())
+            duty.members_known(self.now_s, self.world.members(self))
+            self.duties[group] = duty
+        return self.duties[group]
+
+    def poll(self):
+        """Look at the version row, or at a peer's version."""
+        world = self.world
+        world.after(_POLL_S, self, self.poll)
+        asked_s = self.now_s
+        if world.table.mode == 'up' and self.name not in world.cut_off:
+            delay_s = world.random.uniform(0.001, 0.01)
+            world.later(delay_s, lambda: self.polled(asked_s, delay_s))
+        peer = world.random.choice(tuple(world.nodes.values()))
+        if peer.is_alive and not peer.is_paused:
+            self.hear_of(peer.version)
+
+    def polled(self, asked_s, delay_s):
+        """Let the table answer as it is now."""
+        number = len(self.world.versions)
+
+        def answer():
+            if number != self.version:
+                self.hear_of(number)
+                return
+            for group, duty in self.duties.items():
+                self.act(group, duty.confirmed(self.now_s, number, asked_s))
+
+        self.world.after(delay_s, self, answer)
+
+    def hear_of(self, number):
+        """Adopt a version once its content is fetched."""
+        if number > self.version:
+            lag_s = self.world.random.choice(self.world.adoption_lags_s)
+            lag_s = self.world.adoption_lag_s.get(self.name, lag_s)
+            self.world.after(lag_s, self, lambda: self.adopt(number))
+
+    def adopt(self, number):
+        if number <= self.version:
+            return
+        self.version = number
+        configuration = self.world.versions[number - 1]
+        groups = lease_groups(configuration)
+        self.groups = {
+            endpoint.name: group
+            for group, members in groups.items()
+            for endpoint in members
+        }
+        for permits in (self.permits, *self.uninformed.values()):
+            permits.configure(configuration.endpoints)
+        for group in sorted(self.duties.keys() | groups.keys()):
+            all_terms = [
+                CoordinatorTerms(endpoint, configuration.policy, {})
+                for endpoint in groups.get(group, ())
+            ]
+            duty = self.duty(group)
+            self.act(group, duty.configure(self.now_s, number, all_terms))
 
     def see_members(self):
         """Take the members as the gossip shows them by now."""
         self.world.after(0.5, self, self.see_members)
         members = self.world.members(self)
-        self.duty.members_known(self.now_s, members)
+        for duty in self.duties.values():
+            duty.members_known(self.now_s, members)
         alive = [
             known.instance
             for known in members
@@ -191,44 +274,81 @@
 
     def press(self):
         random = self.world.random
-        self.world.after(random.uniform(0.2, 1.2), self, self.press)
+        self.world.after(random.uniform(0.1, 0.5), self, self.press)
         self.ask()
 
     def ask(self):
         random = self.world.random
+        if not self.groups:
+            return
         number = next(self.world.numbers)
         cost = peers.Cost(1000, 100, random.choice((1000, 2500, 6000)))
         ask = peers.PermitAsk(
             ask_id=f'{self.name}/{self.boot_id}/{number}',
-            endpoint='engine',
+            endpoint=random.choice(tuple(self.groups)),
             workspace=random.choice(('one', 'two')),
             work_class=peers.AskClass.short,
             cost=cost,
             wait_s=random.choice((0.5, 4)),
         )
         self.asked[ask.ask_id] = (self.now_s, cost.kv_tokens)
-        self.take(self.permits.ask(self.now_s, ask))
+        permits = self.choose_permits(ask)
+        self.used[ask.ask_id] = permits
+        self.take(permits.ask(self.now_s, ask))
+
+    def choose_permits(self, ask):
+        """Sometimes ask any instance that believes to be the coordinator.
+
+        An instance that has just started may have heard of that one alone.
+        """
+        others = self.world.coordinators(ask.endpoint)
+        if not others or self.world.random.randrange(4):
+            return self.permits
+        other = self.world.random.choice(others).name
+        if other not in self.uninformed:
+            permits = Permits()
+            permits.members_known(self.world.nodes, len(self.world.nodes))
+            self.uninformed[other] = permits
+        announce = peers.CoordinatorAnnounce(
+            endpoint=ask.endpoint, instance=other, epoch=0
+        )
+        self.uninformed[other].coordinator_known(announce)
+        return self.uninformed[other]
 
     def receive(self, envelope):
         message = envelope.message
         if isinstance(message, peers.PermitGrant):
-            self.take(self.permits.grant(self.now_s, envelope.sender, message))
+            permits = self.used.get(message.ask_id, self.permits)
+            self.take(permits.grant(self.now_s, envelope.sender, message))
         elif isinstance(message, peers.PermitBusy):
-            self.take(self.permits.busy(self.now_s, envelope.sender, message))
+            permits = self.used.get(message.ask_id, self.permits)
+            self.take(permits.busy(self.now_s, envelope.sender, message))
         else:
-            self.act(self.duty.message(self.now_s, envelope))
+            self.coordinate(envelope)
 
-    def act(self, actions):
+    def coordinate(self, envelope):
+        message = envelope.message
+        if isinstance(message, peers.LeaseAnnounce):
+            self.duty(message.group)
+        endpoint = getattr(message, 'endpoint', '')
+        group = getattr(message, 'group', self.groups.get(endpoint, ''))
+        duty = self.duties.get(group)
+        if duty is not None:
+            self.act(group, duty.message(self.now_s, envelope))
+
+    def act(self, group, actions):
         for action in actions:
             if isinstance(action, SendTo):
                 self.world.note_grant(self, action)
                 self.world.send(self, action)
             elif isinstance(action, (leases.ReadLease, leases.WriteLease)):
-                self.world.operate(self, action)
+                self.world.operate(self, group, action)
             else:
-                self.world.call_engine(self, action)
-        if self.duty.announce is not None:
-            self.permits.coordinator_known(self.duty.announce)
+                self.world.call_engine(self, group, action)
+        announce = self.duties[group].announce
+        if announce is not None:
+            for coordinator in duties.coordinators_of([announce]):
+                self.permits.coordinator_known(coordinator)
 
     def take(self, actions):
         for action in actions:
@@ -243,7 +363,7 @@
     def begin(self, grant):
         """Ask for the status and send the work on the same connection."""
         world = self.world
-        engine = world.engine
+        engine = world.engines[grant.endpoint]
         asked_s, kv_tokens = self.asked.pop(grant.ask_id)
         status = engines.EngineStatus(engine.incarnation, engine.is_warm)
         if engine.is_down or not may_start(grant, asked_s, self.now_s, status):
@@ -260,11 +380,12 @@
     def end(self, grant, seen=None):
         release = peers.PermitRelease(
             permit_id=grant.permit_id,
-            endpoint='engine',
+            endpoint=grant.endpoint,
             used=seen is None,
             incarnation=seen,
         )
-        self.take(self.permits.give_back(self.now_s, release))
+        permits = self.used.get(grant.ask_id, self.permits)
+        self.take(permits.give_back(self.now_s, release))
 
 
 class World:
@@ -276,14 +397,22 @@
         self.numbers = count(1)
         self.counts: Counter[str] = Counter()
         self.breaches: list[str] = []
-        self.granted_epoch = 0
+        self.granted: dict[str, int] = {}
         self.unknown: set[str] = set()
         self.late_until_s: float = 0
         self.late_by_s = 6.0
         self.cut_off: set[str] = set()
         self.longest_stream_s = 4.0
         self.table = Table()
-        self.engine = Engine(terms(), checks_fencing)
+        self.engines = {
+            name: Engine(terms(name=name), checks_fencing) for name in ENGINES
+        }
+        #: Accepted configuration versions, from number 1 on.
+        self.versions = [configuration(ENGINES, len(ENGINES))]
+        #: Between hearing of a version and its being in force: any of these,
+        #: but for the instances named.
+        self.adoption_lags_s: tuple[float, ...] = (0.01,)
+        self.adoption_lag_s: dict[str, float] = {}
         self._order = count()
         self._heap: list[_Event] = []
         self.nodes: dict[str, Node] = {}
@@ -318,6 +447,39 @@
 
         self.later(delay_s, run)
 
+    @property
+    def granted_epoch(self):
+        """Epoch of the lease row that the first engine's last grant names."""
+        return lease_epoch(self.granted.get(ENGINES[0], 0))
+
+    def publish(self, names, most):
+        """Let the table accept a version, which needs the table."""
+        if self.table.mode != 'up':
+            return
+        before, after = self.versions[-1], configuration(names, most)
+        if before == after:
+            return
+        self.versions.append(after)
+        earlier = _group_of(before)
+        moved = sum(
+            name in earlier and earlier[name] != group
+            for name, group in _group_of(after).items()
+        )
+        self.counts['moves'] += moved
+        self.counts['returns'] += len(_group_of(after).keys() - earlier.keys())
+
+    def regroup(self):
+        """Publish other groups, some without an endpoint."""
+        gone = self.random.choice((*ENGINES, None, None))
+        names = [name for name in ENGINES if name != gone]
+        self.publish(names, self.random.randint(1, len(ENGINES)))
+
+    def regroup_often(self, pause_s):
+        """Go on regrouping, whatever else happens."""
+        self.regroup()
+        delay_s = self.random.uniform(0, 2 * pause_s)
+        self.later(delay_s, lambda: self.regroup_often(pause_s))
+
     def members(self, viewer):
         """Return the members; a change shows after 3.5 s."""
         shown = []
@@ -336,7 +498,7 @@
         self.late_until_s = self.now_s + 1
         self.late_by_s = 0.95
         for node in self.nodes.values():
-            for _ in range(3):
+            for _ in range(3 * len(self.engines)):
                 self.after(0, node, node.ask)
         self.run(0.1)
 
@@ -354,11 +516,21 @@
         if not self.nodes[name].is_alive:
             self.nodes[name].start()
 
+    def coordinators(self, name):
+        """Return the instances that believe to coordinate an engine."""
+        return [
+            node
+            for node in self.holders()
+            for duty in node.duties.values()
+            if name in duty.endpoints and duty.endpoints[name].coordinator
+        ]
+
     def holders(self):
         return [
             node
             for node in self.nodes.values()
-            if node.is_alive and node.duty.coordinator is not None
+            if node.is_alive
+            and any(duty.is_coordinator for duty in node.duties.values())
         ]
 
     def send(self, sender, action):
@@ -382,15 +554,17 @@
         """Check that no grant follows one of a newer holder."""
         if not isinstance(action.message, peers.PermitGrant):
             return
+        name = action.message.endpoint
         epoch = action.message.epoch
+        known = self.granted.get(name, 0)
         self.counts['grants'] += 1
-        if epoch > self.granted_epoch:
+        if epoch > known:
             self.counts['granting holders'] += 1
-            self.granted_epoch = epoch
-        elif epoch < self.granted_epoch:
-            self.breaches.append(f'{node.name} grants under epoch {epoch}')
+            self.granted[name] = epoch
+        elif epoch < known:
+            self.breaches.append(f'{node.name} grants {name} under {epoch}')
 
-    def operate(self, node, action):
+    def operate(self, node, group, action):
         mode = 'down' if node.name in self.cut_off else self.table.mode
         delay_s = self.random.uniform(0.001, 0.01)
         unknown = StoreOutcome(operation_id=0, status=StoreStatus.unknown)
@@ -398,31 +572,35 @@
             self.later(
                 delay_s,
                 lambda: self._answer(
-                    node, action, self.table.apply(action), delay_s
+                    node,
+                    group,
+                    action,
+                    self.table.apply(action, group),
+                    delay_s,
                 ),
             )
             return
         if mode == 'refused':
             refused = StoreOutcome(operation_id=0, status=StoreStatus.refused)
-            self._answer(node, action, refused, delay_s)
+            self._answer(node, group, action, refused, delay_s)
             return
         if mode == 'lost':
-            self.later(delay_s, lambda: self.table.apply(action))
+            self.later(delay_s, lambda: self.table.apply(action, group))
         if mode == 'late':
             held_s = self.random.uniform(0, 8)
-            self.later(held_s, lambda: self.table.apply(action))
-        self._answer(node, action, unknown, TABLE_TIMEOUT_S)
+            self.later(held_s, lambda: self.table.apply(action, group))
+        self._answer(node, group, action, unknown, TABLE_TIMEOUT_S)
 
-    def call_engine(self, node, action):
+    def call_engine(self, node, group, action):
         asked_s = node.now_s
         self.after(
             self.random.uniform(0.001, 0.01),
             node,
-            lambda: self._engine_answers(node, action, asked_s),
+            lambda: self._engine_answers(node, group, action, asked_s),
         )
 
     def arrive(self, node, grant, stream):
-        engine = self.engine
+        engine = self.engines[grant.endpoint]
         if not engine.accepts(grant):
             self.after(0, node, lambda: node.end(grant, engine.incarnation))
             return
@@ -433,14 +611,18 @@
         limits = engine.terms.endpoint
         if requests > limits.cold_requests or kv_tokens > limits.cold_kv_tokens:
             self.breaches.append(
-                f'{requests} requests, {kv_tokens} KV tokens at a cold engine'
+                f'{requests} requests, {kv_tokens} KV tokens at cold '
+                f'{grant.endpoint}'
             )
         lasts_s = self.random.uniform(0.2, self.longest_stream_s)
         self.later(lasts_s, lambda: self._finish(node, grant))
 
     def turn_cold(self, *, restarted):
-        """Turn the engine cold without a word; a restart ends its work."""
-        engine = self.engine
+        """Turn all engines cold without a word; a restart ends their work."""
+        for engine in self.engines.values():
+            self._turn_cold(engine, restarted)
+
+    def _turn_cold(self, engine, restarted):
         known = engine.incarnation
         engine.is_warm = False
         engine.incarnation = peers.EndpointIncarnation(
@@ -455,37 +637,68 @@
             engine.changed(self.now_s)
 
     def _finish(self, node, grant):
-        if self.engine.streams.pop(grant.ask_id, None) is not None:
-            self.engine.changed(self.now_s)
+        engine = self.engines[grant.endpoint]
+        if engine.streams.pop(grant.ask_id, None) is not None:
+            engine.changed(self.now_s)
         self.after(0.001, node, lambda: node.end(grant))
 
-    def _answer(self, node, action, outcome, delay_s):
-        duty = node.duty
+    def _answer(self, node, group, action, outcome, delay_s):
+        duty = node.duties[group]
         take = duty.row_written
         if isinstance(action, leases.ReadLease):
             take = duty.row_read
-        self.after(delay_s, node, lambda: node.act(take(node.now_s, outcome)))
+        self.after(
+            delay_s, node, lambda: node.act(group, take(node.now_s, outcome))
+        )
 
-    def _engine_answers(self, node, action, asked_s):
-        engine = self.engine
-        duty = node.duty
+    def _engine_answers(self, node, group, action, asked_s):
+        name = action.endpoint
+        engine = self.engines[name]
+        duty = node.duties[group]
         take = None
-        if isinstance(action, duties.AskStatus):
+        if isinstance(action, endpoints.AskStatus):
             status = engines.EngineStatus(engine.incarnation, engine.is_warm)
             seen = None if engine.is_down else status
-            take = partial(duty.status_answered, asked_s=asked_s, status=seen)
+            take = partial(
+                duty.status_answered,
+                endpoint=name,
+                asked_s=asked_s,
+                status=seen,
+            )
         elif engine.is_down:
             return
-        elif isinstance(action, duties.GiveEpoch):
+        elif isinstance(action, endpoints.GiveEpoch):
             engine.epoch = max(engine.epoch, action.epoch)
-            duty.epoch_answered(action.epoch)
+            duty.epoch_answered(name, action.epoch)
         else:
             age_s = self.random.uniform(0, 1)
             shown = engine.at(self.now_s - age_s)
             load = engines.EngineLoad(asked_s - age_s, shown)
-            take = partial(duty.load_answered, load=load)
+            take = partial(duty.load_answered, endpoint=name, load=load)
         if take:
-            self.after(0.005, node, lambda: node.act(take(node.now_s)))
+            self.after(0.005, node, lambda: node.act(group, take(node.now_s)))
+
+
+def configuration(names, most):
+    """Return a version with the engines in groups of at most ``most``."""
+    return Configuration(
+        endpoints=tuple(terms(name=name).endpoint for name in names),
+        policy=Policy(endpoints_per_lease=most),
+    )
+
+
+def _group_of(version):
+    return {
+        endpoint.name: group
+        for group, members in lease_groups(version).items()
+        for endpoint in members
+    }
+
+
+def _set_engines(world, **changes):
+    for engine in world.engines.values():
+        for name, wanted in changes.items():
+            setattr(engine, name, wanted)
 
 
 def _on_holders(act):
@@ -494,7 +707,7 @@
 
 def _heal(world):
     _set_table(world, 'up')
-    world.engine.is_down = False
+    _set_engines(world, is_down=False)
     for name in world.nodes:
         world.restart(name)
 
@@ -522,8 +735,9 @@
     'table acts late': partial(_set_table, mode='late'),
     'turn cold': partial(_turn_cold, restarted=False),
     'restart engine': partial(_turn_cold, restarted=True),
-    'warm up': lambda world: setattr(world.engine, 'is_warm', True),
-    'engine down': lambda world: setattr(world.engine, 'is_down', True),
+    'warm up': partial(_set_engines, is_warm=True),
+    'regroup': World.regroup,
+    'engine down': partial(_set_engines, is_down=True),
 }
 
 
--- a/features/support/measure_capacity.py
+++ b/features/support/measure_capacity.py
@@ -8,7 +8,8 @@
 from bergamotturn.connection.exchange import Address
 from bergamotturn.connection.peer_messages import MemberState, MemberUpdate
 from bergamotturn.process.admission_duty import Duty
-from bergamotturn.process.lease import Identity
+from bergamotturn.process.lease_actions import Identity
+from bergamotturn.process.lease_group import lease_groups
 from bergamotturn.process.ledger import CoordinatorTerms
 from bergamotturn.process.orphans import alive_instances, rank_instances
 from bergamotturn.version.configuration import (
@@ -46,6 +47,7 @@
 
     instances: int
     endpoints: int
+    lease_groups: int
     workspaces: int
     configuration_bytes: int
     configuration_decode_s: float
@@ -76,6 +78,7 @@
     return CapacityFigures(
         instances=_INSTANCES,
         endpoints=_ENDPOINTS,
+        lease_groups=len(duties),
         workspaces=len(built.workspaces),
         configuration_bytes=len(content),
         configuration_decode_s=decode_s,
@@ -101,7 +104,8 @@
     from_s = perf_counter()
     alive = alive_instances(members)
     for duty in duties:
-        rank_instances(duty.terms.endpoint.name, alive)
+        for _ in duty.endpoints:
+            rank_instances(duty.group, alive)
     return perf_counter() - from_s
 
 
@@ -115,14 +119,16 @@
 
 def _duties(configuration: Configuration) -> list[Duty]:
     identity = Identity('instance-0', 'boot')
-    return [
-        Duty(
-            identity,
-            CoordinatorTerms(endpoint, configuration.policy, {}, 0),
-            0,
-        )
-        for endpoint in configuration.endpoints
-    ]
+    duties = []
+    for group, endpoints in lease_groups(configuration).items():
+        duty = Duty(identity, group, 0)
+        terms = [
+            CoordinatorTerms(endpoint, configuration.policy, {}, 0)
+            for endpoint in endpoints
+        ]
+        duty.configure(0, 1, terms)
+        duties.append(duty)
+    return duties
 
 
 def _members(count: int) -> list[MemberUpdate]:
--- a/features/validation.feature
+++ b/features/validation.feature
@@ -61,6 +61,23 @@
       | overlay | endpoints[letter-1].address   |
       | overlay | policy.long_share             |
 
+  Scenario Outline: The endpoints of a lease are bounded
+    Guards against leases without endpoints, and groups that one instance cannot coordinate.
+    Given the base file
+      """
+      [policy]
+      endpoints_per_lease = <number>
+      """
+    When the files are merged
+    Then these errors are reported
+      | file | key                        |
+      | base | policy.endpoints_per_lease |
+    Examples:
+      | number |
+      | 0      |
+      | 65     |
+      | 2.5    |
+
   Scenario: References to unknown names are errors
     Guards against a workspace or endpoint that points at nothing.
     Given the base file
