Rank instances for the orphan watch by lease group

Cause: the orphan watch ranked all instances for each endpoint. With leases for groups that rank is nobody else's any more: at 350 instances and 720 endpoints the first tick after a change of the members took 0.18 s and the ranks stayed in memory beside those of the groups.

Ruled out: the coordinator as the watcher, since the watch must go on without a lease while the table is down.

Change: the instances are ranked for the endpoint's lease group. Instances with different configuration versions may watch an endpoint twice or, until both have the version, not at all; cancels are idempotent and the list is read each second.

--- a/bergamotturn/process/orphan_task.py
+++ b/bergamotturn/process/orphan_task.py
@@ -27,6 +27,7 @@
 from ..version.configuration import Configuration, EndpointSettings
 from ..version.settings import Settings
 from .events import MemberView
+from .lease_group import lease_groups
 from .metrics import STREAM_EVENTS
 from .orphans import Orphans, alive_instances, rank_instances
 from .timers import Timers
@@ -57,6 +58,9 @@
         self._timers = timers
         self._members: tuple[MemberUpdate, ...] = ()
         self._engines: dict[str, EndpointSettings] = {}
+        #: Lease group of each engine. The instances are ranked for groups:
+        #: 720 ranks of 350 instances take 0.2 s and 16 MB, 130 a sixth.
+        self._groups: dict[str, str] = {}
         self._orphans: dict[str, Orphans] = {}
         self._calls = EngineCalls()
         timers.call_after(_PERIOD_S, orphan_tick(), self.channel)
@@ -74,13 +78,18 @@
             for endpoint in configuration.endpoints
             if endpoint.kv_tokens
         }
+        self._groups = {
+            endpoint.name: group
+            for group, endpoints in lease_groups(configuration).items()
+            for endpoint in endpoints
+        }
 
     @handler('orphan_tick')
     def _on_orphan_tick(self) -> None:
         self._timers.call_after(_PERIOD_S, orphan_tick(), self.channel)
         alive = alive_instances(self._members)
         for name, engine in self._engines.items():
-            ranked = rank_instances(name, alive)
+            ranked = rank_instances(self._groups[name], alive)
             if not ranked or ranked[0] != self._instance:
                 self._orphans.pop(name, None)
                 continue
--- a/bergamotturn/process/orphans.py
+++ b/bergamotturn/process/orphans.py
@@ -56,15 +56,13 @@
 
 
 @lru_cache(maxsize=_CACHED_RANKS)
-def rank_instances(
-    endpoint: str, instances: tuple[str, ...]
-) -> tuple[str, ...]:
-    """Order instances by rendezvous hash for a duty at ``endpoint``."""
+def rank_instances(group: str, instances: tuple[str, ...]) -> tuple[str, ...]:
+    """Order instances by rendezvous hash for a duty at a lease group."""
     return tuple(
         sorted(
             instances,
             key=lambda instance: blake2b(
-                f'{endpoint}\n{instance}'.encode(), digest_size=_RANK_BYTES
+                f'{group}\n{instance}'.encode(), digest_size=_RANK_BYTES
             ).digest(),
             reverse=True,
         )
