Test ends of answers and reuse of connections at the HTTP client

Cause: the parser of answers is to be replaced for its cost. What it promises on answers without a length, informational answers, HEAD, 204 and 304, upgrades and bytes after an answer was h11's and had no scenario here.

Ruled out: leaving this to a comparison of parsers alone; it would not see how the client uses what a parser reports.

Change: 16 more examples in http_client.feature against real sockets.

Conclusion: the promises are written down before the parser changes.

--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -42,6 +42,42 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort   | endpoint_lost   |
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nshort  | endpoint_failed |
       | SSH-2.0-server\r\n\r\n                                            | endpoint_failed |
+      | HTTP/1.1 101 Switching\r\nUpgrade: a\r\nConnection: upgrade\r\n\r\n | endpoint_failed |
+
+  Scenario Outline: An answer that ends in another way than by its length
+    Guards against an end that is taken for a fault, and a body that is expected where none comes.
+    Given a peer with the answer "<answer>" before it closes
+    When a "<method>" is sent to the peer
+    Then the peer's answer is "<content>"
+
+    Examples:
+      | method | answer                                                                           | content |
+      | GET    | HTTP/1.1 200 OK\r\n\r\nwhole                                                     | whole   |
+      | GET    | HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nwhole                          | whole   |
+      | GET    | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n0\r\n\r\n | whole   |
+      | GET    | HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hint\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nwhole | whole   |
+      | HEAD   | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n                                    |         |
+      | GET    | HTTP/1.1 204 No\r\nContent-Length: 5\r\n\r\n                                    |         |
+      | GET    | HTTP/1.1 304 No\r\nContent-Length: 5\r\n\r\n                                    |         |
+      | GET    | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nmixed     | whole   |
+
+  Scenario Outline: Connections that may not be used again
+    Guards against bytes of one answer that are read as the next one's.
+    Given a peer with the answer "<answer>" to each request
+    When a "GET" is sent to the peer
+    And a "GET" is sent to the peer
+    Then the peer's answer is "whole"
+    And the requests came on <connections> connections
+
+    Examples:
+      | answer                                                                         | connections |
+      | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole                              | 1           |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n     | 1           |
+      | HTTP/1.1 200 OK\r\nConnection: Close\r\nContent-Length: 5\r\n\r\nwhole         | 2           |
+      | HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nwhole    | 2           |
+      | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole\r\n                          | 2           |
+      | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n\n   | 2           |
+      | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nmixed   | 2           |
 
   Scenario: A peer that sends one byte at a time
     Guards against a slow peer that is taken for a silent one, or whose bytes are held back.
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -171,6 +171,11 @@
     sock.sendall(answer)
 
 
+def _say_each_time(answer, peer, sock, number):
+    while peer.read_request(sock, number) is not None:
+        sock.sendall(answer)
+
+
 def _drip(content, peer, sock, number):
     peer.read_request(sock)
     sock.sendall(_answer('', len(content)))
@@ -260,6 +265,12 @@
     _serve_peer(context, partial(_say_once, literal))
 
 
+@given('a peer with the answer "{answer}" to each request')
+def repeating_peer(context, answer):
+    literal = answer.encode().replace(rb'\r', b'\r').replace(rb'\n', b'\n')
+    _serve_peer(context, partial(_say_each_time, literal))
+
+
 @given('a peer with answers once {count:d} requests have come')
 def gathering_peer(context, count):
     _serve_peer(context, partial(_gather, threading.Barrier(count)))
@@ -338,6 +349,11 @@
     assert len(context.reports) > 4, context.reports
 
 
+@then('the peer\'s answer is ""')
+def answer_is_empty(context):
+    answer_is(context, '')
+
+
 @then('the peer\'s answer is "{text}"')
 def answer_is(context, text):
     assert context.reports[-1][0] == 'exchange_end', context.reports
@@ -359,6 +375,12 @@
         fails(context, 'endpoint_lost', 'bytes')
 
 
+@then('the requests came on {count:d} connections')
+def connection_count(context, count):
+    numbers = {number for number, _ in context.peer.requests}
+    assert len(numbers) == count, context.peer.requests
+
+
 @then('{count:d} connections of the peer end')
 def connections_end(context, count):
     for _ in range(count):
