--- a/bergamotturn/connection/answer_parser.py
+++ b/bergamotturn/connection/answer_parser.py
@@ -28,7 +28,7 @@
 
 #: The library also takes blank lines, other versions and RTSP.
 _HEAD_START: Final = b'HTTP/1.'
-#: The library also takes any status and control characters in the reason.
+#: The library also takes statuses below 100 and control characters.
 _STATUS_LINE: Final = re.compile(
     rb'HTTP/1\.[01] [1-9][0-9]{2}(?: [\t\x20-\x7e\x80-\xff]*)?\r\n'
 )
