Let slow reads of the platform stand-ins answer with older rows

Cause: a slow read slept first and read the row afterwards, so that no instance ever got a row from the table that was older than what it had heard from its peers. No process run could therefore meet the outdated answer that "never reverts" guards against.

Ruled out: delaying the effect of writes alone, as before. The late answer then still carries the newest row.

Change: a slow write takes effect late, as before; a slow read is carried out when it comes and answered late.

Conclusion: process runs can now meet outdated rows.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -31,6 +31,14 @@
     Then the writer has no answer
     And the row "lease/x" holds "mine" at version 1 within 2 s
 
+  Scenario: A slow read answers with an older row
+    Guards against a stand-in that reads when it answers, so that no instance ever gets an outdated row.
+    Given stand-ins of the platform and a plain service run
+    And "old" was written to the row "lease/x"
+    And the table stand-in has the fault "slow"
+    When "new" is written to the row "lease/x" during a read
+    Then the read shows "old"
+
   Scenario: The instance list shows a change late
     Guards against a list without lag, which would hide routing to leaving endpoints.
     Given stand-ins of the platform and a plain service run
--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -41,8 +41,8 @@
     ) -> web.StreamResponse:
         """Run ``operation`` under the outage in force.
 
-        A slow write takes effect even when its caller has gone, so that a
-        caller's timeout leaves the outcome open.
+        A slow write takes effect late, even when its caller has gone; a slow
+        read answers late with what was there when it came.
         """
         self._counts[request.method] += 1
         body = await request.read()
@@ -51,10 +51,12 @@
             await asyncio.sleep(_SILENT_S)
         if fault in {'refuse', 'silent'}:
             return json_answer({'error': 'unavailable'}, 503)
-        if fault == 'slow':
+        if fault == 'slow' and request.method == 'PUT':
             await asyncio.sleep(self.fault.delay_s)
         key = request.match_info.get('key', request.query.get('prefix', ''))
         answer = operation(key, body)
+        if fault == 'slow' and request.method == 'GET':
+            await asyncio.sleep(self.fault.delay_s)
         if fault == 'lose_answers' and request.method == 'PUT':
             request.transport.abort()
         return answer
@@ -142,8 +144,7 @@
 
     async def _set_list(self, request: web.Request) -> web.Response:
         """Take the list as it is now."""
-        is_first = self._versions[-1][0] < 0
-        at_s = 0 if is_first else monotonic()
+        at_s = 0 if self._versions[-1][0] < 0 else monotonic()
         self._versions.append((at_s, await request.read()))
         return web.Response(status=204)
 
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -3,6 +3,7 @@
 import os
 import socket
 from base64 import b64decode, b64encode
+from concurrent.futures import ThreadPoolExecutor
 from hashlib import sha256
 from http.client import HTTPConnection
 from time import monotonic, sleep
@@ -109,6 +110,30 @@
         context.error = error
 
 
+@given('"{text}" was written to the row "{row_key}"')
+def row_written(context, text, row_key):
+    """Write the row's first version."""
+    assert _write(context, row_key, text, 0).status == 200
+
+
+@when('"{text}" is written to the row "{row_key}" during a read')
+def write_during_read(context, text, row_key):
+    """Write while a slow read is open, and keep the read's answer."""
+    with ThreadPoolExecutor(1) as readers:
+        reading = readers.submit(_read, context, row_key)
+        sleep(0.2)
+        context.cluster.fault(context.table_address, fault='')
+        assert _write(context, row_key, text, 1).status == 200
+        assert not reading.done()
+        context.answer = reading.result()
+
+
+@then('the read shows "{text}"')
+def read_shows(context, text):
+    """Check the value in the read's answer."""
+    assert b64decode(context.answer.json()['value']) == text.encode()
+
+
 @then('the writer has no answer')
 def no_answer(context):
     """Check that the write ended without an answer."""
