Let the randomised run draw every fault and explain each failed call

It printed lost and cut answers without checking that something of theirs had failed, and did not look at engines that fell over in cold start.

Change: faults are drawn in rounds, each once before any comes again: kill -9, SIGSTOP, SIGTERM, killed engine processes (three engines, started again cold), restarted engines, cold turns, silent connections, raced orders, leaving endpoints, and each fault of the table, the other stores and the service. A chat may be lost only with its killed instance and cut only with a lost engine; a call needs an answer of the closed list; an engine that falls over in cold start is a fault. An instance that is stopped must end with exit code 0.

--- a/features/support/chaos.py
+++ b/features/support/chaos.py
@@ -2,7 +2,7 @@
 
 Run as ``python -m features.support.chaos [--seed N] [--seconds S]``. The seed
 decides the faults and the load; real processes add their own timing. The exit
-code is 1 when a rule was broken.
+code is 1 when a rule was broken, or a chat failed that no fault explains.
 """
 
 import argparse
@@ -12,16 +12,28 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import closing
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 from time import monotonic, sleep
 from typing import Final, final
 
+from bergamotturn.connection.exchange import Address
+from bergamotturn.errors import ErrorKind
+
 from .cluster import ClusterError
 from .engine_settings import EngineSettings
+from .http_call import is_listening
 from .load_plan import LoadPlan, TokenRange
-from .load_report import LoadResult, prompt_table
+from .load_report import (
+    ChatRecord,
+    LoadResult,
+    Outcome,
+    ServiceRecord,
+    prompt_table,
+    was_under_way,
+)
 from .plan import DATA_CENTRES, DeploymentPlan, Plan
-from .trial import Trial
+from .trial import Trial, not_whole, wait_until
 
 __all__ = ('main',)
 
@@ -38,10 +50,18 @@
 #: At most so many instances are away at a time.
 _MOST_AWAY: Final = 3
 _STORE_FAULTS: Final = ('silent', 'refuse', 'slow', 'lose_answers')
+_SERVICE_FAULTS: Final = ('reset', 'slow', 'lose_answer')
 #: Longest outage, pause and stay of an order.
 _LONGEST_S: Final = 12
 #: Time after the load in which orphans and leases settle.
 _SETTLE_S: Final = 12
+#: Longest that a stopping instance may still finish answers.
+_STOP_S: Final = 70
+_POLL_S: Final = 0.1
+_OK: Final = 200
+#: Stands for engines in the place of an instance's address.
+_ENGINES: Final = 'engines'
+_CODES: Final = frozenset(kind.value for kind in ErrorKind)
 
 
 @final
@@ -51,38 +71,106 @@
     undo: Callable[[], None]
 
 
+@final
+@dataclass(slots=True)
+class _Loss:
+    """An instance's caller address, or engines, lost at a time of the load."""
+
+    address: str
+    at_s: float
+
+
 @final
 class _Chaos:
     """Draws faults and carries them out until its time is over."""
 
-    def __init__(self, trial: Trial, random: Random) -> None:
+    def __init__(self, trial: Trial, random: Random, started_s: float) -> None:
         self.paused: set[str] = set()
         self.counts: Counter[str] = Counter()
+        self.faults: list[str] = []
         self._trial = trial
         self._cluster = trial.cluster
         self._random = random
+        self._started_s = started_s
         self._later: list[_Later] = []
         self._away: set[str] = set()
+        self._engines_away: set[str] = set()
+        self._losses: list[_Loss] = []
 
     def run(self, seconds: float) -> None:
-        """Inject faults for ``seconds``, then undo what is left of them."""
+        """Inject faults for ``seconds``, then undo what is left of them.
+
+        Each fault is drawn once before any is drawn again, so that a short
+        run misses none.
+        """
         until_s = monotonic() + seconds
-        faults = (
+        drawn: list[Callable[[], str]] = []
+        while monotonic() < until_s:
+            drawn = drawn or self._shuffled()
+            self.counts[drawn.pop()()] += 1
+            sleep(self._random.uniform(*_GAPS_S))
+            self._undo(monotonic())
+        while self._later:
+            self._undo(float('inf'))
+
+    def unexplained(self, result: LoadResult) -> list[str]:
+        """Return the calls that failed though nothing of theirs did.
+
+        A refusal is honest when its code is of the closed list; an answer may
+        be lost only with its instance, and cut only with an engine.
+        """
+        chats = [chat for chat in result.chats if not self._is_honest(chat)]
+        calls = [
+            f'call {record.idempotency_key} at {record.address}:'
+            f' {record.status} {record.error}, {record.took_s:.1f} s'
+            for record in result.calls
+            if not self._is_answered(record)
+        ]
+        return [*not_whole(chats), *calls]
+
+    def _is_honest(self, chat: ChatRecord) -> bool:
+        if chat.outcome is Outcome.refused:
+            return chat.error in _CODES
+        if chat.outcome is Outcome.lost:
+            return self._lost_during(chat, chat.address)
+        if chat.error == ErrorKind.endpoint_lost.value:
+            return self._lost_during(chat, _ENGINES)
+        return chat.outcome is Outcome.whole
+
+    def _is_answered(self, record: ServiceRecord) -> bool:
+        is_answer = record.status == _OK or record.error in _CODES
+        return is_answer or self._lost_during(record, record.address)
+
+    def _lost_during(
+        self, record: ChatRecord | ServiceRecord, address: str
+    ) -> bool:
+        return any(
+            loss.address == address and was_under_way(record, loss.at_s)
+            for loss in self._losses
+        )
+
+    def _shuffled(self) -> list[Callable[[], str]]:
+        platform = self._cluster.platform
+        faults = [
             self._kill,
             self._pause,
-            self._freeze,
-            self._break_store,
-            self._break_service,
+            self._stop,
+            self._kill_engines,
+            self._restart_engine,
             self._turn_cold,
+            self._freeze,
             self._race_orders,
-        )
-        while monotonic() < until_s:
-            fault = self._random.choice(faults)
-            self.counts[fault.__name__.strip('_')] += 1
-            fault()
-            sleep(self._random.uniform(*_GAPS_S))
-            self._undo(monotonic())
-        self._undo(float('inf'))
+            self._list_leaving,
+            *(
+                partial(self._break_store, 'table', platform.table, fault)
+                for fault in _STORE_FAULTS
+            ),
+            partial(self._break_any, 'objects', platform.objects),
+            partial(self._break_any, 'list', platform.instance_list),
+            *(partial(self._break_service, each) for each in _SERVICE_FAULTS),
+        ]
+        self._random.shuffle(faults)
+        return faults
 
     def _undo(self, now_s: float) -> None:
         due = [each for each in self._later if each.at_s <= now_s]
@@ -100,58 +188,132 @@
         chosen = self._random.choice(here)
         return chosen if len(self._away) < _MOST_AWAY else ''
 
-    def _kill(self) -> None:
+    def _note_loss(self, address: str) -> None:
+        at_s = monotonic() - self._started_s
+        self._losses.append(_Loss(address, at_s))
+
+    def _kill(self) -> str:
         name = self._choose_instance()
-        if name:
-            self._trial.note_breaches()
-            self._away.add(name)
-            self._cluster.kill(name)
-            self._undo_later(lambda: self._start(name))
+        if not name:
+            return 'too many away'
+        self._trial.note_breaches()
+        self._away.add(name)
+        self._note_loss(str(self._cluster.instances[name].caller_address))
+        self._cluster.kill(name)
+        self._undo_later(lambda: self._start(name))
+        return 'instance killed'
 
     def _start(self, name: str) -> None:
         self._cluster.start_instance(name)
         self._away.discard(name)
 
-    def _pause(self) -> None:
+    def _pause(self) -> str:
         name = self._choose_instance()
-        if name:
-            self._away.add(name)
-            self.paused.add(name)
-            self._cluster.pause(name)
-            self._undo_later(lambda: self._wake(name))
+        if not name:
+            return 'too many away'
+        self._away.add(name)
+        self.paused.add(name)
+        self._cluster.pause(name)
+        self._undo_later(lambda: self._wake(name))
+        return 'instance paused'
 
     def _wake(self, name: str) -> None:
         self._cluster.resume(name)
         self._away.discard(name)
 
-    def _freeze(self) -> None:
+    def _stop(self) -> str:
+        """Stop an instance as planned; it finishes what it has."""
+        name = self._choose_instance()
+        if not name:
+            return 'too many away'
+        self._trial.note_breaches()
+        self._away.add(name)
+        self._cluster.terminate(name)
+        until_s = monotonic() + _STOP_S
+        self._undo_later(lambda: self._start_stopped(name, until_s))
+        return 'instance stopped'
+
+    def _start_stopped(self, name: str, until_s: float) -> None:
+        if self._cluster.is_running(name) and monotonic() < until_s:
+            # Another look; the run does not wait for its last answers.
+            sleep(_POLL_S)
+            self._undo_later(lambda: self._start_stopped(name, until_s))
+        elif self._cluster.is_running(name):
+            self.faults.append(f'{name} did not stop in {_STOP_S} s')
+        else:
+            self._note_end(name)
+            self._start(name)
+
+    def _note_end(self, name: str) -> None:
+        code = self._cluster.wait_end(name, 0)
+        if code:
+            self.faults.append(f'{name} stopped with exit code {code}')
+
+    def _kill_engines(self) -> str:
+        """Kill an engine process; it serves all engines of a data centre."""
+        if self._engines_away:
+            return 'too many away'
+        process = self._random.choice(self._cluster.engine_processes)
+        engines = self._cluster.engines_of(process)
+        # Its counts end with it.
+        self.faults.extend(self._trial.cold_faults(engines))
+        self._engines_away.update(engines)
+        self._note_loss(_ENGINES)
+        self._cluster.kill(process)
+        self._undo_later(lambda: self._start_engines(process))
+        return 'engines killed'
+
+    def _start_engines(self, process: str) -> None:
+        self._cluster.restart_engines(process)
+        engines = map(
+            self._cluster.engine_address, self._cluster.engines_of(process)
+        )
+        wait_until(lambda: all(map(is_listening, engines)), _LONGEST_S)
+        self._engines_away.clear()
+
+    def _restart_engine(self) -> str:
+        engine = self._cluster.engine_address(self._choose_engine())
+        self._note_loss(_ENGINES)
+        self._cluster.fault(engine, fault='restart')
+        return 'engine restarted'
+
+    def _turn_cold(self) -> str:
+        engine = self._cluster.engine_address(self._choose_engine())
+        self._cluster.fault(engine, fault='turn_cold')
+        return 'engine cold'
+
+    def _freeze(self) -> str:
         engine = self._cluster.engine_address(self._choose_engine())
         self._cluster.fault(engine, fault='freeze')
+        return 'connections silent'
 
-    def _break_store(self) -> None:
-        platform = self._cluster.platform
-        stores = (platform.table, platform.objects, platform.instance_list)
-        self._cluster.fault(
-            self._random.choice(stores),
-            fault=self._random.choice(_STORE_FAULTS),
-            every=self._random.randint(1, 4),
-            for_s=self._random.uniform(1, _LONGEST_S),
-        )
+    def _break_any(self, label: str, address: Address) -> str:
+        fault = self._random.choice(_STORE_FAULTS)
+        return self._break_store(label, address, fault)
+
+    def _break_store(self, label: str, address: Address, fault: str) -> str:
+        self._break(address, fault)
+        return f'{label} {fault}'
 
-    def _break_service(self) -> None:
+    def _break_service(self, fault: str) -> str:
+        self._break(self._cluster.services[_SERVICE], fault)
+        return f'service {fault}'
+
+    def _break(self, address: Address, fault: str) -> None:
         self._cluster.fault(
-            self._cluster.services[_SERVICE],
-            fault=self._random.choice(('reset', 'slow', 'lose_answer')),
+            address,
+            fault=fault,
             every=self._random.randint(1, 4),
             for_s=self._random.uniform(1, _LONGEST_S),
         )
 
-    def _turn_cold(self) -> None:
-        engine = self._cluster.engine_address(self._choose_engine())
-        fault = self._random.choice(('turn_cold', 'restart'))
-        self._cluster.fault(engine, fault=fault)
+    def _list_leaving(self) -> str:
+        engine = self._choose_engine()
+        self._cluster.list_as(engine, leaving=True)
+        self._undo_later(lambda: self._cluster.list_as(engine, leaving=False))
+        return 'endpoint leaving'
 
-    def _race_orders(self) -> None:
+    def _race_orders(self) -> str:
         """Let two operators give opposite orders, then bring it back."""
         data_centre = self._random.choice(DATA_CENTRES)
         targets = (
@@ -165,6 +327,7 @@
             for name, state in orders:
                 operators.submit(self._order, name, target, state)
         self._undo_later(lambda: self._bring_back(target))
+        return 'orders raced'
 
     def _bring_back(self, target: str) -> None:
         here = sorted(set(self._cluster.instances) - self._away)
@@ -178,7 +341,13 @@
             self.counts['order not taken'] += 1
 
     def _choose_engine(self) -> str:
-        return self._random.choice(self._trial.engines)
+        """Return an engine whose process runs."""
+        here = [
+            engine
+            for engine in self._trial.engines
+            if engine not in self._engines_away
+        ]
+        return self._random.choice(here)
 
 
 def main() -> int:
@@ -212,12 +381,17 @@
 def _run(trial: Trial, load: LoadPlan) -> list[str]:
     trial.wait_coordinated()
     running = trial.start_load(load)
-    chaos = _Chaos(trial, Random(load.seed))
+    chaos = _Chaos(trial, Random(load.seed), running.started_s)
     chaos.run(load.duration_s)
     result = running.finish()
     sleep(_SETTLE_S)
     _show(result, chaos)
-    faults = trial.faults(result, chaos.paused)
+    faults = [
+        *chaos.faults,
+        *chaos.unexplained(result),
+        *trial.cold_faults(trial.engines),
+        *trial.faults(result, chaos.paused),
+    ]
     held = {
         engine: trial.facts(engine)['kv_used_tokens']
         for engine in trial.engines
@@ -232,7 +406,7 @@
 
 def _show(result: LoadResult, chaos: _Chaos) -> None:
     for fault, count in sorted(chaos.counts.items()):
-        print(f'{fault:>16} {count:4}')
+        print(f'{fault:>20} {count:4}')
     print(prompt_table(result.chats))
     outcomes = Counter(
         f'{chat.outcome.value} {chat.error[:40]}' for chat in result.chats
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -68,6 +68,7 @@
         self._folder = Path(self._temporary.name)
         self._processes = ProcessGroup(self._folder)
         self._leaving: set[str] = set()
+        self._engine_processes: dict[str, list[EngineSettings]] = {}
         self._ports = free_ports(_port_count(plan))
         self.platform = PlatformSettings(
             table=self._address(),
@@ -181,6 +182,23 @@
                     return Address(HOST, settings.port)
         raise KeyError(name)
 
+    @property
+    def engine_processes(self) -> list[str]:
+        """Return the names of the processes that serve engines."""
+        return list(self._engine_processes)
+
+    def engines_of(self, process: str) -> list[str]:
+        """Return the names of the engines that a process serves."""
+        return [engine.name for engine in self._engine_processes[process]]
+
+    def restart_engines(self, process: str) -> None:
+        """Start a killed engine process without waiting; it starts cold."""
+        engines = [
+            msgspec.structs.replace(engine, start_cold=True)
+            for engine in self._engine_processes[process]
+        ]
+        self._start_engine_process(process, engines)
+
     def engine_facts(self, name: str) -> dict[str, Any]:
         """Return what an engine counted."""
         return call(self.engine_address(name), 'GET', '/_facts').json()
@@ -307,11 +325,16 @@
     def _start_engines(self, engines: list[EngineSettings]) -> None:
         count = min(self.plan.engine_processes, len(engines))
         for number in range(count):
-            path = self._folder / f'engines-{number}.json'
-            path.write_bytes(msgspec.json.encode(engines[number::count]))
-            self._processes.start(
-                f'engines-{number}', f'{_STANDINS}.engine', str(path)
-            )
+            process = f'engines-{number}'
+            self._engine_processes[process] = engines[number::count]
+            self._start_engine_process(process, engines[number::count])
+
+    def _start_engine_process(
+        self, process: str, engines: list[EngineSettings]
+    ) -> None:
+        path = self._folder / f'{process}.json'
+        path.write_bytes(msgspec.json.encode(engines))
+        self._processes.start(process, f'{_STANDINS}.engine', str(path))
 
     def _wait_listening(self, addresses: list[Address]) -> None:
         until_s = monotonic() + _READY_S
--- a/features/support/load.py
+++ b/features/support/load.py
@@ -365,6 +365,8 @@
     ) -> None:
         """Send the call to ``address``."""
         record = self._record
+        record.address = str(address)
+        record.status = 0
         record.error = ''
         record.not_run = False
         async with self._session.post(
--- a/features/support/load_report.py
+++ b/features/support/load_report.py
@@ -15,6 +15,7 @@
     'faults_of',
     'percentile',
     'prompt_table',
+    'was_under_way',
 )
 
 #: Upper bounds of the rows of a table by prompt length, in tokens.
@@ -22,6 +23,8 @@
 #: An answer may come so late after its deadline before it counts as an
 #: overrun; it covers the way back and the load tool's own delays.
 _OVERRUN_S: Final = 1
+#: Between the clock of the load and that of its faults.
+_TOLERANCE_S: Final = 0.5
 
 
 @final
@@ -84,6 +87,7 @@
     error: str = ''
     not_run: bool = False
     attempts: int = 0
+    address: str = ''
 
 
 @final
@@ -96,6 +100,12 @@
     refused_lookups: int = 0
 
 
+def was_under_way(record: ChatRecord | ServiceRecord, at_s: float) -> bool:
+    """Return whether a call ran ``at_s`` seconds after the load's start."""
+    since_s = at_s - record.arrived_s
+    return -_TOLERANCE_S <= since_s <= record.took_s + _TOLERANCE_S
+
+
 def percentile(values: Iterable[float], percent: float) -> float:
     """Return the nearest-rank percentile, not a number for no values."""
     ordered = sorted(values)
--- a/features/support/trial.py
+++ b/features/support/trial.py
@@ -141,6 +141,15 @@
         """Return what an engine counted."""
         return self.cluster.engine_facts(engine)
 
+    def cold_faults(self, engines: Iterable[str]) -> list[str]:
+        """Return the engines that fell over in cold start, and how often."""
+        falls = {engine: self.facts(engine)['falls'] for engine in engines}
+        return [
+            f'{engine} fell over {count} times in cold start'
+            for engine, count in falls.items()
+            if count
+        ]
+
     def arrivals_between(
         self, engines: Iterable[str], from_s: float, to_s: float
     ) -> int:
