--- a/features/standins/platform.py
+++ b/features/standins/platform.py
@@ -41,20 +41,20 @@
     ) -> web.StreamResponse:
         """Run ``operation`` under the outage in force.
 
-        A slow write takes effect even when its caller has gone, so that a
-        caller's timeout leaves the outcome open.
+        A slow write takes effect late, even when its caller has gone; a slow
+        read answers late with what was there when it came.
         """
         self._counts[request.method] += 1
         body = await request.read()
         fault = self.fault.meet()
-        if fault == 'silent':
-            await asyncio.sleep(_SILENT_S)
+        await asyncio.sleep(_SILENT_S if fault == 'silent' else 0)
         if fault in {'refuse', 'silent'}:
             return json_answer({'error': 'unavailable'}, 503)
-        if fault == 'slow':
+        if fault == 'slow' and request.method != 'GET':
+            await asyncio.sleep(self.fault.delay_s)
+        answer = operation(request.match_info.get('key', request.query), body)
+        if fault == 'slow' and request.method == 'GET':
             await asyncio.sleep(self.fault.delay_s)
-        key = request.match_info.get('key', request.query)
-        answer = operation(key, body)
         if fault == 'lose_answers' and request.method != 'GET':
             request.transport.abort()
         return answer
