Kill an engine process under load in a scenario of its own

Ruled out: that callers see a refusal.

Change: the process of three engines is killed with -9 under 15 requests a second and started again, cold, after 4 s. Only answers that had begun may fail, with endpoint_lost; all others are whole at the first attempt; the engines get work again and do not fall over in cold start.

Conclusion: the death of an engine process is guarded. That a lost engine is avoided for 3 s was not broken on purpose.

--- a/features/process_faults.feature
+++ b/features/process_faults.feature
@@ -86,6 +86,15 @@
     And streams were resumed
     And no rule was broken
 
+  Scenario: An engine process is killed under load and started again
+    Guards against a dead engine that fails requests which could go elsewhere, stays without work, or is overrun when it starts cold.
+    Given nine instances serve 15 requests a second for 18 s
+    When the engine process of "letter-0" is killed for 4 s
+    Then every request is answered in full at once, but answers cut with the killed engines
+    And its engines "letter-0" and "letter-6" got work again
+    And none of its engines got more in cold start than it bears
+    And no rule was broken
+
   Scenario: Calls that may not be repeated run at most once
     Guards against a second execution after lost answers and deaths, and against untrue answers that say "not run".
     Given nine instances serve 5 requests a second for 10 s, and 10 calls a second, each repeated with its key
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -10,7 +10,11 @@
 
 from features.support.engine_settings import EngineSettings
 from features.support.load_plan import LoadPlan
-from features.support.load_report import Outcome, ServiceRecord
+from features.support.load_report import (
+    Outcome,
+    ServiceRecord,
+    was_under_way,
+)
 from features.support.plan import DeploymentPlan, Plan
 from features.support.trial import (
     Trial,
@@ -532,6 +536,64 @@
     assert _resumes(context.trial) > context.resumes
 
 
+@when('the engine process of "{engine}" is killed for {away:d} s')
+def kill_engine_process(context, engine, away):
+    """Kill it in the middle of the load; its engines start again cold."""
+    cluster = context.trial.cluster
+    process = next(
+        name
+        for name in cluster.engine_processes
+        if engine in cluster.engines_of(name)
+    )
+    context.away = cluster.engines_of(process)
+    context.running.sleep_until(4)
+    context.killed_s = monotonic()
+    cluster.kill(process)
+    sleep(away)
+    cluster.restart_engines(process)
+
+
+@then(
+    'every request is answered in full at once,'
+    ' but answers cut with the killed engines'
+)
+def all_whole_but_cut(context):
+    """Let only answers fail that had begun, and no instance refuse one.
+
+    A refusal would be repeated elsewhere by its caller and end whole.
+    """
+    killed_s = context.killed_s - context.running.started_s
+    chats = _result(context).chats
+    cut = [
+        chat
+        for chat in chats
+        if chat.outcome is Outcome.cut
+        and chat.error == 'endpoint_lost'
+        and was_under_way(chat, killed_s)
+    ]
+    faults = not_whole(chat for chat in chats if chat not in cut)
+    assert not faults, faults
+    assert cut, 'no answer was open at the killed engines'
+    repeated = [chat.number for chat in chats if chat.attempts > 1]
+    assert not repeated, repeated
+
+
+@then('its engines "{one}" and "{other}" got work again')
+def engines_work_again(context, one, other):
+    """Look for arrivals in the new process; letter-3 is kept for longs."""
+    for engine in (one, other):
+        arrivals_s = context.trial.facts(engine)['arrivals_s']
+        assert arrivals_s, engine
+        assert min(arrivals_s) > context.killed_s, arrivals_s
+
+
+@then('none of its engines got more in cold start than it bears')
+def cold_engines_bounded(context):
+    """Look at what the new process counted."""
+    faults = context.trial.cold_faults(context.away)
+    assert not faults, faults
+
+
 @given('every fifth answer of the plain service is lost')
 def answers_lost(context):
     """Order the fault for the time of the load."""
