Show an instance outdated rows while a configuration is published

Cause: with the rule broken on a scratch copy (any version adopted, the invariant not checked) "A configuration is in force everywhere and never reverts" still passed: late reads carried the newest row, and versions were read only after the publication had ended.

Ruled out: that "A data centre and endpoints leave and return" misses a leaving endpoint that still gets work: with listed endpoints treated as live it failed, 11 requests reached the two that were away.

Change: with late reads that carry the row as it was, all versions are read during the publication too, and it must be accepted.

Conclusion: the process run guards the rule.

--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -479,7 +479,15 @@
         cluster.platform.table, fault='slow', delay_s=0.8, every=2, for_s=4
     )
     _kill(context, name)
-    cluster.publish('c1', _changed(context, 4), context.version)
+    with ThreadPoolExecutor(1) as operators:
+        # Reads that began before it are answered after it, with the old row.
+        publishing = operators.submit(
+            cluster.publish, 'c1', _changed(context, 4), context.version
+        )
+        while not publishing.done():
+            _versions(context)
+    answer = publishing.result()
+    assert answer.status == 200, answer
     cluster.start_instance(name)
     until_s = monotonic() + 5
     while monotonic() < until_s:
