Hash each endpoint's name once when lease groups are divided

Cause: each division hashed the names of all endpoints in it twice, once for either bit, and each level did so again.

Change: the bits are computed before the first division and kept beside the endpoint.

--- a/bergamotturn/process/lease_group.py
+++ b/bergamotturn/process/lease_group.py
@@ -36,12 +36,16 @@
     groups: dict[str, tuple[EndpointSettings, ...]] = {}
     all_serve = {each.serves for each in configuration.endpoints}
     for serves in all_serve:
-        endpoints = configuration.endpoints_of(serves)
-        for part in _divide('', endpoints, most):
+        hashed = tuple(
+            _Hashed(_hash_bits(each.name), each)
+            for each in configuration.endpoints_of(serves)
+        )
+        for part in _divide('', hashed, most):
             # Without the zeros at the end, the first part of a divided group
             # keeps the group's name and only the other part moves.
             bits = part.bits.rstrip('0')
-            groups[f'{serves}/{bits}'] = part.endpoints
+            members = tuple(each.endpoint for each in part.hashed)
+            groups[f'{serves}/{bits}'] = members
     return groups
 
 
@@ -60,28 +64,33 @@
     return fencing % (1 << _EPOCH_BITS)
 
 
+@final
+@dataclass(slots=True, frozen=True)
+class _Hashed:
+    """An endpoint and the bits of its name's hash."""
+
+    bits: str
+    endpoint: EndpointSettings
+
+
 @final
 @dataclass(slots=True, frozen=True)
 class _Part:
     """Endpoints whose names' hashes start with the same bits."""
 
     bits: str
-    endpoints: tuple[EndpointSettings, ...]
+    hashed: tuple[_Hashed, ...]
 
 
 def _divide(
-    bits: str, endpoints: tuple[EndpointSettings, ...], most: int
+    bits: str, hashed: tuple[_Hashed, ...], most: int
 ) -> Iterator[_Part]:
-    if len(endpoints) <= most or len(bits) == _HASH_BITS:
-        yield _Part(bits, endpoints)
+    if len(hashed) <= most or len(bits) == _HASH_BITS:
+        yield _Part(bits, hashed)
         return
     for bit in ('0', '1'):
         longer = bits + bit
-        part = tuple(
-            each
-            for each in endpoints
-            if _hash_bits(each.name).startswith(longer)
-        )
+        part = tuple(each for each in hashed if each.bits.startswith(longer))
         if part:
             yield from _divide(longer, part, most)
 
