Make control calls to engines in one base component

Cause: the admission and the orphan component had the same four handlers that collect the answers to control calls, and the same opening of a call.

Ruled out: differences between the two. The orphan component dropped failed calls, as it still does, since their answers have no body. It also noted its cancels as open calls, but never asked whether one was open.

Change: EngineCaller holds the open calls, the handlers and the rule that a call is not made again while one with its label waits.

--- a/bergamotturn/process/admission_task.py
+++ b/bergamotturn/process/admission_task.py
@@ -4,11 +4,10 @@
 from time import monotonic
 from typing import Final, assert_never, final
 
-from circuits import Component, Event, handler
+from circuits import Event, handler
 
 from ..connection.engine_control import (
     CallAnswer,
-    EngineCalls,
     cancel_calls,
     fence_call,
     load_call,
@@ -16,12 +15,7 @@
     parse_status,
     status_call,
 )
-from ..connection.exchange import (
-    HTTP_CLIENT,
-    Exchange,
-    Header,
-    start_exchange,
-)
+from ..connection.exchange import HTTP_CLIENT, start_exchange
 from ..connection.peer_messages import (
     Envelope,
     LeaseAnnounce,
@@ -50,6 +44,7 @@
     EngineAction,
     GiveEpoch,
 )
+from .engine_caller import EngineCaller
 from .events import MemberView, coordinators_changed
 from .lease_actions import (
     Identity,
@@ -78,7 +73,7 @@
 
 
 @final
-class AdmissionTask(Component):
+class AdmissionTask(EngineCaller):
     """Owns this instance's part in coordinating all lease groups."""
 
     channel = 'admission'
@@ -99,7 +94,6 @@
         self._members: tuple[MemberUpdate, ...] = ()
         self._standing: tuple[tuple[str, str, int], ...] = ()
         self._operations: dict[int, tuple[str, bool]] = {}
-        self._calls = EngineCalls()
         self._published: dict[str, LeaseAnnounce | None] = {}
         timers.call_after(_PERIOD_S, admission_tick(), self.channel)
 
@@ -170,26 +164,6 @@
         take = duty.row_read if is_read else duty.row_written
         self._carry_out(group, take(monotonic(), outcome))
 
-    @handler('exchange_head')
-    def _on_exchange_head(
-        self, exchange: Exchange, status: int, headers: Iterable[Header]
-    ) -> None:
-        self._calls.head(exchange, status)
-
-    @handler('exchange_data')
-    def _on_exchange_data(self, exchange: Exchange, body: bytes) -> None:
-        self._calls.chunk(exchange, body)
-
-    @handler('exchange_end')
-    def _on_exchange_end(self, exchange: Exchange) -> None:
-        self._take_answer(self._calls.end(exchange))
-
-    @handler('exchange_failed')
-    def _on_exchange_failed(
-        self, exchange: Exchange, failure: object, sent: object
-    ) -> None:
-        self._take_answer(self._calls.failed(exchange))
-
     def _assign(self) -> None:
         now_s = monotonic()
         for duty in self._duties.values():
@@ -210,9 +184,7 @@
             self._duties[group] = duty
         return duty
 
-    def _take_answer(self, answer: CallAnswer | None) -> None:
-        if answer is None:
-            return
+    def _take_answer(self, answer: CallAnswer) -> None:
         group = self._groups.get(answer.endpoint, '')
         duty = self._duties.get(group)
         if duty is not None:
@@ -269,10 +241,7 @@
             case GiveEpoch(_, epoch):
                 call = fence_call(address, owner, epoch)
                 label = f'{_FENCE}{epoch}'
-        if self._calls.is_open(label, endpoint):
-            return
-        self._calls.opened(call, label, endpoint, monotonic())
-        self.fire(start_exchange(call), HTTP_CLIENT)
+        self._call_engine(call, label, endpoint)
 
     def _publish(self, group: str) -> None:
         """Tell all components when a group's coordinator has changed."""
--- a/bergamotturn/process/orphan_task.py
+++ b/bergamotturn/process/orphan_task.py
@@ -5,27 +5,22 @@
 to be first do no harm, and the duty needs no lease.
 """
 
-from collections.abc import Iterable
 from time import monotonic
 from typing import Final, final
 
-from circuits import Component, Event, handler
+from circuits import Event, handler
 
 from ..connection.engine_control import (
-    EngineCalls,
+    CallAnswer,
     cancel_calls,
     load_call,
     parse_load,
 )
-from ..connection.exchange import (
-    HTTP_CLIENT,
-    Exchange,
-    Header,
-    start_exchange,
-)
+from ..connection.exchange import HTTP_CLIENT, start_exchange
 from ..connection.peer_messages import MemberUpdate
 from ..version.configuration import Configuration, EndpointSettings
 from ..version.settings import Settings
+from .engine_caller import EngineCaller
 from .events import MemberView
 from .lease_group import lease_groups
 from .metrics import STREAM_EVENTS
@@ -36,7 +31,6 @@
 
 _PERIOD_S: Final = 1.0
 _LOAD: Final = 'load'
-_CANCEL: Final = 'cancel'
 
 
 class orphan_tick(Event):
@@ -44,7 +38,7 @@
 
 
 @final
-class OrphanTask(Component):
+class OrphanTask(EngineCaller):
     """Reads stream lists and cancels orphaned streams."""
 
     channel = 'orphans'
@@ -62,7 +56,6 @@
         #: 720 ranks of 350 instances take 0.2 s and 16 MB, 130 a sixth.
         self._groups: dict[str, str] = {}
         self._orphans: dict[str, Orphans] = {}
-        self._calls = EngineCalls()
         timers.call_after(_PERIOD_S, orphan_tick(), self.channel)
 
     @handler('members_changed')
@@ -93,30 +86,11 @@
             if not ranked or ranked[0] != self._instance:
                 self._orphans.pop(name, None)
                 continue
-            if not self._calls.is_open(_LOAD, name):
-                call = load_call(engine.address, self.channel)
-                self._start(call, _LOAD, name)
-
-    @handler('exchange_head')
-    def _on_exchange_head(
-        self, exchange: Exchange, status: int, headers: Iterable[Header]
-    ) -> None:
-        self._calls.head(exchange, status)
-
-    @handler('exchange_data')
-    def _on_exchange_data(self, exchange: Exchange, body: bytes) -> None:
-        self._calls.chunk(exchange, body)
+            call = load_call(engine.address, self.channel)
+            self._call_engine(call, _LOAD, name)
 
-    @handler('exchange_failed')
-    def _on_exchange_failed(
-        self, exchange: Exchange, failure: object, sent: object
-    ) -> None:
-        self._calls.failed(exchange)
-
-    @handler('exchange_end')
-    def _on_exchange_end(self, exchange: Exchange) -> None:
-        answer = self._calls.end(exchange)
-        if answer is None or answer.label != _LOAD or answer.body is None:
+    def _take_answer(self, answer: CallAnswer) -> None:
+        if answer.label != _LOAD or answer.body is None:
             return
         load = parse_load(answer.body, answer.asked_s)
         engine = self._engines.get(answer.endpoint)
@@ -128,8 +102,4 @@
             STREAM_EVENTS.labels('orphan_cancelled').inc()
             calls = cancel_calls(engine.address, self.channel, stream.stream_id)
             for call in calls:
-                self._start(call, _CANCEL, engine.name)
-
-    def _start(self, call: Exchange, label: str, endpoint: str) -> None:
-        self._calls.opened(call, label, endpoint, monotonic())
-        self.fire(start_exchange(call), HTTP_CLIENT)
+                self.fire(start_exchange(call), HTTP_CLIENT)
--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -21,7 +21,12 @@
 
 from .admission_world import NOWHERE, Table, member, terms
 
-_TASKS = ('admission_task', 'permits_task', 'orphan_task')
+_TASKS = (
+    'admission_task',
+    'engine_caller',
+    'permits_task',
+    'orphan_task',
+)
 
 
 class Clock:
