Share the parts of placing one engine and a group of engines

Cause: the request component looked at an engine's status, judged a permit and cancelled work in two ways, once for a request at one engine and once for the members of a group. The adapter of streams and the module of control calls both made the status exchange. The size of a group was kept beside the reservation, which knows what each engine is to hold.

Ruled out: different limits. Both status exchanges had 1 s for the connection and 2 s for silence and for the whole, and kept the connection for 1 s, the time in which a permit must be used.

Change: engine_control alone knows the status and group calls; the request holder asks for a status, judges a permit and cancels for both; HoldMember says how much memory to hold.

Measured: groups, lifecycle, answers, routing, stand-ins and the groups' histories in admission pass as before.

Conclusion: no behaviour changes.

--- a/bergamotturn/connection/engine_adapter.py
+++ b/bergamotturn/connection/engine_adapter.py
@@ -20,13 +20,6 @@
 #: Longest line of a stream; one token's text is far shorter.
 _LINE_BYTES: Final = 65_536
 
-#: A cancel or status that takes longer is asked anew by its owner.
-_CONTROL_S: Final = 2
-
-#: How long a status answer's connection is kept for the stream it precedes;
-#: equal to the time in which a permit must be used.
-_FOLLOW_UP_S: Final = 1
-
 #: Tokens that come within it are relayed together, since most of a token's
 #: cost is that of its read. It keeps the 60 ms allowed between tokens.
 _READ_PAUSE_S: Final = 0.04
@@ -67,9 +60,6 @@
 class EngineAdapter(Protocol):
     """Makes exchanges with an engine; ``owner`` gets their reports."""
 
-    def status(self, address: Address, owner: str) -> Exchange:
-        """Return the exchange that asks for the engine's status."""
-
     def start(
         self,
         address: Address,
@@ -190,18 +180,6 @@
         """Make an adapter without state."""
         self._silence_s = silence_s
 
-    def status(self, address: Address, owner: str) -> Exchange:
-        """Return the exchange that asks for the engine's status."""
-        return Exchange(
-            exchange_id=next_exchange_id(),
-            owner=owner,
-            address=address,
-            method='GET',
-            path='/status',
-            total_s=_CONTROL_S,
-            follow_up_s=_FOLLOW_UP_S,
-        )
-
     def start(
         self,
         address: Address,
--- a/bergamotturn/connection/engine_control.py
+++ b/bergamotturn/connection/engine_control.py
@@ -102,9 +102,16 @@
     epoch: int
 
 
-def status_call(address: Address, owner: str) -> Exchange:
-    """Return the exchange that asks for an engine's status."""
-    return _call(address, owner, 'GET', '/status')
+def status_call(
+    address: Address, owner: str, follow_up_s: float = 0
+) -> Exchange:
+    """Return the exchange that asks for an engine's status.
+
+    :param follow_up_s: how long its connection is kept for the work that the
+        status is asked for; on it no other process can answer.
+    """
+    call = _call(address, owner, 'GET', '/status')
+    return msgspec.structs.replace(call, follow_up_s=follow_up_s)
 
 
 def load_call(address: Address, owner: str) -> Exchange:
@@ -152,21 +159,11 @@
 ) -> Exchange:
     """Return the exchange that holds memory for a group of engines.
 
-    :param same_connection_as: exchange that asked for the engine's status;
-        on its connection no other process can answer.
+    :param same_connection_as: exchange that asked for the engine's status.
     """
-    return Exchange(
-        exchange_id=next_exchange_id(),
-        owner=owner,
-        address=address,
-        method='POST',
-        path='/groups',
-        headers=_JSON,
-        body=msgspec.json.encode(memory),
-        silence_s=_TOTAL_S,
-        total_s=_TOTAL_S,
-        same_connection_as=same_connection_as,
-    )
+    body = msgspec.json.encode(memory)
+    call = _call(address, owner, 'POST', '/groups', body)
+    return msgspec.structs.replace(call, same_connection_as=same_connection_as)
 
 
 def parse_status(body: bytes) -> EngineStatus | None:
--- a/bergamotturn/process/group_runner.py
+++ b/bergamotturn/process/group_runner.py
@@ -11,7 +11,7 @@
 )
 from ..connection.peer_messages import PermitGrant, unused_release
 from ..errors import ErrorKind
-from ..request.actions import Action
+from ..request.actions import Action, CancelWork
 from ..request.cost import group_size, share_of
 from ..request.group import (
     GATHER_S,
@@ -26,10 +26,8 @@
     HoldMember,
 )
 from ..request.live import ExchangeUse, LiveRequest, UseKind
-from .cancel_task import CancelTarget, cancel_work
 from .metrics import GROUPS
 from .permit_events import PERMITS_CHANNEL, give_back
-from .permits import may_start
 from .request_holder import RequestHolder
 
 __all__ = ('GroupRunner',)
@@ -58,7 +56,6 @@
             return self._lack_engines(live)
         share = share_of(live.cost, size)
         now_s = monotonic()
-        live.group_engines = size
         live.reservations += 1
         live.reservation = GroupReservation(
             f'{call.call_id}/{live.reservations}',
@@ -85,8 +82,8 @@
                     self._ask(live, ask)
                 case CheckMember(grant):
                     self._check_member(live, grant)
-                case HoldMember(grant):
-                    self._hold_member(live, grant)
+                case HoldMember(grant, kv_tokens):
+                    self._hold_member(live, grant, kv_tokens)
                 case GroupReady(grants):
                     GROUPS.labels('ready').inc()
                     live.reservation = None
@@ -109,16 +106,17 @@
             actions = live.reservation.checked(grant, startable=False)
             self._run_group(live, actions)
             return
-        exchange = self._adapter.status(address, self.channel)
+        exchange = self._status_exchange(address)
         use = self._member_use(live, UseKind.member_status, grant)
         live.connection = self._exchange(use, exchange)
 
-    def _hold_member(self, live: LiveRequest, grant: PermitGrant) -> None:
+    def _hold_member(
+        self, live: LiveRequest, grant: PermitGrant, kv_tokens: int
+    ) -> None:
         address = self._address(grant.endpoint)
         if address is None:
             self._run_group(live, live.reservation.hold_failed(grant))
             return
-        kv_tokens = -(-live.cost.kv_tokens // live.group_engines)
         memory = GroupMemory(grant.ask_id, self._owner, kv_tokens)
         exchange = hold_memory_call(
             address, self.channel, memory, live.connection
@@ -164,9 +162,7 @@
         status = parse_status(use.body) if is_read else None
         if status is None:
             return use.reservation.checked(grant, startable=False)
-        now_s = monotonic()
-        asked_s = live.asked_s.get(grant.ask_id, now_s - grant.start_s)
-        startable = may_start(grant, asked_s, now_s, status)
+        startable = self._may_start(live, grant, status)
         if self._knowledge.is_excluded(grant.endpoint):
             startable = False
         return use.reservation.checked(
@@ -179,19 +175,16 @@
                 case GiveBack(release):
                     self.fire(give_back(release), PERMITS_CHANNEL)
                 case FreeMember(grant):
-                    self._free_member(grant)
+                    self._cancel(_free_memory(grant))
 
-    def _free_member(self, grant: PermitGrant) -> None:
-        address = self._address(grant.endpoint)
-        if address is None:
-            return
-        target = CancelTarget(
-            address,
-            grant.ask_id,
-            is_group_memory=True,
-            release=unused_release(grant),
-        )
-        self.fire(cancel_work(target), 'cancels')
+
+def _free_memory(grant: PermitGrant) -> CancelWork:
+    return CancelWork(
+        grant.endpoint,
+        grant.ask_id,
+        is_group_memory=True,
+        release=unused_release(grant),
+    )
 
 
 def _hold_outcome(use: ExchangeUse, *, failed: bool) -> list[GroupAction]:
--- a/bergamotturn/process/request_holder.py
+++ b/bergamotturn/process/request_holder.py
@@ -8,6 +8,7 @@
 from circuits import Component, Event
 
 from ..connection.engine_adapter import EngineAdapter
+from ..connection.engine_control import EngineStatus, status_call
 from ..connection.exchange import (
     HTTP_CLIENT,
     Address,
@@ -15,14 +16,17 @@
     cancel_exchange,
     start_exchange,
 )
-from ..connection.peer_messages import PermitAsk
-from ..request.actions import Action
+from ..connection.peer_messages import PermitAsk, PermitGrant
+from ..request.actions import Action, CancelWork
 from ..request.group import GroupAction
 from ..request.live import ExchangeUse, LiveRequest
 from ..version.configuration import Configuration
 from ..version.settings import Settings
+from .cancel_task import CancelTarget, cancel_work
 from .endpoint_knowledge import EndpointKnowledge
+from .lease_actions import PERMIT_START_S
 from .permit_events import PERMITS_CHANNEL, ask_permit
+from .permits import may_start
 from .routing import LeastWait, RoutingPolicy
 from .timers import Timers
 
@@ -90,6 +94,27 @@
         if live.reservation is not None:
             self._release_group(live.reservation.end())
 
+    def _status_exchange(self, address: Address) -> Exchange:
+        """Ask for the status of an engine that gets work if it may start."""
+        return status_call(address, self.channel, PERMIT_START_S)
+
+    def _may_start(
+        self, live: LiveRequest, grant: PermitGrant, status: EngineStatus
+    ) -> bool:
+        """Return whether a permit may be used under a status just read."""
+        now_s = monotonic()
+        asked_s = live.asked_s.get(grant.ask_id, now_s - grant.start_s)
+        return may_start(grant, asked_s, now_s, status)
+
+    def _cancel(self, action: CancelWork) -> None:
+        address = self._address(action.endpoint)
+        if address is None:
+            return
+        target = CancelTarget(
+            address, action.work_id, action.is_group_memory, action.release
+        )
+        self.fire(cancel_work(target), 'cancels')
+
     def _is_hopeless(self, now_s: float, live: LiveRequest) -> bool:
         """Whether to refuse now; endpoints may come back within a second."""
         return now_s - live.request.call.arrived_s > _GRACE_S
--- a/bergamotturn/process/request_runner.py
+++ b/bergamotturn/process/request_runner.py
@@ -26,7 +26,6 @@
 )
 from ..request.lifecycle import RequestPhase
 from ..request.live import ExchangeUse, LiveRequest, UseKind
-from .cancel_task import CancelTarget, cancel_work
 from .permit_events import PERMITS_CHANNEL, give_back
 from .request_answers import AnswerRunner
 
@@ -84,7 +83,7 @@
             self._endpoint_removed(live)
         elif isinstance(action, CheckStatus):
             use = self._use(live, UseKind.status, action.grant)
-            exchange = self._adapter.status(address, self.channel)
+            exchange = self._status_exchange(address)
             live.connection = self._exchange(use, exchange)
         else:
             self._start(live, address, action)
@@ -137,13 +136,7 @@
 
     def _run_cancel(self, live: LiveRequest, action: CancelWork) -> None:
         self._leave(live, action.endpoint)
-        address = self._address(action.endpoint)
-        if address is None:
-            return
-        target = CancelTarget(
-            address, action.work_id, action.is_group_memory, action.release
-        )
-        self.fire(cancel_work(target), 'cancels')
+        self._cancel(action)
 
     def _leave(self, live: LiveRequest, endpoint: str) -> None:
         if live.working_at != endpoint:
--- a/bergamotturn/process/request_task.py
+++ b/bergamotturn/process/request_task.py
@@ -23,7 +23,6 @@
 from .events import OrderView
 from .metrics import REQUESTS, STREAM_EVENTS
 from .permit_events import PERMITS_CHANNEL, give_back
-from .permits import may_start
 from .request_answers import CHAT
 from .request_runner import RequestRunner
 from .routing import LeastWait
@@ -263,10 +262,8 @@
             return
         grant = use.grant
         live.incarnation = status.incarnation
-        asked_s = live.asked_s.get(grant.ask_id, now_s - grant.start_s)
-        startable = may_start(grant, asked_s, now_s, status)
         # Members of a group were taken up to some seconds ago.
-        startable = startable and not any(
+        startable = self._may_start(live, grant, status) and not any(
             map(self._knowledge.is_excluded, live.request.endpoints)
         )
         checked = live.request.checked(
--- a/bergamotturn/request/group.py
+++ b/bergamotturn/request/group.py
@@ -81,6 +81,7 @@
     """
 
     grant: PermitGrant
+    kv_tokens: int
 
 
 @final
@@ -196,7 +197,8 @@
             return []
         if startable:
             self.phase = GroupPhase.holding
-            return [HoldMember(grant)]
+            _, cost = self._costs[len(self._members)]
+            return [HoldMember(grant, cost.kv_tokens)]
         if incarnation == grant.incarnation:
             incarnation = None
         return [GiveBack(unused_release(grant, incarnation)), *self._fail()]
--- a/bergamotturn/request/live.py
+++ b/bergamotturn/request/live.py
@@ -63,7 +63,6 @@
     :ivar connection: exchange whose connection answered the status check.
     :ivar stream: exchange that carries the answer, 0 for none.
     :ivar reservations: reservations made so far; their ids must differ.
-    :ivar group_engines: engines that share the prompt.
     :ivar incarnation: what the status check showed.
     :ivar working_at: endpoint that the current start was sent to.
     :ivar had_text: whether that start brought a token.
@@ -78,7 +77,6 @@
     asked_s: dict[str, float] = field(default_factory=dict)
     reservation: GroupReservation | None = None
     reservations: int = 0
-    group_engines: int = 1
     connection: int = 0
     stream: int = 0
     incarnation: EndpointIncarnation = EndpointIncarnation()
--- a/features/support/group_world.py
+++ b/features/support/group_world.py
@@ -150,7 +150,7 @@
                     self._later(partial(self._reserve, group))
                 case CheckMember(grant):
                     self._later(partial(self._check, group, reservation, grant))
-                case HoldMember(grant):
+                case HoldMember(grant, _):
                     self._later(partial(self._hold, group, reservation, grant))
                 case _:
                     self._send(action)
