Share settings of tests and the parts of measures that stood twice

Cause: five test files built the same settings without a reachable address, two measures had the same warm-up and count of whole answers (the demonstration a third count), and the policy bench computed the memory for longs by itself.

Ruled out: a change of the bench's decisions.

Change: samples.unused_settings, fleet_runs.warm_up and count_whole and Policy.long_kv_tokens serve all.

Conclusion: no check changes.

--- a/features/steps/component_steps.py
+++ b/features/steps/component_steps.py
@@ -11,7 +11,6 @@
 from prometheus_client import REGISTRY
 
 from bergamotturn.connection.exchange import (
-    Address,
     Header,
     exchange_data,
     exchange_end,
@@ -38,11 +37,15 @@
 from bergamotturn.request.call_record import call_row_key, decode_record
 from bergamotturn.request.calls import caller_gone, submit_service
 from bergamotturn.version.configuration import encode_configuration
-from bergamotturn.version.settings import PlatformSettings, Settings
 from features.support.component_loop import turn
-from features.support.samples import call, fees, grant
+from features.support.samples import (
+    UNUSED,
+    call,
+    fees,
+    grant,
+    unused_settings,
+)
 
-_HERE = Address('127.0.0.1', 1)
 _BROKEN = {
     '503': (503, b'{}'),
     '500': (500, b'{}'),
@@ -65,7 +68,7 @@
         self.holds_calls = False
 
     def start_exchange(self, exchange):
-        if self.holds_calls and exchange.address != _HERE:
+        if self.holds_calls and exchange.address != UNUSED:
             self.waiting.append(exchange)
         else:
             self.finish(exchange)
@@ -84,7 +87,7 @@
             self.fire(exchange_end(exchange), exchange.owner)
 
     def _serve(self, exchange):
-        if exchange.address != _HERE:
+        if exchange.address != UNUSED:
             self.served.append(exchange)
             return 200, str(len(self.served)).encode() * len(exchange.body)
         if exchange.path.startswith('/objects'):
@@ -138,17 +141,7 @@
 
 @given('components over a platform that answers "{answer}"')
 def start_components(context, answer):
-    settings = Settings(
-        instance='a',
-        data_centre='west',
-        caller_address=_HERE,
-        operator_address=_HERE,
-        peer_address=_HERE,
-        platform=PlatformSettings(
-            table=_HERE, objects=_HERE, instance_list=_HERE
-        ),
-        operator_token_digest='',
-    )
+    settings = unused_settings('a', 'west')
     context.settings = settings
     context.root = Component()
     context.lock = RLock()
--- a/features/steps/groups_steps.py
+++ b/features/steps/groups_steps.py
@@ -22,10 +22,9 @@
     Deployment,
     EndpointSettings,
 )
-from bergamotturn.version.settings import PlatformSettings, Settings
 from features.simulated_fleet import orders_out
+from features.support.samples import unused_settings
 
-_NOWHERE = http.Address('127.0.0.1', 1)
 _INCARNATION = EndpointIncarnation('start', 1)
 _CALL_ID = 'own/boot/1'
 _PORTS = {'e1': 9001, 'e2': 9002, 'e3': 9003}
@@ -83,17 +82,7 @@
     def __init__(self):
         self.timers = _Timers()
         self.around = _Around()
-        settings = Settings(
-            instance='own',
-            data_centre='a',
-            caller_address=_NOWHERE,
-            operator_address=_NOWHERE,
-            peer_address=_NOWHERE,
-            platform=PlatformSettings(
-                table=_NOWHERE, objects=_NOWHERE, instance_list=_NOWHERE
-            ),
-            operator_token_digest='',
-        )
+        settings = unused_settings('own', 'a')
         RequestTask(
             settings, 'boot', self.timers, HttpEngineAdapter(), Random(1)
         ).register(self.around)
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,6 +5,7 @@
 from functools import partial
 from time import monotonic, sleep
 
+import msgspec
 import pynng
 from behave import given, then, when
 from circuits import Component, handler
@@ -17,8 +18,8 @@
 from bergamotturn.process.events import place_order
 from bergamotturn.process.membership_task import MembershipTask
 from bergamotturn.process.timers import Timers
-from bergamotturn.version.settings import PlatformSettings, Settings
 from features.simulated_fleet import Fleet, for_any, name_of
+from features.support.samples import unused_settings
 
 _FAULTS = st.lists(
     st.tuples(
@@ -295,17 +296,9 @@
 
 
 def _settings(name, port, contacts):
-    unused = Address('127.0.0.1', 9)
-    return Settings(
-        instance=name,
-        data_centre='west-1',
-        caller_address=unused,
-        operator_address=unused,
+    return msgspec.structs.replace(
+        unused_settings(name, 'west-1'),
         peer_address=Address('127.0.0.1', port),
-        platform=PlatformSettings(
-            table=unused, objects=unused, instance_list=unused
-        ),
-        operator_token_digest='',
         peers=tuple(Address('127.0.0.1', contact) for contact in contacts),
     )
 
--- a/features/steps/sweep_steps.py
+++ b/features/steps/sweep_steps.py
@@ -7,7 +7,6 @@
 from circuits import Component, handler
 from hypothesis import strategies as st
 
-from bergamotturn.connection.exchange import Address
 from bergamotturn.connection.store_events import (
     ObjectDelete,
     Row,
@@ -41,9 +40,9 @@
 )
 from bergamotturn.request.idempotency import IdempotentCall
 from bergamotturn.version.configuration import Configuration, Workspace
-from bergamotturn.version.settings import PlatformSettings, Settings
 from features.simulated_fleet import for_any, own_update
 from features.support.component_loop import turn
+from features.support.samples import unused_settings
 from features.support.simulation import FakeStores, Tape, World
 
 _DAY_S = 86_400
@@ -332,16 +331,7 @@
     context.stores = FakeStores(context.world, time() - 100)
     for number in range(count):
         _put(context.stores, f'k{number}', 'done', 8 * _DAY_S, 'inline')
-    here = Address('127.0.0.1', 1)
-    settings = Settings(
-        instance=own_update(0).instance,
-        data_centre='west',
-        caller_address=here,
-        operator_address=here,
-        peer_address=here,
-        platform=PlatformSettings(table=here, objects=here, instance_list=here),
-        operator_token_digest='',
-    )
+    settings = unused_settings(own_update(0).instance, 'west')
     context.swept = RESULTS_SWEPT._value.get()
     context.root = Component()
     context.lock = RLock()
--- a/features/support/admission_wiring.py
+++ b/features/support/admission_wiring.py
@@ -17,9 +17,9 @@
 from bergamotturn.process.permit_events import ask_permit
 from bergamotturn.process.permits_task import PermitsTask
 from bergamotturn.version.configuration import Configuration
-from bergamotturn.version.settings import PlatformSettings, Settings
 
-from .admission_world import NOWHERE, Table, member, terms
+from .admission_world import Table, member, terms
+from .samples import unused_settings
 
 _TASKS = (
     'admission_task',
@@ -149,17 +149,7 @@
         ]
         for patch in self._patches:
             patch.start()
-        settings = Settings(
-            instance='own',
-            data_centre='a',
-            caller_address=NOWHERE,
-            operator_address=NOWHERE,
-            peer_address=NOWHERE,
-            platform=PlatformSettings(
-                table=NOWHERE, objects=NOWHERE, instance_list=NOWHERE
-            ),
-            operator_token_digest='',
-        )
+        settings = unused_settings('own', 'a')
         self.outside = Outside()
         for task in (AdmissionTask, PermitsTask, OrphanTask):
             task(settings, 'boot', self.clock).register(self.outside)
--- a/features/support/fleet_runs.py
+++ b/features/support/fleet_runs.py
@@ -10,16 +10,18 @@
 from .cluster import Cluster
 from .load import Load
 from .load_plan import LoadPlan
-from .load_report import ChatRecord, LoadResult, percentile
+from .load_report import ChatRecord, LoadResult, Outcome, percentile
 
 __all__ = (
     'OUT_WITHIN_S',
     'DataCentreChange',
     'Phase',
+    'count_whole',
     'first_token_s',
     'run_load',
     'say',
     'shorts_of',
+    'warm_up',
 )
 
 #: After so long a data centre that is out must get no new work.
@@ -115,6 +117,20 @@
     return result
 
 
+def warm_up(cluster: Cluster, plan: LoadPlan) -> None:
+    """Send little until all engines have a coordinator."""
+    say('a light load until all engines have a coordinator')
+    light = msgspec.structs.replace(
+        plan, duration_s=12, requests_per_s=2, long_every=0
+    )
+    asyncio.run(run_load(cluster, light))
+
+
+def count_whole(chats: Iterable[ChatRecord]) -> int:
+    """Return how many requests were answered in full."""
+    return sum(chat.outcome is Outcome.whole for chat in chats)
+
+
 def shorts_of(chats: Iterable[ChatRecord]) -> list[ChatRecord]:
     """Return the requests whose prompts are short."""
     return [chat for chat in chats if chat.prompt_tokens <= _SHORT_TOKENS]
--- a/features/support/measure_fleet.py
+++ b/features/support/measure_fleet.py
@@ -9,10 +9,11 @@
 from .fleet_runs import (
     DataCentreChange,
     Phase,
+    count_whole,
     first_token_s,
     run_load,
-    say,
     shorts_of,
+    warm_up,
 )
 from .load_plan import LoadPlan, TokenRange, rate_for_load
 from .load_report import ChatRecord, LoadResult, Outcome, faults_of
@@ -84,7 +85,7 @@
     plan = _load(seed, _LONGS_LOAD, _LONGS_S)
     alone_plan = msgspec.structs.replace(plan, long_every=0)
     with Cluster(_PLAN) as cluster:
-        _warm_up(cluster, plan)
+        warm_up(cluster, plan)
         alone = asyncio.run(run_load(cluster, alone_plan)).chats
         beside = asyncio.run(run_load(cluster, plan)).chats
     taken = [chat for chat in beside if chat.arrived_s >= _SETTLED_S]
@@ -101,7 +102,7 @@
         alone_s=times_alone,
         beside_s=times_beside,
         ratio_p95=times_beside[1] / times_alone[1],
-        longs_whole=_whole(longs),
+        longs_whole=count_whole(longs),
         longs_p95_s=first_token_s(longs),
         outcomes=_outcomes(alone + beside),
         faults=faults_of(alone + beside),
@@ -112,7 +113,7 @@
     """Take a data centre out under load and bring it back."""
     plan = _load(seed, _CHANGES_LOAD, _CHANGES_S)
     with Cluster(_PLAN) as cluster:
-        _warm_up(cluster, plan)
+        warm_up(cluster, plan)
         change = DataCentreChange(cluster, DATA_CENTRES[0], _OUT_AT_S, _IN_AT_S)
         result = asyncio.run(run_load(cluster, plan, change.run))
         late_work = change.late_work()
@@ -134,7 +135,7 @@
         ratio_out=p95_s[1] / p95_s[0],
         ratio_back=p95_s[2] / p95_s[0],
         # A refused request was not admitted; it is shown in the outcomes.
-        lost=len(result.chats) - _whole(result.chats) - len(refused),
+        lost=len(result.chats) - count_whole(result.chats) - len(refused),
         outcomes=_outcomes(result.chats),
         lookups=result.lookups,
         refused_lookups=result.refused_lookups,
@@ -157,23 +158,10 @@
     return msgspec.structs.replace(plan, requests_per_s=rate)
 
 
-def _warm_up(cluster: Cluster, plan: LoadPlan) -> None:
-    """Send little until all engines have a coordinator."""
-    say('a light load until all engines have a coordinator')
-    light = msgspec.structs.replace(
-        plan, duration_s=12, requests_per_s=2, long_every=0
-    )
-    asyncio.run(run_load(cluster, light))
-
-
 def _times(chats: list[ChatRecord]) -> list[float]:
     return [first_token_s(chats, percent) for percent in (50, 95, 99)]
 
 
-def _whole(chats: list[ChatRecord]) -> int:
-    return sum(chat.outcome is Outcome.whole for chat in chats)
-
-
 def _outcomes(chats: list[ChatRecord]) -> dict[str, int]:
     counts: dict[str, int] = {}
     for chat in chats:
--- a/features/support/measure_groups.py
+++ b/features/support/measure_groups.py
@@ -7,7 +7,13 @@
 
 from .cluster import Cluster
 from .engine_settings import EngineSettings
-from .fleet_runs import first_token_s, run_load, say, shorts_of
+from .fleet_runs import (
+    count_whole,
+    first_token_s,
+    run_load,
+    shorts_of,
+    warm_up,
+)
 from .load_plan import LoadPlan, TokenRange, rate_for_load
 from .load_report import ChatRecord, Outcome, faults_of
 from .plan import DeploymentPlan, Plan
@@ -82,11 +88,7 @@
         _GROUPS_LOAD,
     )
     with Cluster(_PLAN) as cluster:
-        say('a light load until all engines have a coordinator')
-        light = msgspec.structs.replace(
-            common, duration_s=12, requests_per_s=2, long_every=0
-        )
-        asyncio.run(run_load(cluster, light))
+        warm_up(cluster, common)
         chats, large_chats = asyncio.run(_run_both(cluster, common, large))
     return _figures(common.requests_per_s, chats, large_chats)
 
@@ -114,14 +116,14 @@
     return GroupsFigures(
         requests_per_s=rate,
         large=len(large),
-        large_whole=_whole(large),
+        large_whole=count_whole(large),
         large_first_token_p50_s=first_token_s(large, 50),
         large_first_token_p95_s=first_token_s(large),
         longs=len(longs),
-        longs_whole=_whole(longs),
+        longs_whole=count_whole(longs),
         longs_p95_s=first_token_s(longs),
         shorts=len(shorts),
-        shorts_whole=_whole(shorts),
+        shorts_whole=count_whole(shorts),
         shorts_p50_s=first_token_s(shorts, 50),
         shorts_p95_s=first_token_s(shorts),
         prompts=[_line(chat) for chat in large],
@@ -134,7 +136,3 @@
     if chat.outcome is Outcome.whole:
         outcome = f'whole, first token {chat.first_token_s:.1f} s'
     return f'{chat.prompt_tokens}: {outcome}, took {chat.took_s:.1f} s'
-
-
-def _whole(chats: list[ChatRecord]) -> int:
-    return sum(chat.outcome is Outcome.whole for chat in chats)
--- a/features/support/policy_bench.py
+++ b/features/support/policy_bench.py
@@ -160,8 +160,7 @@
             for each in self.work.values()
             if not each.is_short
         )
-        share = 1 - self.policy.short_reserve
-        most = self.settings.kv_tokens * share
+        most = self.policy.long_kv_tokens(self.settings.kv_tokens)
         return held + request.cost.kv_tokens <= most
 
     def expected_wait_s(self, *, for_short: bool) -> float:
--- a/features/support/samples.py
+++ b/features/support/samples.py
@@ -12,8 +12,27 @@
     EndpointSettings,
     Service,
 )
+from bergamotturn.version.settings import PlatformSettings, Settings
 
-__all__ = ('busy', 'call', 'fees', 'grant')
+__all__ = ('UNUSED', 'busy', 'call', 'fees', 'grant', 'unused_settings')
+
+#: Address that nobody listens at.
+UNUSED = Address('127.0.0.1', 1)
+
+
+def unused_settings(instance, data_centre):
+    """Return settings of components that open no connection by them."""
+    return Settings(
+        instance=instance,
+        data_centre=data_centre,
+        caller_address=UNUSED,
+        operator_address=UNUSED,
+        peer_address=UNUSED,
+        platform=PlatformSettings(
+            table=UNUSED, objects=UNUSED, instance_list=UNUSED
+        ),
+        operator_token_digest='',
+    )
 
 
 def fees(*names):
--- a/tools/run_demo.py
+++ b/tools/run_demo.py
@@ -19,6 +19,7 @@
     OUT_WITHIN_S,
     DataCentreChange,
     Phase,
+    count_whole,
     first_token_s,
     run_load,
     say,
@@ -117,7 +118,7 @@
     print('            phase  sent whole   p95 s')
     for phase in _PHASES:
         chats = phase.shorts(result.chats)
-        whole = sum(chat.outcome is Outcome.whole for chat in chats)
+        whole = count_whole(chats)
         first_s = first_token_s(chats)
         sent = len(chats)
         print(f'{phase.label:>17} {sent:5} {whole:5} {first_s:7.3f}')
@@ -126,7 +127,7 @@
 
 
 def _verdict(chats: list[ChatRecord], late_work: int, took_s: float) -> int:
-    whole = sum(chat.outcome is Outcome.whole for chat in chats)
+    whole = count_whole(chats)
     refused = sum(chat.outcome is Outcome.refused for chat in chats)
     broken = [
         f'{chat.call_id}: {chat.outcome.value} {chat.error}'
