--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -198,7 +198,3 @@
         peer_address=settings.peer_address,
         operator_address=settings.peer_address,
     )
-
-
-if __name__ == '__main__':
-    main()
