Add a fault soak of real processes on the users' platform

Change: features/support/soak runs five instances, the store and seven endpoints as processes behind loopback proxies. It kills, pauses, stops and reloads instances, delays, resets, cuts one way and silences links, takes the store away or drops its history, makes endpoints fail, leave and be evacuated, and takes keys away; each fault is drawn before any is drawn again, and they overlap. Callers ask the directory, keep connections and check each answer; promises are checked from what callers and endpoints saw.

Found with it: an outcome of one table's read was told as the loss or return of the store for every watched table, since MirrorTask logged for all of them. Only the watch that waits for the outcome is told now.

An instance may listen for others at another address than the one it tells (peer_listen), which the proxies need.

--- a/bergamotturn/connection/peer_link.py
+++ b/bergamotturn/connection/peer_link.py
@@ -50,11 +50,12 @@
 class PeerSettings(Protocol):
     """What the link needs of an instance's settings.
 
+    :ivar peer_listen_address: where other instances' messages come in.
     :ivar peers: peer addresses to ask first.
     """
 
     instance: str
-    peer_address: Address
+    peer_listen_address: Address
     peers: Iterable[Address]
 
 
@@ -97,7 +98,7 @@
         self._poller: BasePoller | None = None
         _limit_threads()
         self._listener = pynng.Pull0(
-            listen=f'tcp://{settings.peer_address}',
+            listen=f'tcp://{settings.peer_listen_address}',
             recv_max_size=_LIBRARY_BYTES,
         )
         self._descriptor = self._listener.recv_fd
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -76,8 +76,9 @@
         """Take the outcome of a read or of a wait for changes."""
         now_s = monotonic()
         for watch in self._watches.values():
-            self._follow(watch, watch.on_outcome(now_s, outcome), 'store')
-            self._tell_answered(watch, outcome)
+            if watch.waits_for(outcome):
+                self._follow(watch, watch.on_outcome(now_s, outcome), 'store')
+                self._tell_answered(watch, outcome)
 
     def read_table(self, prefix: str) -> None:
         """Read a table whole at the next tick."""
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -146,12 +146,19 @@
             )
         )
 
+    def waits_for(self, outcome: StoreOutcome) -> bool:
+        """Return whether ``outcome`` is that of the call under way."""
+        running = self._running
+        if running is None:
+            return False
+        return outcome.operation_id == running.operation_id
+
     def on_outcome(
         self, now_s: float, outcome: StoreOutcome
     ) -> list[WatchAction]:
         """Take the outcome of an operation; others are ignored."""
         running = self._running
-        if running is None or outcome.operation_id != running.operation_id:
+        if running is None or not self.waits_for(outcome):
             return []
         self._running = None
         if outcome.status is StoreStatus.found:
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -36,6 +36,7 @@
     :param ready: address at which the platform asks whether it is ready.
     :param directory: address at which callers ask for instances.
     :param peer: address for messages of other instances.
+    :param peer_listen: where to listen for them, if it is not ``peer``.
     :param contacts: peer addresses to ask first; they may be outdated.
     :param metrics_port: port of the metrics on the same host as ``caller``.
     :param drain_grace_s: time from a request to stop until the process is
@@ -55,6 +56,7 @@
     directory: str
     peer: str
     store: StoreSettings
+    peer_listen: str = ''
     contacts: tuple[str, ...] = ()
     metrics_port: int = 0
     placement: str = 'packed'
@@ -78,6 +80,11 @@
         """Return the address for other instances."""
         return Address.parse(self.peer)
 
+    @property
+    def peer_listen_address(self) -> Address:
+        """Return the address to listen on for other instances."""
+        return Address.parse(self.peer_listen or self.peer)
+
     @property
     def peers(self) -> tuple[Address, ...]:
         """Return the peer addresses to ask first."""
--- a/bergamotturn/version/settings.py
+++ b/bergamotturn/version/settings.py
@@ -83,6 +83,11 @@
     caller_tls: TlsSettings | None = None
     operator_tls: TlsSettings | None = None
 
+    @property
+    def peer_listen_address(self) -> Address:
+        """Return the address to listen on for other instances."""
+        return self.peer_address
+
 
 def load_settings(path: Path) -> Result[Settings, Failure]:
     """Read the settings of a process.
--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,13 @@
+@fleet
+Feature: The soak
+  Guards against promises that hold in each scenario and not when faults meet. Longer runs are by hand:
+  python -m features.support.soak --seeds 50.
+
+  Scenario Outline: A short run keeps all promises
+    Guards against charges that run twice, untrue refusals, wrong answers, late changes and requests without an end
+    while processes are killed, paused, stopped and reloaded, links reset, delayed, cut and silenced, and the store away.
+    Then the soak of <seconds> seconds with seed <seed> breaks no promise
+
+    Examples:
+      | seed | seconds |
+      | 1    | 10      |
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -187,9 +187,7 @@
         """Start with nothing run."""
         self._id = f'i-{port}'
         self._runs: Counter[str] = Counter()
-        self._seen: list[dict[str, str]] = []
-        self._running = 0
-        self._most_running = 0
+        self._seen: list[dict[str, Any]] = []
         self._cut_off = 0
         self._reserved: dict[str, int] = {}
         super().__init__(
@@ -226,7 +224,10 @@
             return web.Response(status=503, headers={'Not-Executed': '1'})
         await request.read()
         self._runs[headers['Request-Id']] += 1
-        self._seen.append({**headers, 'path': request.path_qs})
+        fields = {name.lower(): text for name, text in headers.items()}
+        self._seen.append(
+            {**fields, 'path': request.path_qs, 'at_s': monotonic()}
+        )
         if fault == 'silent':
             await asyncio.sleep(_SILENT_S)
         if fault == 'reset':
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -33,8 +33,7 @@
         each for port in engines for each in context.fleet.facts(port)['seen']
     ]
     assert len(seen) == 3
-    for headers in seen:
-        fields = {name.lower(): text for name, text in headers.items()}
+    for fields in seen:
         assert fields['path'] == '/draft/a?b=c'
         assert fields['tenant-id'] == 'w'
         assert 'x-api-key' not in fields
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -1,8 +1,10 @@
 """A whole system on loopback that speaks the forms of the users' platform."""
 
 import json
+import re
 import signal
-from contextlib import closing
+from collections.abc import Iterator
+from contextlib import closing, contextmanager
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -15,6 +17,7 @@
 
 from .http_call import call, is_listening
 from .processes import ProcessGroup, free_ports
+from .soak.proxy import LoopThread, Proxy
 
 __all__ = ('HOST_NAME', 'CallerAnswer', 'RelayFleet')
 
@@ -25,6 +28,8 @@
 _POLL_S: Final = 0.05
 _PORTS_EACH: Final = 4
 _STANDINS: Final = 'standins'
+#: Lines that only a fault of the program itself brings.
+_COMPLAINT: Final = re.compile('Traceback|^ERROR|invariant_breach')
 
 
 @final
@@ -39,17 +44,29 @@
 
 @final
 class RelayFleet:
-    """Starts and stops the system; a context manager for the main thread."""
+    """Starts and stops the system; a context manager for the main thread.
+
+    :param loop: runs proxies before the store, the endpoints and the
+        instances' links; without it there are none.
+    :ivar store_proxies: proxy between each instance and the store.
+    :ivar endpoint_proxies: proxy before each endpoint, by its port.
+    :ivar peer_proxies: proxy before each instance's peer address.
+    """
 
     def __init__(
-        self, instances: int = 3, engines: int = 3, plain: int = 2
+        self,
+        instances: int = 3,
+        engines: int = 3,
+        plain: int = 2,
+        loop: LoopThread | None = None,
     ) -> None:
         """Choose ports; nothing runs yet."""
         self._temporary = TemporaryDirectory(prefix='bergamotturn-')
-        self._folder = Path(self._temporary.name)
-        self._processes = ProcessGroup(self._folder)
+        self.folder = Path(self._temporary.name)
+        self._processes = ProcessGroup(self.folder)
+        self._loop = loop
         ports = free_ports(
-            1 + engines + plain + _PORTS_EACH * instances,
+            1 + 2 * (engines + plain) + (_PORTS_EACH + 2) * instances,
         )
         self.store = Address(_HOST, ports.pop())
         self.engines = [ports.pop() for _ in range(engines)]
@@ -60,6 +77,11 @@
             ]
             for number in range(instances)
         }
+        self.store_proxies: dict[str, Proxy] = {}
+        self.endpoint_proxies: dict[int, Proxy] = {}
+        self.peer_proxies: dict[str, Proxy] = {}
+        if loop is not None:
+            self._add_proxies(ports)
         self._numbers = 0
 
     def __enter__(self) -> Self:
@@ -72,10 +94,47 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Kill all processes."""
+        """Kill all processes and remove their logs."""
         self._processes.kill_all()
+        self.close()
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Run everything; logs stay until :meth:`close`."""
+        self._start()
+        try:
+            yield
+        finally:
+            self._processes.kill_all()
+
+    def close(self) -> None:
+        """Remove the logs."""
         self._temporary.cleanup()
 
+    def directories(self) -> list[str]:
+        """Return the addresses of all directories."""
+        return [f'{_HOST}:{ports[2]}' for ports in self.instances.values()]
+
+    def complaints(self) -> list[str]:
+        """Return what the logs say of faults of the program itself."""
+        found = []
+        for name in self.instances:
+            text = (self.folder / f'{name}.log').read_text(errors='replace')
+            found.extend(
+                f'{name}: {line}'
+                for line in text.splitlines()
+                if _COMPLAINT.search(line)
+            )
+        return found
+
+    def put_entry(self, port: int, **changes: Any) -> None:
+        """Write the entry of the endpoint on ``port``."""
+        self.put('servers', f'i-{port}', self.entry(port, **changes))
+
+    def compact(self) -> None:
+        """Let the store forget its history."""
+        call(self.store, 'POST', '/_compact', {})
+
     def put(self, table: str, key: str, content: Any) -> None:
         """Write a row as the operator or an endpoint; None removes it."""
         row = {'table': table, 'key': key}
@@ -99,7 +158,7 @@
         place = (self.engines if is_engine else self.plain).index(port)
         return {
             'service': 'letters' if is_engine else 'ledger',
-            'address': f'{_HOST}:{port}',
+            'address': f'{_HOST}:{self._reached_at(port)}',
             'zone': _DATA_CENTRES[place % 3],
             'state': 'ready',
             'slots': 8,
@@ -111,10 +170,10 @@
 
     def start_instance(self, name: str) -> None:
         """Start one daemon without waiting for it."""
-        path = self._folder / f'{name}.toml'
+        path = self.folder / f'{name}.toml'
         path.write_text(self._settings(name))
         self._processes.start(
-            name, 'bergamotturn.platform.daemon', '--settings', str(path)
+            name, 'bergamotturn.platform', '--settings', str(path)
         )
 
     def wait_ready(self, name: str, timeout_s: float = _READY_S) -> None:
@@ -177,7 +236,7 @@
 
     def log(self, name: str) -> list[dict[str, Any]]:
         """Return the log lines of an instance."""
-        text = (self._folder / f'{name}.log').read_text(errors='replace')
+        text = (self.folder / f'{name}.log').read_text(errors='replace')
         return [
             json.loads(line)
             for line in text.splitlines()
@@ -236,7 +295,9 @@
             )
         self.put_configuration(1)
         for port in (*self.engines, *self.plain):
-            self.put('servers', f'i-{port}', self.entry(port))
+            self.put_entry(port)
+        for proxy in self._proxies():
+            self._loop.run(proxy.start(), _READY_S)
         for name in self.instances:
             self.start_instance(name)
         for name in self.instances:
@@ -249,8 +310,30 @@
                 _READY_S,
             )
 
+    def _add_proxies(self, ports: list[int]) -> None:
+        for name, own in self.instances.items():
+            self.store_proxies[name] = Proxy(ports.pop(), self.store.port)
+            self.peer_proxies[name] = Proxy(ports.pop(), own[-1])
+        for port in (*self.engines, *self.plain):
+            self.endpoint_proxies[port] = Proxy(ports.pop(), port)
+
+    def _proxies(self) -> list[Proxy]:
+        return [
+            *self.store_proxies.values(),
+            *self.endpoint_proxies.values(),
+            *self.peer_proxies.values(),
+        ]
+
+    def _reached_at(self, port: int) -> int:
+        proxy = self.endpoint_proxies.get(port)
+        return port if proxy is None else proxy.port
+
     def _settings(self, name: str) -> str:
         caller, ready, directory, peer = self.instances[name]
+        store_port, seen_peer = self.store.port, peer
+        if self._loop is not None:
+            store_port = self.store_proxies[name].port
+            seen_peer = self.peer_proxies[name].port
         return '\n'.join(
             (
                 f'instance = "{name}"',
@@ -258,9 +341,10 @@
                 f'caller = "{_HOST}:{caller}"',
                 f'ready = "{_HOST}:{ready}"',
                 f'directory = "{_HOST}:{directory}"',
-                f'peer = "{_HOST}:{peer}"',
+                f'peer = "{_HOST}:{seen_peer}"',
+                f'peer_listen = "{_HOST}:{peer}"',
                 '[store]',
-                f'address = "{self.store}"',
+                f'address = "{_HOST}:{store_port}"',
                 '',
             )
         )
