List at most sixteen engines, and leave replaced endpoints alone

An engine that runs a prompt beyond its memory is listed with its own reservation, so that 16 others made 17: status 400, not run, five times in a row. - 23 engines of a zone crashed at 23 s and came back at 25 s under other ids at the same addresses. 260 requests found another engine there (421), since neither that answer nor the new entry said that the old one was gone. - Connections that dead engines refused (132) counted as repeats, though they arrived nowhere.

Ruled out: larger shares of the budget (nothing was wrong with the bound).

Change: place_long counts the runner's own reservation among the 16. Fault.replaced is blamed on an endpoint at whose address another one answers; EndpointTable does not choose an endpoint whose address a later one has. Only attempts after one that arrived count as repeats. A process that does not listen is left alone for 1.5 s and doubling.

Tests seen failing first: one scenario on placement, three on beliefs, four on the life of a request.

--- a/bergamotturn/process/endpoints/health.py
+++ b/bergamotturn/process/endpoints/health.py
@@ -4,16 +4,26 @@
 failure in a row doubles the time for which it is left alone, and the first
 request after that time is its trial. Failures that other instances report
 count as much as own ones, so that one request finds a dead endpoint for all.
+An endpoint that starts again has a new entry, which ends all that at once.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum, unique
+from types import MappingProxyType
 from typing import Final, final
 
 __all__ = ('EndpointHealth', 'Fault')
 
 #: First time alone: a few answers' time, since most single faults are chance.
 _FIRST_PAUSE_S: Final = 0.5
+#: First time alone of a process that does not listen: it comes back with a new
+#: entry or not at all, unless only the way to it was cut. With its doubling
+#: that makes two trials until a crashed one's entry lapses after 3.6 s.
+_UNREACHABLE_PAUSE_S: Final = 1.5
+#: Time alone of an endpoint whose address another one has: its entry lapses
+#: or changes long before.
+_REPLACED_PAUSE_S: Final = 60.0
 #: Longest time alone; a crashed endpoint comes back in some seconds.
 _LONGEST_PAUSE_S: Final = 4.0
 _GROWTH: Final = 2.0
@@ -39,6 +49,16 @@
     garbled = 'garbled'
     #: It answered that it failed.
     failed = 'failed'
+    #: Another endpoint answers at its address.
+    replaced = 'replaced'
+
+
+_FIRST_PAUSES_S: Final[Mapping[Fault, float]] = MappingProxyType(
+    {
+        Fault.unreachable: _UNREACHABLE_PAUSE_S,
+        Fault.replaced: _REPLACED_PAUSE_S,
+    }
+)
 
 
 @final
@@ -66,19 +86,19 @@
         self.failures = 0
         self.failed_share *= 1 - _NEWEST_WEIGHT
 
-    def failed(self, now_s: float, reason: str) -> float:
+    def failed(self, now_s: float, fault: Fault) -> float:
         """Note a failure.
 
         :returns: for how long the endpoint is left alone now.
         """
         self.failures += 1
         self.failed_share += _NEWEST_WEIGHT * (1 - self.failed_share)
-        pause_s = min(
-            _LONGEST_PAUSE_S, _FIRST_PAUSE_S * _GROWTH ** (self.failures - 1)
-        )
+        first_s = _FIRST_PAUSES_S.get(fault, _FIRST_PAUSE_S)
+        longest_s = max(first_s, _LONGEST_PAUSE_S)
+        pause_s = min(longest_s, first_s * _GROWTH ** (self.failures - 1))
         if self.failed_share > _SICK_SHARE:
-            pause_s = _LONGEST_PAUSE_S
-        self.leave_alone(now_s + pause_s, reason)
+            pause_s = longest_s
+        self.leave_alone(now_s + pause_s, fault.value)
         return pause_s
 
     def leave_alone(self, until_s: float, reason: str) -> None:
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -4,11 +4,12 @@
 from dataclasses import dataclass, field
 from typing import Final, final
 
+from ...connection.exchange import Address
 from ...version.serving import ServedService
 from ..placement.plan import Candidate, rank_of
 from .cold_guard import ColdGuard
 from .entry import EndpointEntry
-from .health import EndpointHealth
+from .health import EndpointHealth, Fault
 from .work_book import WorkBook
 
 __all__ = ('EndpointTable', 'Exclusions')
@@ -27,6 +28,7 @@
     leaving: int = 0
     out: int = 0
     tried: int = 0
+    replaced: int = 0
     cold: int = 0
     alone: int = 0
 
@@ -66,6 +68,9 @@
         self.guard = guard
         self._known: dict[str, _Known] = {}
         self._out: frozenset[str] = frozenset()
+        #: Id of the endpoint that started last at each address. Entries of
+        #: crashed ones stay listed for some seconds.
+        self._newest_at: dict[Address, str] = {}
 
     def entries(self) -> Iterable[EndpointEntry]:
         """Return all known endpoints."""
@@ -86,18 +91,24 @@
             self._known[entry.endpoint_id] = _Known(
                 entry, rank_of(entry.endpoint_id)
             )
-            return True
-        if entry.born_unix_ms < known.entry.born_unix_ms:
+        elif entry.born_unix_ms < known.entry.born_unix_ms:
             return False
-        if entry.born_unix_ms > known.entry.born_unix_ms:
-            known.health = EndpointHealth()
-        known.entry = entry
+        else:
+            if entry.born_unix_ms > known.entry.born_unix_ms:
+                known.health = EndpointHealth()
+            known.entry = entry
+        self._note_address(entry)
         return True
 
     def remove(self, endpoint_id: str) -> None:
         """Forget an endpoint that is gone."""
-        self._known.pop(endpoint_id, None)
+        known = self._known.pop(endpoint_id, None)
         self.work.forget_endpoint(endpoint_id)
+        if known is None:
+            return
+        address = known.entry.address
+        if self._newest_at.get(address) == endpoint_id:
+            self._newest_at.pop(address)
 
     def take_out(self, data_centres: frozenset[str]) -> None:
         """Send nothing more to the endpoints of these data centres."""
@@ -122,13 +133,13 @@
         if known is not None:
             known.health.answered()
 
-    def failed(self, now_s: float, endpoint_id: str, reason: str) -> float:
+    def failed(self, now_s: float, endpoint_id: str, fault: Fault) -> float:
         """Note a failure that this instance met.
 
         :returns: for how long the endpoint is left alone, 0 if unknown.
         """
         known = self._known.get(endpoint_id)
-        return 0 if known is None else known.health.failed(now_s, reason)
+        return 0 if known is None else known.health.failed(now_s, fault)
 
     def leave_alone(
         self, now_s: float, endpoint_id: str, for_s: float, reason: str
@@ -166,6 +177,21 @@
             for known in healthy
         ], excluded
 
+    def _note_address(self, entry: EndpointEntry) -> None:
+        """Note who has the address of ``entry`` now."""
+        other = self._known.get(self._newest_at.get(entry.address, ''))
+        if other is None or other.entry.address != entry.address:
+            self._newest_at[entry.address] = entry.endpoint_id
+        elif entry.born_unix_ms > other.entry.born_unix_ms:
+            self._newest_at[entry.address] = entry.endpoint_id
+
+    def _is_replaced(self, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint that started later has the address."""
+        newest = self._known.get(self._newest_at.get(entry.address, ''))
+        if newest is None or newest.entry.address != entry.address:
+            return False
+        return newest.entry.born_unix_ms > entry.born_unix_ms
+
     def _is_able(
         self,
         now_s: float,
@@ -184,6 +210,9 @@
         if entry.endpoint_id in tried:
             excluded.tried += 1
             return False
+        if self._is_replaced(entry):
+            excluded.replaced += 1
+            return False
         if self._bears_more(now_s, service, known):
             return True
         excluded.cold += 1
--- a/bergamotturn/process/placement/longs.py
+++ b/bergamotturn/process/placement/longs.py
@@ -22,8 +22,9 @@
 
 __all__ = ('place_long',)
 
-#: Most engines beside the one that runs a request, as the engines take it.
-_MOST_CO_READERS: Final = 16
+#: Most engines that a request may list, as the engines take it. The one that
+#: runs it is listed too if memory is reserved there.
+_MOST_LISTED: Final = 16
 #: Part of the objective in which a prompt should be read: what is left bears
 #: passes under way, work that others send meanwhile, and the first event.
 _READ_SHARE: Final = 0.35
@@ -189,7 +190,7 @@
 ) -> Iterator[_Division]:
     """Return the best division for each number of engines."""
     views = _views(now_s, need, candidates)
-    most = min(_MOST_CO_READERS, int(need.read_s / _LEAST_PART_S))
+    most = min(_MOST_LISTED, int(need.read_s / _LEAST_PART_S))
     for readers in range(min(most, len(views) - 1) + 1):
         division = _division(need, views, readers)
         if division is not None:
@@ -205,6 +206,9 @@
     others = [view for view in views if view is not runner]
     others.sort(key=lambda view: view.reader_order(part_s))
     chosen = others[:readers]
+    is_listed = runner.kv_free < need.kv_tokens
+    if is_listed + readers > _MOST_LISTED:
+        return None
     if not _has_memory(need, runner, chosen):
         return None
     engines = (runner, *chosen)
--- a/bergamotturn/process/relay/relay_task.py
+++ b/bergamotturn/process/relay/relay_task.py
@@ -160,7 +160,7 @@
                 self._blame_entry(live, entry)
 
     def _blame_entry(self, live: LiveRequest, entry: EndpointEntry) -> None:
-        fault = Fault.broke_off.value
+        fault = Fault.broke_off
         for_s = self._table.failed(monotonic(), entry.endpoint_id, fault)
         log_message(
             'co_reader_failed',
@@ -168,7 +168,7 @@
             endpoint=entry.endpoint_id,
             alone_for_s=round(for_s, DIGITS),
         )
-        self._tell_suspicion(entry.endpoint_id, for_s, fault)
+        self._tell_suspicion(entry.endpoint_id, for_s, fault.value)
 
 
 def _fault_of(failure: Failure, sent: bool) -> Fault:
--- a/bergamotturn/process/relay/runner.py
+++ b/bergamotturn/process/relay/runner.py
@@ -173,7 +173,7 @@
         self._table.note_sent(now_s, endpoint_id)
         if attempt.number == 1:
             self._budget.note_request(now_s, call.service)
-        else:
+        if attempt.is_repeat:
             self._budget.note_repeat(now_s, call.service)
         # What the others are told takes a while with many of them.
         self.fire(start_exchange(exchange), HTTP_CLIENT)
@@ -250,7 +250,7 @@
 
     def _blame(self, live: LiveRequest, action: BlameEndpoint) -> None:
         endpoint_id = action.attempt.plan.entry.endpoint_id
-        for_s = self._table.failed(monotonic(), endpoint_id, action.fault.value)
+        for_s = self._table.failed(monotonic(), endpoint_id, action.fault)
         log_message(
             'attempt_failed',
             request=live.flow.call.call_id,
--- a/bergamotturn/request/relay/actions.py
+++ b/bergamotturn/request/relay/actions.py
@@ -34,11 +34,13 @@
     :param number: 1 for the first of the request.
     :param resume_after: number of the event after which the answer is to
         begin, none for its beginning.
+    :param is_repeat: whether an earlier attempt reached an endpoint.
     """
 
     number: int
     plan: Plan
     resume_after: int | None = None
+    is_repeat: bool = False
 
 
 @final
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -96,6 +96,8 @@
         #: Endpoints that the request may have run at.
         self._runs = 0
         self._rejections = 0
+        #: Whether an attempt reached an endpoint, which repeats count from.
+        self._has_arrived = False
         self._head: AnswerHead | None = None
         self._body = bytearray()
         self._stream = EventStream()
@@ -119,6 +121,7 @@
             self.sends,
             placed,
             self._last_event if is_begun else call.resume_after,
+            is_repeat=self._has_arrived,
         )
         self._is_sent = False
         self._is_read = False
@@ -236,6 +239,7 @@
         if self._attempt is None:
             return []
         self._head = head
+        self._has_arrived = True
         if head.kind in {HeadKind.not_run, HeadKind.moved}:
             return self._on_rejected(now_s, head)
         self._runs += 1
@@ -288,6 +292,7 @@
         if self._attempt is None:
             return []
         if is_sent:
+            self._has_arrived = True
             if self._head is None:
                 self._runs += 1
             return self._on_broken(now_s, fault, detail)
@@ -307,6 +312,7 @@
         if self._attempt is None or not self._is_sent:
             self.wake_s = self.call.deadline_s
             return []
+        self._has_arrived = True
         if self._head is None:
             self._runs += 1
         return self._on_broken(now_s, Fault.silent, 'silent for too long')
@@ -330,9 +336,12 @@
         self, now_s: float, head: AnswerHead
     ) -> Sequence[RelayAction]:
         self._rejections += 1
+        blame: list[RelayAction] = []
+        if head.kind is HeadKind.moved and not head.faulty:
+            blame = self._blame(Fault.replaced, f'answer {head.status}')
         if self._rejections >= _MOST_REJECTIONS:
-            return self._stop_trying('endpoints_full')
-        return self._go_elsewhere(now_s, head.kind.value)
+            return [*blame, *self._stop_trying('endpoints_full')]
+        return [*blame, *self._go_elsewhere(now_s, head.kind.value)]
 
     def _on_failure(
         self, now_s: float, head: AnswerHead
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -28,6 +28,25 @@
     When the first starts anew and its old entry comes again
     Then the new entry holds
 
+  Scenario: An endpoint whose address a later one has is gone
+    Guards against requests that all find another endpoint there, until the entry of the one that crashed lapses.
+    Given 6 known endpoints
+    When a new endpoint is listed at the address of the first
+    Then the first is not chosen and the new one is
+
+  Scenario: An endpoint that was replaced is left alone until it starts anew
+    Guards against every request finding another endpoint at its address, and against losing it for good.
+    Given 6 known endpoints
+    When another endpoint answers at the address of the first
+    Then 20 seconds later 5 are left to choose from
+    And 6 are once it has started anew
+
+  Scenario: A process that does not listen is left alone for longer at once
+    Guards against a request each half second that finds a crashed endpoint, until its entry lapses after 3.6 seconds.
+    Given 6 known endpoints
+    When nothing listens at the first, 2 times in a row
+    Then it is left alone for 1.5 and 3 seconds
+
   Scenario: A failed endpoint is left alone, longer each time
     Guards against every request finding the same dead endpoint.
     Given 6 known endpoints
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -84,6 +84,13 @@
     Then the memory held for it is at least 701000 tokens
     And no engine holds more than it has
 
+  Scenario: A prompt larger than one engine's memory lists no more engines than one takes
+    Load: the longest prompts where many engines are idle. The engine that runs such a prompt holds memory under a ticket
+    of its own and is listed with the others; a list of 17 is refused by every engine that gets it.
+    Given 69 idle engines
+    When a long of 700000 tokens with an objective of 3 seconds is placed
+    Then 16 engines are listed, the one that runs it among them
+
   Scenario: Memory in use is not promised again
     Load: several prompts near an engine's memory at once. Guards against preemption, which reads a prompt twice.
     Given 4 idle engines
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -32,6 +32,26 @@
     When 4 endpoints say that they did not run it
     Then it is refused for now as overloaded
 
+  Scenario: An endpoint that another one has replaced is left alone
+    Guards against each request in turn finding another endpoint at the address of one that is gone.
+    Given a repeatable call
+    When another endpoint answers at the address
+    Then it is sent to another endpoint
+    And 1 endpoint is blamed as replaced
+
+  Scenario Outline: Only what arrived somewhere counts as a repeat
+    Guards against a budget for repeats that is used up by connections that dead endpoints refuse.
+    Given a repeatable call
+    When <before>
+    Then it is sent to another endpoint
+    And it is sent <as>
+
+    Examples:
+      | before                               | as            |
+      | nothing listens at its endpoint      | the first time |
+      | its endpoint answers 500             | once more     |
+      | another endpoint answers at the address | once more  |
+
   Scenario: A request that may have run is not refused
     Guards against a promise of 503 for a charge that may have been made.
     Given a request that may run once
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -12,6 +12,7 @@
     WorkShare,
 )
 from bergamotturn.process.endpoints.cold_guard import ColdGuard
+from bergamotturn.process.endpoints.health import Fault
 from bergamotturn.process.endpoints.repeat_budget import RepeatBudget
 from bergamotturn.process.endpoints.table import EndpointTable
 from bergamotturn.process.endpoints.work_book import WorkBook
@@ -83,14 +84,64 @@
 @when('the first fails 3 times in a row')
 def fails_thrice(context):
     context.pauses_s = [
-        context.endpoints.failed(_NOW_S, 'e-0', 'reset') for _ in range(3)
+        context.endpoints.failed(_NOW_S, 'e-0', Fault.broke_off)
+        for _ in range(3)
     ]
 
 
+@when('a new endpoint is listed at the address of the first')
+def listed_at_address(context):
+    taken = context.endpoints.entry('e-0').address
+    new = entry('e-new', address=taken, born_unix_ms=9000)
+    assert context.endpoints.put(new)
+    # The entry of the crashed one comes once more before it lapses.
+    context.endpoints.put(entry('e-0', address=taken, born_unix_ms=1000))
+
+
+@when('another endpoint answers at the address of the first')
+def answers_at_address(context):
+    context.endpoints.failed(_NOW_S, 'e-0', Fault.replaced)
+
+
+@when('nothing listens at the first, {count:d} times in a row')
+def nothing_listens(context, count):
+    context.pauses_s = [
+        context.endpoints.failed(_NOW_S, 'e-0', Fault.unreachable)
+        for _ in range(count)
+    ]
+
+
+@then('the first is not chosen and the new one is')
+def new_is_chosen(context):
+    found, _ = context.endpoints.candidates(_NOW_S, ENGINES, context.tried)
+    names = {known.entry.endpoint_id for known in found}
+    assert 'e-0' not in names
+    assert 'e-new' in names
+
+
+@then('{seconds:d} seconds later {count:d} are left to choose from')
+def left_later(context, seconds, count):
+    found, _ = context.endpoints.candidates(
+        _NOW_S + seconds, ENGINES, context.tried
+    )
+    assert len(found) == count, found
+
+
+@then('{count:d} are once it has started anew')
+def left_after_start(context, count):
+    context.endpoints.put(entry('e-0', born_unix_ms=9000))
+    left(context, count)
+
+
+@then('it is left alone for 1.5 and 3 seconds')
+def long_pauses(context):
+    assert context.pauses_s == [1.5, 3], context.pauses_s
+
+
 @when('{count:d} of them fail')
 def some_fail(context, count):
     for number in range(count):
-        context.endpoints.failed(_NOW_S, f'e-{number}', 'reset')
+        context.endpoints.failed(_NOW_S, f'e-{number}', Fault.broke_off)
 
 
 @then('{count:d} are left to choose from')
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -242,6 +242,13 @@
     assert held >= tokens, held
 
 
+@then('{count:d} engines are listed, the one that runs it among them')
+def listed(context, count):
+    plan = context.plans[-1]
+    assert plan.own_kv_tokens
+    assert 1 + len(plan.co_readers) == count, len(plan.co_readers)
+
+
 @then('no engine holds more than it has')
 def memory_fits(context):
     plan = context.plans[-1]
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -174,6 +174,21 @@
         run.take(run.flow.on_end(run.now_s))
 
 
+@when('another endpoint answers at the address')
+def replaced(context):
+    context.run.head(AnswerHead(HeadKind.moved, 421))
+
+
+@when('nothing listens at its endpoint')
+def unreachable(context):
+    run = context.run
+    run.take(
+        run.flow.on_failed(
+            run.now_s, Fault.unreachable, 'refused', is_sent=False
+        )
+    )
+
+
 @when('its endpoint answers 200')
 def answers_success(context):
     run = context.run
@@ -255,6 +270,22 @@
     assert len(blames) == count, blames
 
 
+@then('1 endpoint is blamed as replaced')
+def blamed_as_replaced(context):
+    blames = context.run.of(BlameEndpoint)
+    assert [blame.fault for blame in blames] == [Fault.replaced], blames
+
+
+@then('it is sent the first time')
+def first_time(context):
+    assert not context.run.last[-1].attempt.is_repeat
+
+
+@then('it is sent once more')
+def once_more(context):
+    assert context.run.last[-1].attempt.is_repeat
+
+
 @then('all of it is given back and other engines are asked')
 def given_back(context):
     assert context.run.of(ReleaseMemory)
