Derive the pauses between calls to the store from the bounds

Cause: the pause in a series of changes was 0.6 s at most, a third of 2 s, also where changes must be in force in another time; and a deployment without one of the bounds would have got settings that no program reads.

Change: the template passes on the times in which a configuration and a leaving endpoint must be in force; pauses are a tenth and three tenths of the shorter one. Bounds that a deployment does not have keep their defaults.

Tests: a scenario renders the template without a bound.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -54,10 +54,11 @@
 #: Longest wait for changes in one call; the platform allows 30 s. Each call
 #: has its price, and a silent connection is found by what peers know.
 _FOLLOW_S: Final = 25.0
-#: Pause after changes, and the longest within a series of them: a tenth and a
-#: third of the shortest time in which one must be in force.
-_GATHER_S: Final = 0.2
-_MOST_GATHER_S: Final = 0.6
+#: Pause after changes, and the longest within a series of them, as parts of
+#: the shortest time in which one must be in force. Peers bring what comes in
+#: a pause; without them one more call has the rest of the time.
+_GATHER_SHARE: Final = 0.1
+_MOST_GATHER_SHARE: Final = 0.3
 #: Instances tell each other that they live; the table is for late starters.
 _REREAD_S: Final = 60.0
 #: Kept connections to engines: they close idle ones by themselves.
@@ -94,7 +95,7 @@
         HttpClient(timers, _IDLE_S, unacknowledged_s=_UNACKNOWLEDGED_S),
         Stores(timers, PlatformTable(Address.parse(settings.store.address))),
         PeerLink(settings, boot_id),
-        MirrorTask(_watched_tables(), timers),
+        MirrorTask(_watched_tables(settings.in_force_s), timers),
         FactsReader(),
         RegistrationTask(me, timers),
         PeerMembershipTask(me, settings.peers, timers),
@@ -170,14 +171,12 @@
     lines.end()
 
 
-def _watched_tables() -> tuple[WatchTerms, ...]:
+def _watched_tables(in_force_s: float) -> tuple[WatchTerms, ...]:
+    gather_s = _GATHER_SHARE * in_force_s
+    most_s = _MOST_GATHER_SHARE * in_force_s
     return (
-        WatchTerms(
-            MIRROR, OPERATORS_TABLE, _FOLLOW_S, _GATHER_S, _MOST_GATHER_S
-        ),
-        WatchTerms(
-            MIRROR, ENDPOINTS_TABLE, _FOLLOW_S, _GATHER_S, _MOST_GATHER_S
-        ),
+        WatchTerms(MIRROR, OPERATORS_TABLE, _FOLLOW_S, gather_s, most_s),
+        WatchTerms(MIRROR, ENDPOINTS_TABLE, _FOLLOW_S, gather_s, most_s),
         WatchTerms(MIRROR, INSTANCES_TABLE, reread_s=_REREAD_S),
     )
 
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -5,7 +5,7 @@
 """
 
 from pathlib import Path
-from typing import final
+from typing import Final, final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -16,6 +16,9 @@
 __all__ = ('ServingSettings', 'StoreSettings', 'load_serving_settings')
 
 
+_MS: Final = 1000.0
+
+
 @final
 class StoreSettings(msgspec.Struct, frozen=True, kw_only=True):
     """The platform's store.
@@ -47,6 +50,10 @@
     :param cold_slack: requests a second that it bears besides.
     :param memory_hold_s: longest time that unused memory may stay reserved.
     :param directory_keep_s: longest time that callers may keep an answer.
+    :param configuration_bound_ms: time in which a configuration must be in
+        force everywhere.
+    :param leaving_bound_ms: time in which a leaving endpoint must get nothing
+        more.
     """
 
     instance: str
@@ -69,6 +76,13 @@
     memory_hold_s: float = 4
     directory_keep_s: float = 5
     max_descriptors: int = 4096
+    configuration_bound_ms: float = 2000
+    leaving_bound_ms: float = 2000
+
+    @property
+    def in_force_s(self) -> float:
+        """Return the shortest time in which a change must be in force."""
+        return min(self.configuration_bound_ms, self.leaving_bound_ms) / _MS
 
     @property
     def caller_address(self) -> Address:
--- a/features/steps/serving_settings_steps.py
+++ b/features/steps/serving_settings_steps.py
@@ -30,6 +30,8 @@
         'coldSlack': 5,
         'ttl_max_s': 5,
         'freeMs': 4000,
+        'configApplyMs': 3000,
+        'drainMs': 2000,
     },
     'platform': {'address': '10.2.0.1:8223', 'historyS': 20},
 }
@@ -37,19 +39,49 @@
 
 @then('the rendered template of the deployment folder is read as settings')
 def template_loads(context):
-    text = re.sub(r'{{([\w.]+)\|json}}', _rendered, _TEMPLATE.read_text())
-    with TemporaryDirectory() as folder:
-        path = Path(folder) / 'settings.toml'
-        path.write_text(text)
-        settings = load_serving_settings(path)
+    settings = _load(_FIELDS)
     assert settings.is_ok(), settings
     assert settings.ok.caller_address.port == 8001
     assert settings.ok.peers[0].host == '10.1.0.2'
     assert settings.ok.repeat_slack == 106
+    assert settings.ok.in_force_s == 2
+
+
+@then(
+    'the template rendered without "{bound}" is read as settings with '
+    'cold_slack {slack:d}'
+)
+def bound_missing(context, bound, slack):
+    bounds = dict(_FIELDS['bounds'])
+    del bounds[bound]
+    settings = _load({**_FIELDS, 'bounds': bounds})
+    assert settings.is_ok(), settings
+    assert settings.ok.cold_slack == slack
+
+
+def _load(fields):
+    text = _rendered(fields, _TEMPLATE.read_text())
+    with TemporaryDirectory() as folder:
+        path = Path(folder) / 'settings.toml'
+        path.write_text(text)
+        return load_serving_settings(path)
+
+
+def _rendered(fields, template):
+    """Render values and sections as the platform does."""
+
+    def section(found):
+        return '' if _value(fields, found[1]) is None else found[2]
+
+    def value(found):
+        return json.dumps(_value(fields, found[1]))
+
+    text = re.sub(r'{{#([\w.]+)}}(.*?){{/\1}}', section, template)
+    return re.sub(r'{{([\w.]+)\|json}}', value, text)
 
 
-def _rendered(found):
-    value = _FIELDS
-    for name in found.group(1).split('.'):
-        value = value[name]
-    return json.dumps(value)
+def _value(fields, path):
+    value = fields
+    for name in path.split('.'):
+        value = value.get(name)
+    return value
