Tell shorts within a data centre in large fleets; wait for silent engines

Cause: 76 instances told each other of every request.

A short is told to the cell of its engine, a long to all; each cell has its own series of messages. Shorts fill the own cell, then its free slots, then spread over other engines. A silent engine is waited for if no other may be asked, and given a second at least. Up to 12 endpoints that do not listen are passed over, for 1.2 s at most; a data centre with three unreached endpoints and a fifth of them is left alone as a whole.

--- a/bergamotturn/connection/peer_link.py
+++ b/bergamotturn/connection/peer_link.py
@@ -113,9 +113,15 @@
 
     def broadcast_message(self, message: msgspec.Struct) -> None:
         """Send ``message`` to all other instances that may live."""
+        self.multicast_message(self._others, message)
+
+    def multicast_message(
+        self, instances: Iterable[str], message: msgspec.Struct
+    ) -> None:
+        """Send ``message`` to some other instances."""
         envelope = Envelope(self._instance, self._boot_id, message)
         data = encode_envelope(envelope)
-        for instance in self._others:
+        for instance in instances:
             self._send(instance, data)
 
     def _send(self, instance: str, data: bytes) -> None:
--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -54,6 +54,7 @@
     'broadcast_message',
     'decode_envelope',
     'encode_envelope',
+    'multicast_message',
     'peer_message',
     'send_message',
     'unused_release',
@@ -574,6 +575,10 @@
     """Ask the channel ``peers`` to send ``message`` to all that may live."""
 
 
+class multicast_message(Event):
+    """Ask the channel ``peers`` to send ``message`` to ``instances``."""
+
+
 def encode_envelope(envelope: Envelope) -> bytes:
     """Return ``envelope`` as MessagePack."""
     return _ENCODER.encode(envelope)
--- a/bergamotturn/process/endpoints/health.py
+++ b/bergamotturn/process/endpoints/health.py
@@ -81,6 +81,10 @@
         """Return whether the endpoint is to get nothing new."""
         return now_s < self.alone_until_s
 
+    def is_unreached(self, now_s: float) -> bool:
+        """Return whether it is left alone since it was not reached."""
+        return self.is_alone(now_s) and self.reason == Fault.unreachable.value
+
     def answered(self) -> None:
         """Note a good answer."""
         self.failures = 0
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -1,5 +1,6 @@
 """The endpoints that this instance knows, and which of them may get work."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final, final
@@ -7,6 +8,7 @@
 from ...connection.exchange import Address
 from ...version.serving import ServedService
 from ..placement.plan import Candidate, rank_of
+from .cells import Cells
 from .cold_guard import ColdGuard
 from .entry import EndpointEntry
 from .health import EndpointHealth, Fault
@@ -18,6 +20,10 @@
 #: of a service's endpoints is left: isolated faults may hit half of them.
 _LEAST_HEALTHY_SHARE: Final = 0.34
 _SPAN_S: Final = 1.0
+#: Unreached endpoints of a data centre from which the others there count as
+#: unreached too: more than single crashes make, few enough to find early.
+_LEAST_CUT_OFF: Final = 3
+_CUT_OFF_SHARE: Final = 0.2
 
 
 @final
@@ -29,6 +35,7 @@
     out: int = 0
     tried: int = 0
     replaced: int = 0
+    cut_off: int = 0
     cold: int = 0
     alone: int = 0
 
@@ -62,8 +69,9 @@
 class EndpointTable:
     """Entries, health and load of all endpoints."""
 
-    def __init__(self, work: WorkBook, guard: ColdGuard) -> None:
+    def __init__(self, work: WorkBook, guard: ColdGuard, cells: Cells) -> None:
         """Start without endpoints."""
+        self._cells = cells
         self.work = work
         self.guard = guard
         self._known: dict[str, _Known] = {}
@@ -149,6 +157,14 @@
         if known is not None:
             known.health.leave_alone(now_s + for_s, reason)
 
+    def alone(self, now_s: float, service: str) -> int:
+        """Return how many endpoints of a service are left alone."""
+        return sum(
+            known.health.is_alone(now_s)
+            for known in self._known.values()
+            if known.entry.service == service
+        )
+
     def candidates(
         self, now_s: float, service: ServedService, tried: frozenset[str]
     ) -> tuple[list[Candidate], Exclusions]:
@@ -167,16 +183,40 @@
         excluded.alone = len(able) - len(healthy)
         if len(healthy) < len(able) * _LEAST_HEALTHY_SHARE:
             healthy = able
+        cut_off = self._cut_off(now_s, service)
+        reached = [
+            known for known in healthy if known.entry.data_centre not in cut_off
+        ]
+        if len(reached) >= len(able) * _LEAST_HEALTHY_SHARE:
+            excluded.cut_off = len(healthy) - len(reached)
+            healthy = reached
         return [
             Candidate(
                 known.entry,
                 self.work.load(known.entry.endpoint_id),
                 known.rank,
                 known.entry.cold_until_s > now_s,
+                self._cells.is_home(known.entry),
             )
             for known in healthy
         ], excluded
 
+    def _cut_off(self, now_s: float, service: ServedService) -> set[str]:
+        """Return the data centres whose endpoints seem not to be reached."""
+        listed: Counter[str] = Counter()
+        unreached: Counter[str] = Counter()
+        for known in self._known.values():
+            if known.entry.service != service.name:
+                continue
+            centre = known.entry.data_centre
+            listed[centre] += 1
+            unreached[centre] += known.health.is_unreached(now_s)
+        return {
+            centre
+            for centre, count in unreached.items()
+            if count >= max(_LEAST_CUT_OFF, _CUT_OFF_SHARE * listed[centre])
+        }
+
     def _note_address(self, entry: EndpointEntry) -> None:
         """Note who has the address of ``entry`` now."""
         other = self._known.get(self._newest_at.get(entry.address, ''))
--- a/bergamotturn/process/endpoints/work_book.py
+++ b/bergamotturn/process/endpoints/work_book.py
@@ -1,8 +1,9 @@
 """All work that instances have at endpoints, as far as it is known here.
 
-Every instance tells all others when it sends a request, when its prompt is
-read and when it is over. Each message has a place in its sender's series, so
-that a lost one is noticed and the sender's whole list asked for.
+Every instance tells others when it sends a request, when its prompt is read
+and when it is over. Each message has a place in its sender's series for the
+receiver's cell, so that a lost one is noticed and the sender's whole list
+asked for.
 """
 
 from collections.abc import Iterable
@@ -62,12 +63,17 @@
             self._loads.pop(endpoint)
 
     def take(self, now_s: float, instance: str, news: WorkNews) -> bool:
-        """Take news of an instance, this one or another.
+        """Take news of another instance.
 
         :returns: false when earlier news of that instance are missing.
         """
         expected = self._places.get(instance, 0) + 1
         self._places[instance] = news.place
+        self.note(now_s, instance, news)
+        return news.place == expected
+
+    def note(self, now_s: float, instance: str, news: WorkNews) -> None:
+        """Take news of this instance, which has all of them."""
         works = self._works.setdefault(instance, {})
         if isinstance(news, WorkBegan):
             self._end(now_s, instance, works, news.work)
@@ -76,7 +82,6 @@
             self._read(now_s, instance, works, news.work)
         else:
             self._end(now_s, instance, works, news.work)
-        return news.place == expected
 
     def take_report(
         self, now_s: float, instance: str, report: WorkReport
@@ -93,11 +98,14 @@
         for work in report.read:
             self._read(now_s, instance, works, work)
 
-    def report(self, instance: str) -> WorkReport:
-        """Return all work of ``instance``."""
+    def report(self, instance: str, place: int) -> WorkReport:
+        """Return all work of ``instance``.
+
+        :param place: of the last news that the asker was sent.
+        """
         works = self._works.get(instance, {})
         return WorkReport(
-            place=self._places.get(instance, 0),
+            place=place,
             works=tuple(work.began for work in works.values()),
             read=tuple(
                 number for number, work in works.items() if work.is_read
--- a/bergamotturn/process/placement/longs.py
+++ b/bergamotturn/process/placement/longs.py
@@ -151,7 +151,11 @@
     """Return the engine that runs a prompt, and those that read along."""
     warm = [known for known in candidates if not known.is_cold]
     usable = warm or list(candidates)
-    division = _best(need, tuple(_divisions(now_s, need, usable)))
+    home = [known for known in usable if known.is_home]
+    division = _best(need, tuple(_divisions(now_s, need, home)))
+    if len(home) < len(usable) and not _is_good(need, division):
+        # Shorts elsewhere are not known here.
+        division = _best(need, tuple(_divisions(now_s, need, usable)))
     if division is None:
         return _no_memory(need, usable)
     if division.finish_s > need.left_s:
@@ -172,10 +176,9 @@
 
     If there are none, what is in time and makes least late and delays least.
     """
-    goal_s = _READ_SHARE * need.objective_s
     accepted_s = _ACCEPTED_SHARE * need.objective_s
     for division in divisions:
-        if not division.harmed and division.finish_s <= goal_s:
+        if _is_good(need, division):
             return division
     in_time = [known for known in divisions if known.finish_s <= accepted_s]
     return min(
@@ -185,6 +188,13 @@
     )
 
 
+def _is_good(need: Need, division: _Division | None) -> bool:
+    """Return whether a division is in good time and makes nothing late."""
+    if division is None or division.harmed:
+        return False
+    return division.finish_s <= _READ_SHARE * need.objective_s
+
+
 def _divisions(
     now_s: float, need: Need, candidates: Sequence[Candidate]
 ) -> Iterator[_Division]:
--- a/bergamotturn/process/placement/plan.py
+++ b/bergamotturn/process/placement/plan.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 from hashlib import blake2b
 from random import Random
 from typing import Final, Protocol, final
@@ -22,6 +23,8 @@
 )
 
 _RANK_BYTES: Final = 8
+#: Names of all endpoints and instances at the later size, several times over.
+_RANKS_KEPT: Final = 8192
 
 
 @final
@@ -78,12 +81,14 @@
     :param rank: order in which endpoints fill with shorts, the same at all
         instances.
     :param is_cold: whether it is in cold start.
+    :param is_home: whether all short requests there are known here.
     """
 
     entry: EndpointEntry
     load: EndpointLoad
     rank: int
     is_cold: bool = False
+    is_home: bool = True
 
     def kv_free(self, engine: EngineProfile) -> int:
         """Return the KV memory that nobody uses."""
@@ -160,6 +165,7 @@
         """
 
 
+@lru_cache(maxsize=_RANKS_KEPT)
 def rank_of(endpoint_id: str) -> int:
     """Return the rank of an endpoint, which all instances agree on."""
     digest = blake2b(endpoint_id.encode(), digest_size=_RANK_BYTES).digest()
--- a/bergamotturn/process/placement/shorts.py
+++ b/bergamotturn/process/placement/shorts.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Sequence
-from itertools import islice
 from math import ceil
 from random import Random
 from typing import Final
@@ -29,6 +28,8 @@
 #: Part of a pass that a request waits for on average, since it is admitted
 #: between passes.
 _PASS_SHARE: Final = 0.5
+#: Part of the objective in which a home engine beyond its seats must answer.
+_ROOM_SHARE: Final = 0.7
 #: A full engine frees a slot after a part of an answer's usual time; only
 #: the order of full engines rests on it.
 _QUEUE_S: Final = 0.25
@@ -40,14 +41,24 @@
     """Return one of the first engines in the common order with a good seat.
 
     There are as many to choose from as requests that others may have sent
-    without being known here.
+    without being known here. Where shorts of others are not known at all, one
+    of all engines is taken.
     """
     ordered = sorted(candidates, key=_rank)
-    seated = (known for known in ordered if _has_seat(now_s, need, known))
-    known_s = sum(known.load.sent_lately(now_s) for known in candidates)
-    chosen = tuple(islice(seated, 1 + int(known_s * _UNKNOWN_S)))
+    seated = [known for known in ordered if _has_seat(now_s, need, known)]
+    home = [known for known in seated if known.is_home]
+    known_s = sum(
+        known.load.sent_lately(now_s) for known in candidates if known.is_home
+    )
+    chosen = home[: 1 + int(known_s * _UNKNOWN_S)]
     if chosen:
         return _plan(now_s, need, random.choice(chosen), 'seat')
+    room = [known for known in ordered if _has_room(now_s, need, known)]
+    if room:
+        nearest = min(room, key=lambda known: _first_s(now_s, need, known))
+        return _plan(now_s, need, nearest, 'slot')
+    if seated:
+        return _plan(now_s, need, random.choice(seated), 'away')
     best = min(ordered, key=lambda known: _first_s(now_s, need, known))
     first_s = _first_s(now_s, need, best)
     if first_s > need.left_s:
@@ -76,6 +87,21 @@
     return candidate.kv_free(need.engine) >= need.kv_tokens
 
 
+def _has_room(now_s: float, need: Need, candidate: Candidate) -> bool:
+    """Return whether a home engine beyond its seats is better than others.
+
+    What is known to be nearly full answers sooner than what is not known.
+    """
+    load = candidate.load
+    if candidate.is_cold or not candidate.is_home:
+        return False
+    if load.requests >= need.engine.slots:
+        return False
+    if candidate.kv_free(need.engine) < need.kv_tokens:
+        return False
+    return _first_s(now_s, need, candidate) <= _ROOM_SHARE * need.objective_s
+
+
 def _first_s(now_s: float, need: Need, candidate: Candidate) -> float:
     """Return the time to a first event to expect."""
     engine, load = need.engine, candidate.load
--- a/bergamotturn/process/relay/beliefs.py
+++ b/bergamotturn/process/relay/beliefs.py
@@ -4,6 +4,7 @@
 failures from the other instances.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 from random import SystemRandom
 from time import monotonic
@@ -11,9 +12,11 @@
 
 from circuits import Component, Event, handler
 from eliot import log_message
+from msgspec.structs import replace
 
 from ...connection.peer_link import PEERS
 from ...connection.peer_messages import (
+    MEMBER_STATE_NAMES,
     Envelope,
     MemberState,
     SuspicionNote,
@@ -23,16 +26,24 @@
     WorkRead,
     WorkReport,
     broadcast_message,
+    multicast_message,
     send_message,
 )
 from ...version.serving import ServingConfiguration, ServingIndex
 from ...version.serving_settings import ServingSettings
+from ..endpoints.cells import Cells
 from ..endpoints.cold_guard import ColdGuard
 from ..endpoints.entry import EndpointEntry
 from ..endpoints.repeat_budget import RepeatBudget
 from ..endpoints.table import EndpointTable
 from ..endpoints.work_book import WorkBook, WorkNews
 from ..events import MemberView, OrderView
+from ..metrics import (
+    CONFIGURATION_VERSION,
+    ENDPOINTS_ALONE,
+    MEMBERS,
+    REPEATS_LEFT,
+)
 from ..timers import Timers
 
 __all__ = ('RELAY', 'EndpointBeliefs', 'endpoints_target')
@@ -76,16 +87,19 @@
         self._guard = ColdGuard(
             settings.instance, settings.cold_overshoot, settings.cold_slack
         )
-        self._table = EndpointTable(self._work, self._guard)
+        self._cells = Cells(settings.instance)
+        self._table = EndpointTable(self._work, self._guard, self._cells)
         self._budget = RepeatBudget(
             settings.repeat_ratio,
             settings.repeat_window_s,
             settings.repeat_slack,
         )
         self._index: ServingIndex | None = None
+        self._members: list[tuple[str, int]] = []
         self._boots: dict[str, str] = {}
         self._asked_s: dict[str, float] = {}
-        self._places = 0
+        #: Place of the last news in the series for each cell.
+        self._places: Counter[str] = Counter()
 
     @handler('registered', channel='*')
     def _on_registered(self, component: Component, *_: object) -> None:
@@ -95,9 +109,19 @@
     @handler('_expiry_due')
     def _on_expiry_due(self) -> None:
         self._timers.call_after(_EXPIRY_S, _expiry_due(), self.channel)
-        dropped = self._work.expire(monotonic())
+        now_s = monotonic()
+        dropped = self._work.expire(now_s)
         if dropped:
             log_message('work_expired', dropped=dropped)
+        self._show(now_s)
+
+    def _show(self, now_s: float) -> None:
+        """Set the gauges that follow from time alone."""
+        if self._index is None:
+            return
+        for name in self._index.services:
+            ENDPOINTS_ALONE.labels(name).set(self._table.alone(now_s, name))
+            REPEATS_LEFT.labels(name).set(self._budget.left(now_s, name))
 
     @handler('settings_changed', channel='*')
     def _on_settings_changed(self, settings: ServingSettings) -> None:
@@ -112,6 +136,7 @@
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         self._index = ServingIndex(configuration)
+        CONFIGURATION_VERSION.set(configuration.version_number)
 
     @handler('endpoints_changed', channel='*')
     def _on_endpoints_changed(
@@ -152,11 +177,20 @@
 
     @handler('members_changed', channel='*')
     def _on_members_changed(self, view: MemberView) -> None:
+        known = [(member.instance, member.state) for member in view.members]
+        if known == self._members:
+            # Only loads changed.
+            return
+        self._members = known
         # All that are listed count, dead ones too: a member that only seems
         # dead still sends its share.
-        instances = max(1, len(view.members))
+        instances = max(1, len(known))
         self._guard.instances = instances
         self._budget.instances = instances
+        self._cells.use_members(view.members)
+        states = Counter(member.state for member in view.members)
+        for state, name in enumerate(MEMBER_STATE_NAMES):
+            MEMBERS.labels(name).set(states[state])
         now_s = monotonic()
         living = {
             member.instance
@@ -181,7 +215,8 @@
         elif isinstance(message, WorkReport):
             self._work.take_report(now_s, sender, message)
         elif isinstance(message, WorkAsk):
-            report = self._work.report(self._instance)
+            place = self._places[self._cells.of_instance(sender)]
+            report = self._work.report(self._instance, place)
             self.fire(send_message(sender, report), PEERS)
         elif isinstance(message, SuspicionNote):
             self._suspect(now_s, sender, message)
@@ -204,11 +239,11 @@
             told_by=sender,
         )
 
-    def _tell_read(self, work: int) -> None:
-        self._tell_news(WorkRead(place=self._next_place(), work=work))
+    def _tell_read(self, work: int, cells: Iterable[str]) -> None:
+        self._tell_news(WorkRead(place=0, work=work), cells)
 
-    def _tell_ended(self, work: int) -> None:
-        self._tell_news(WorkEnded(place=self._next_place(), work=work))
+    def _tell_ended(self, work: int, cells: Iterable[str]) -> None:
+        self._tell_news(WorkEnded(place=0, work=work), cells)
 
     def _tell_suspicion(self, endpoint: str, for_s: float, reason: str) -> None:
         note = SuspicionNote(
@@ -216,10 +251,19 @@
         )
         self.fire(broadcast_message(note), PEERS)
 
-    def _tell_news(self, news: WorkNews) -> None:
-        self._work.take(monotonic(), self._instance, news)
-        self.fire(broadcast_message(news), PEERS)
+    def _tell_news(self, news: WorkNews, cells: Iterable[str]) -> None:
+        """Tell each of ``cells``, by its own series."""
+        self._work.note(monotonic(), self._instance, news)
+        for cell in cells:
+            self._places[cell] += 1
+            message = replace(news, place=self._places[cell])
+            others = self._cells.others(cell)
+            self.fire(multicast_message(others, message), PEERS)
 
-    def _next_place(self) -> int:
-        self._places += 1
-        return self._places
+    def _audience(
+        self, entry: EndpointEntry, *, is_long: bool
+    ) -> tuple[str, ...]:
+        """Return the cells that hear of a request at ``entry``."""
+        if is_long:
+            return self._cells.names
+        return (self._cells.of_endpoint(entry),)
--- a/bergamotturn/process/relay/live.py
+++ b/bergamotturn/process/relay/live.py
@@ -13,13 +13,17 @@
 @final
 @dataclass(slots=True, eq=False)
 class LiveRequest:
-    """A request with what the component must remember."""
+    """A request with what the component must remember.
+
+    :param audience: cells that heard of the attempt under way.
+    """
 
     flow: RelayFlow
     wake_timer: int = 0
     wake_s: float = 0
     exchange_id: int = 0
     work: int = 0
+    audience: tuple[str, ...] = ()
     sent_s: float = 0
     reservations: ReservationSet | None = None
     renewal_timer: int = 0
--- a/bergamotturn/process/relay/memory_keeper.py
+++ b/bergamotturn/process/relay/memory_keeper.py
@@ -9,6 +9,7 @@
 from ...connection.exchange import HTTP_CLIENT, start_exchange
 from ...request.relay.actions import Attempt, ReleaseMemory, ReserveMemory
 from ...version.serving_settings import ServingSettings
+from ..metrics import RESERVATIONS
 from ..timers import Timers
 from .beliefs import EndpointBeliefs
 from .live import LiveRequest, MemoryOrder
@@ -53,6 +54,7 @@
             },
             **attempt.plan.inputs,
         )
+        RESERVATIONS.inc()
         self._order(live, attempt)
         self._renew_later(live)
 
@@ -84,6 +86,7 @@
         if reservations is None:
             return
         live.reservations = None
+        RESERVATIONS.dec()
         self._timers.cancel(live.renewal_timer)
         log_message(
             'memory_released',
--- a/bergamotturn/process/relay/runner.py
+++ b/bergamotturn/process/relay/runner.py
@@ -16,6 +16,7 @@
     start_exchange,
 )
 from ...connection.peer_messages import WorkBegan, WorkShare
+from ...errors import answer_for
 from ...request.calls import (
     reply_data,
     reply_end,
@@ -42,7 +43,15 @@
 from ...request.relay.call import RelayCall
 from ...version.serving import ServingConfiguration
 from ...version.serving_settings import ServingSettings
-from ..metrics import ATTEMPTS, FIRST_EVENT_S, RELAYED
+from ..metrics import (
+    ATTEMPTS,
+    ENDED_AFTER_S,
+    ENDPOINT_FAULTS,
+    FIRST_EVENT_S,
+    RELAY_REFUSALS,
+    RELAYED,
+    SENT_AFTER_S,
+)
 from ..placement.policies import policy_of
 from ..timers import Timers
 from .desk import PlacementDesk
@@ -142,6 +151,9 @@
         self._reply(live, reply_end)
 
     def _answer_failure(self, live: LiveRequest, action: ReplyFailure) -> None:
+        if answer_for(action.failure.kind).not_run:
+            service = live.flow.call.service
+            RELAY_REFUSALS.labels(service, action.reason).inc()
         self._log_end(
             live,
             action.failure.kind.value,
@@ -173,11 +185,12 @@
         self._table.note_sent(now_s, endpoint_id)
         if attempt.number == 1:
             self._budget.note_request(now_s, call.service)
+            SENT_AFTER_S.labels(call.service).observe(now_s - call.arrived_s)
         if attempt.is_repeat:
             self._budget.note_repeat(now_s, call.service)
         # What the others are told takes a while with many of them.
         self.fire(start_exchange(exchange), HTTP_CLIENT)
-        self._tell_news(self._began(live, attempt, left_s))
+        self._tell_began(live, attempt, left_s)
         ATTEMPTS.labels(call.service, plan.reason).inc()
         log_message(
             'request_sent',
@@ -194,21 +207,24 @@
             **plan.inputs,
         )
 
-    def _began(
+    def _tell_began(
         self, live: LiveRequest, attempt: Attempt, left_s: float
-    ) -> WorkBegan:
+    ) -> None:
         call = live.flow.call
         passed_s = live.sent_s - call.arrived_s
         due_s = max(0, call.route.objective_s - passed_s)
-        return WorkBegan(
-            place=self._next_place(),
+        is_long = self._desk.is_long(call)
+        live.audience = self._audience(attempt.plan.entry, is_long=is_long)
+        began = WorkBegan(
+            place=0,
             work=live.work,
-            is_long=self._desk.is_long(call),
+            is_long=is_long,
             lasts_ms=int(left_s * _MS),
             due_ms=int(due_s * _MS),
             pause_ms=int(call.route.gap_objective_s * _MS),
             shares=_shares(call, attempt),
         )
+        self._tell_news(began, live.audience)
 
     def _note_read(self, live: LiveRequest, action: TellRead) -> None:
         attempt = action.attempt
@@ -216,7 +232,7 @@
         call = live.flow.call
         # A short is read in less time than it takes to tell all others.
         if live.work and self._desk.is_long(call):
-            self._tell_read(live.work)
+            self._tell_read(live.work, live.audience)
         if not live.first_event_s:
             live.first_event_s = now_s - call.arrived_s
             FIRST_EVENT_S.labels(call.service).observe(live.first_event_s)
@@ -242,7 +258,7 @@
             )
         live.exchange_id = 0
         if live.work:
-            self._tell_ended(live.work)
+            self._tell_ended(live.work, live.audience)
             live.work = 0
 
     def _praise(self, live: LiveRequest, action: PraiseEndpoint) -> None:
@@ -251,6 +267,7 @@
     def _blame(self, live: LiveRequest, action: BlameEndpoint) -> None:
         endpoint_id = action.attempt.plan.entry.endpoint_id
         for_s = self._table.failed(monotonic(), endpoint_id, action.fault)
+        ENDPOINT_FAULTS.labels(action.fault.value).inc()
         log_message(
             'attempt_failed',
             request=live.flow.call.call_id,
@@ -268,13 +285,15 @@
         self, live: LiveRequest, outcome: str, **fields: object
     ) -> None:
         call = live.flow.call
+        after_s = monotonic() - call.arrived_s
         RELAYED.labels(call.service, outcome).inc()
+        ENDED_AFTER_S.labels(call.service).observe(after_s)
         log_message(
             'request_ended',
             request=call.call_id,
             outcome=outcome,
             attempts=live.flow.sends,
-            after_s=round(monotonic() - call.arrived_s, DIGITS),
+            after_s=round(after_s, DIGITS),
             first_event_s=round(live.first_event_s, DIGITS),
             **fields,
         )
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -45,10 +45,21 @@
 _HELD_BYTES: Final = 262_144
 #: Rejections after which a request is refused; each costs a round trip.
 _MOST_REJECTIONS: Final = 4
+#: Endpoints that were not reached after which a request is refused. A process
+#: that does not listen costs a round trip and no engine's time; a data
+#: centre's endpoints may all be gone at once.
+_MOST_UNREACHED: Final = 12
+#: Time after which a request that reached nothing is refused, so that its
+#: caller can ask another instance: three connections that time out.
+_UNREACHED_S: Final = 1.2
 #: Times of the expected time to a first event after which an engine counts as
 #: silent, and a constant for passes under way and lost packets.
 _FIRST_TIMES: Final = 3.0
 _FIRST_SLACK_S: Final = 0.5
+#: Least time for a first event. Callers leave after two seconds at least, so
+#: that another engine has as much again; asked earlier, a busy engine that
+#: would answer in a moment does its work in vain.
+_LEAST_FIRST_S: Final = 1.0
 #: Times of the promised pause between events after which an engine counts as
 #: silent, and the least of it: a lost packet is sent again after 0.2 s.
 _GAP_TIMES: Final = 3.0
@@ -96,6 +107,7 @@
         #: Endpoints that the request may have run at.
         self._runs = 0
         self._rejections = 0
+        self._unreached = 0
         #: Whether an attempt reached an endpoint, which repeats count from.
         self._has_arrived = False
         self._head: AnswerHead | None = None
@@ -146,7 +158,8 @@
             return call.deadline_s
         if not call.route.is_stream:
             return max(_PLAIN_TIMES * call.route.objective_s, _FIRST_SLACK_S)
-        return _FIRST_TIMES * self._attempt.plan.first_s + _FIRST_SLACK_S
+        expected_s = self._attempt.plan.first_s
+        return max(_LEAST_FIRST_S, _FIRST_TIMES * expected_s + _FIRST_SLACK_S)
 
     def _gap_limit_s(self) -> float:
         gap_s = self.call.route.gap_objective_s
@@ -296,9 +309,12 @@
             if self._head is None:
                 self._runs += 1
             return self._on_broken(now_s, fault, detail)
-        self._rejections += 1
+        self._unreached += 1
         blame = self._blame(fault, detail)
-        if self._rejections >= _MOST_REJECTIONS:
+        if now_s + _LEAST_LEFT_S >= self.call.deadline_s:
+            return [*blame, *self._expire(detail)]
+        is_late = now_s - self.call.arrived_s > _UNREACHED_S
+        if is_late or self._unreached >= _MOST_UNREACHED:
             return [*blame, *self._stop_trying('endpoints_unreachable')]
         # Nothing arrived anywhere, so that the budget has no part in it.
         return [*blame, *self._drop(detail), *self._place(now_s)]
@@ -312,10 +328,7 @@
         if self._attempt is None or not self._is_sent:
             self.wake_s = self.call.deadline_s
             return []
-        self._has_arrived = True
-        if self._head is None:
-            self._runs += 1
-        return self._on_broken(now_s, Fault.silent, 'silent for too long')
+        return self._on_silent(now_s)
 
     def on_caller_gone(self, now_s: float) -> Sequence[RelayAction]:
         """Cut off what runs for a caller that left."""
@@ -332,6 +345,17 @@
             return []
         return [*self._drop('endpoint_gone'), *self._place(now_s)]
 
+    def _on_silent(self, now_s: float) -> Sequence[RelayAction]:
+        """Ask another endpoint, or wait on if none may be asked."""
+        self._has_arrived = True
+        has_run = self._runs + (self._head is None)
+        if not self._may_run_again(now_s, has_run):
+            # The engine may only be slow; its late answer is better than none.
+            self.wake_s = self.call.deadline_s
+            return self._blame(Fault.silent, 'silent, and waited for')
+        self._runs = has_run
+        return self._on_broken(now_s, Fault.silent, 'silent for too long')
+
     def _on_rejected(
         self, now_s: float, head: AnswerHead
     ) -> Sequence[RelayAction]:
@@ -348,7 +372,7 @@
     ) -> Sequence[RelayAction]:
         """Ask another endpoint, or pass the failure on as it is."""
         is_servers = head.status >= _FIRST_SERVER_ERROR
-        if is_servers and self._may_run_again(now_s):
+        if is_servers and self._may_run_again(now_s, self._runs):
             self._doubted.append(self._attempt)
             return self._go_elsewhere(now_s, 'failed')
         return []
@@ -357,15 +381,16 @@
         self, now_s: float, fault: Fault, detail: str
     ) -> Sequence[RelayAction]:
         blame = self._blame(fault, detail)
-        if self._may_run_again(now_s):
+        if self._may_run_again(now_s, self._runs):
             return [*blame, *self._go_elsewhere(now_s, fault.value)]
         if now_s >= self.call.deadline_s:
             return [*blame, *self._expire(detail)]
         return [*blame, *self._fail(ErrorKind.endpoint_lost, detail)]
 
-    def _may_run_again(self, now_s: float) -> bool:
+    def _may_run_again(self, now_s: float, runs: int) -> bool:
+        """Return whether another endpoint may be asked after ``runs``."""
         route = self.call.route
-        if not route.may_run_again or self._runs >= route.max_endpoints:
+        if not route.may_run_again or runs >= route.max_endpoints:
             return False
         if self._head_passed and not route.is_stream:
             return False
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -53,6 +53,20 @@
     When the first fails 3 times in a row
     Then it is left alone for 0.5, 1 and 2 seconds
 
+  Scenario: A data centre whose endpoints cannot be reached is left alone as a whole
+    Load: all endpoints of a data centre crash at once, or the way there is cut. Guards against a request each that
+    finds the next dead one.
+    Given 21 known endpoints in 3 data centres
+    When nothing listens at 3 of one data centre
+    Then 14 are left to choose from
+    And 4 seconds later 21 are left to choose from
+
+  Scenario: Single endpoints that cannot be reached say nothing about their neighbours
+    Guards against leaving a third of a service alone because of single crashes.
+    Given 21 known endpoints in 3 data centres
+    When nothing listens at 2 of one data centre
+    Then 19 are left to choose from
+
   Scenario: When most endpoints failed all are used
     Guards against refusing everything because of isolated faults everywhere.
     Given 6 known endpoints
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -95,6 +95,25 @@
     When nothing comes for 1 second
     Then it is sent to another engine to go on after event 2
 
+  Scenario: A silent engine is waited for when no other may be asked
+    Guards against cutting an answer that an engine only delays: its caller gets nothing at all then.
+    Given a resumable stream at the last engine that it may use
+    When nothing comes for 2 seconds
+    And the engine goes on with event 1
+    Then the event is passed on and 1 endpoint is blamed once
+
+  Scenario: Dead endpoints are passed over, one after the other
+    Guards against refusing a request because many endpoints crashed together and others live.
+    Given a repeatable call
+    When nothing listens at 6 endpoints in turn
+    Then it is sent to another endpoint
+
+  Scenario: An instance that reaches nothing says so soon
+    Guards against a request that is held at an instance which is cut off from all endpoints.
+    Given a repeatable call
+    When 3 connections in turn time out after 0.45 seconds
+    Then it is refused for now as overloaded
+
   Scenario: The time limit ends a request
     Guards against requests that are held past their route's limit.
     Given a request that may run once
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -11,6 +11,7 @@
     WorkRead,
     WorkShare,
 )
+from bergamotturn.process.endpoints.cells import Cells
 from bergamotturn.process.endpoints.cold_guard import ColdGuard
 from bergamotturn.process.endpoints.health import Fault
 from bergamotturn.process.endpoints.repeat_budget import RepeatBudget
@@ -60,13 +61,29 @@
 @given('{count:d} known endpoints')
 def known_endpoints(context, count):
     guard = ColdGuard('a', 1.5, 5)
-    context.endpoints = EndpointTable(WorkBook(), guard)
+    context.endpoints = EndpointTable(WorkBook(), guard, Cells('a'))
     context.tried = frozenset()
     for number in range(count):
         centre = 'ababcb'[number]
         context.endpoints.put(entry(f'e-{number}', data_centre=centre))
 
 
+@given('{count:d} known endpoints in {centres:d} data centres')
+def known_in_centres(context, count, centres):
+    guard = ColdGuard('a', 1.5, 5)
+    context.endpoints = EndpointTable(WorkBook(), guard, Cells('a'))
+    context.tried = frozenset()
+    for number in range(count):
+        centre = f'dc-{number % centres}'
+        context.endpoints.put(entry(f'e-{number}', data_centre=centre))
+
+
+@when('nothing listens at {count:d} of one data centre')
+def centre_unreachable(context, count):
+    for number in range(count):
+        context.endpoints.failed(_NOW_S, f'e-{3 * number}', Fault.unreachable)
+
+
 @when('one is leaving, one is out of service and one was tried')
 def some_excluded(context):
     context.endpoints.put(entry('e-0', is_leaving=True))
@@ -236,8 +253,8 @@
         if random.random() < 0.9:
             heard.take(_NOW_S, 'a', news)
         if random.random() < 0.1:
-            heard.take_report(_NOW_S, 'a', own.report('a'))
-    heard.take_report(_NOW_S, 'a', own.report('a'))
+            heard.take_report(_NOW_S, 'a', own.report('a', place))
+    heard.take_report(_NOW_S, 'a', own.report('a', place))
     for name in ('e-0', 'e-1'):
         mine, theirs = own.load(name), heard.load(name)
         for field in ('shorts', 'longs', 'reads', 'kv_tokens'):
