Let instances draw on the repeats that others leave

Each of 76 instances had used its share, two repeats and a fifth of its own requests in 10 s; the fleet had used a fraction of its 228.

Ruled out: larger shares (their sum is the bound, in touch or not).

Change: a repeat is told to all. An instance whose share is used up may repeat while all instances, as far as it hears, have made fewer than a fifth of the fixed part of the bound. It counts on that only while seven in ten of the listed instances live for it, which neither half of a divided fleet sees. Shares (0.7) and this part (0.2) together stay under the bound.

Tests: a share that is used up, with and without the others' news (fails before); fleets of 2, 9 and 76 that press with news stay within the bound.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -426,6 +426,7 @@
     :param due_ms: time in which its prompt should be read.
     :param pause_ms: longest pause in its answer that its caller is promised,
         0 for none.
+    :param again: whether the request was sent before.
     """
 
     place: int
@@ -434,6 +435,7 @@
     lasts_ms: int
     due_ms: int = 0
     pause_ms: int = 0
+    again: bool = False
     shares: tuple[WorkShare, ...]
 
 
--- a/bergamotturn/process/endpoints/repeat_budget.py
+++ b/bergamotturn/process/endpoints/repeat_budget.py
@@ -2,7 +2,9 @@
 
 The bound holds for all instances together. Each keeps to its share of the
 fixed part and to the ratio of its own requests, so that no agreement is
-needed.
+needed. With many instances a share is a repeat or two; one that has used its
+share draws on a common part while it hears from the others that they have
+made few repeats.
 """
 
 from collections import deque
@@ -13,19 +15,27 @@
 
 #: Part of the bound that is used: instances may differ on how many there are.
 _USED_SHARE: Final = 0.7
+#: Part of the bound's fixed part up to which repeats of all instances may be
+#: made beyond a share. With all shares it stays under the bound; the rest is
+#: for what others repeat in the moment until it is known.
+_COMMON_SHARE: Final = 0.2
 
 
 @final
 @dataclass(slots=True, eq=False)
 class _Counts:
-    """Times of a service's requests and repeats within the window."""
+    """Times of a service's requests and repeats within the window.
+
+    :param others_s: repeats that other instances told of.
+    """
 
     requests_s: deque[float] = field(default_factory=deque)
     repeats_s: deque[float] = field(default_factory=deque)
+    others_s: deque[float] = field(default_factory=deque)
 
     def forget(self, before_s: float) -> None:
         """Drop what left the window."""
-        for times_s in (self.requests_s, self.repeats_s):
+        for times_s in (self.requests_s, self.repeats_s, self.others_s):
             while times_s and times_s[0] < before_s:
                 times_s.popleft()
 
@@ -46,6 +56,8 @@
         self._counts: dict[str, _Counts] = {}
         self.use_bounds(ratio, window_s, slack_repeats)
         self.instances = 1
+        #: Whether most instances live and tell of their repeats.
+        self.hears_others = False
 
     def use_bounds(
         self, ratio: float, window_s: float, slack_repeats: float
@@ -63,12 +75,21 @@
         """Count a request that is sent once more."""
         self._of(now_s, service).repeats_s.append(now_s)
 
+    def note_other_repeat(self, now_s: float, service: str) -> None:
+        """Count a repeat that another instance told of."""
+        self._of(now_s, service).others_s.append(now_s)
+
     def left(self, now_s: float, service: str) -> int:
         """Return how many repeats this instance may make now."""
         counts = self._of(now_s, service)
+        own = len(counts.repeats_s)
         slack = _USED_SHARE * self._slack_repeats / self.instances
         allowed = self._ratio * len(counts.requests_s) + slack
-        return int(allowed) - len(counts.repeats_s)
+        left = int(allowed) - own
+        if left > 0 or not self.hears_others:
+            return left
+        common = int(_COMMON_SHARE * self._slack_repeats)
+        return max(left, common - own - len(counts.others_s))
 
     def _of(self, now_s: float, service: str) -> _Counts:
         counts = self._counts.get(service)
--- a/bergamotturn/process/relay/beliefs.py
+++ b/bergamotturn/process/relay/beliefs.py
@@ -57,6 +57,9 @@
 _MS: Final = 1000
 #: A peer is asked for its whole work at most so often.
 _ASK_PAUSE_S: Final = 0.5
+#: Living instances, as a part of all, from which their news tell enough to
+#: draw on what they leave: both halves of a divided fleet are below it.
+_HEARD_SHARE: Final = 0.7
 
 
 class _expiry_due(Event):
@@ -189,6 +192,8 @@
         self._budget.instances = instances
         self._cells.use_members(view.members)
         states = Counter(member.state for member in view.members)
+        living_share = states[MemberState.alive] / instances
+        self._budget.hears_others = living_share >= _HEARD_SHARE
         for state, name in enumerate(MEMBER_STATE_NAMES):
             MEMBERS.labels(name).set(states[state])
         now_s = monotonic()
@@ -210,8 +215,7 @@
             self._work.drop_instance(now_s, sender)
         message = envelope.message
         if isinstance(message, WorkBegan | WorkRead | WorkEnded):
-            if not self._work.take(now_s, sender, message):
-                self._ask_for_work(now_s, sender)
+            self._take_news(now_s, sender, message)
         elif isinstance(message, WorkReport):
             self._work.take_report(now_s, sender, message)
         elif isinstance(message, WorkAsk):
@@ -221,6 +225,16 @@
         elif isinstance(message, SuspicionNote):
             self._suspect(now_s, sender, message)
 
+    def _take_news(self, now_s: float, sender: str, news: WorkNews) -> None:
+        if not self._work.take(now_s, sender, news):
+            self._ask_for_work(now_s, sender)
+        if not isinstance(news, WorkBegan) or not news.again:
+            return
+        for share in news.shares:
+            entry = self._table.entry(share.endpoint)
+            if share.runs and entry is not None:
+                self._budget.note_other_repeat(now_s, entry.service)
+
     def _ask_for_work(self, now_s: float, instance: str) -> None:
         asked_s = self._asked_s.get(instance, float('-inf'))
         if now_s - asked_s >= _ASK_PAUSE_S:
@@ -261,9 +275,9 @@
             self.fire(multicast_message(others, message), PEERS)
 
     def _audience(
-        self, entry: EndpointEntry, *, is_long: bool
+        self, entry: EndpointEntry, *, is_for_all: bool
     ) -> tuple[str, ...]:
         """Return the cells that hear of a request at ``entry``."""
-        if is_long:
+        if is_for_all:
             return self._cells.names
         return (self._cells.of_endpoint(entry),)
--- a/bergamotturn/process/relay/runner.py
+++ b/bergamotturn/process/relay/runner.py
@@ -214,7 +214,9 @@
         passed_s = live.sent_s - call.arrived_s
         due_s = max(0, call.route.objective_s - passed_s)
         is_long = self._desk.is_long(call)
-        live.audience = self._audience(attempt.plan.entry, is_long=is_long)
+        live.audience = self._audience(
+            attempt.plan.entry, is_for_all=is_long or attempt.is_repeat
+        )
         began = WorkBegan(
             place=0,
             work=live.work,
@@ -222,6 +224,7 @@
             lasts_ms=int(left_s * _MS),
             due_ms=int(due_s * _MS),
             pause_ms=int(call.route.gap_objective_s * _MS),
+            again=attempt.is_repeat,
             shares=_shares(call, attempt),
         )
         self._tell_news(began, live.audience)
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -84,6 +84,23 @@
       | 76        |
       | 350       |
 
+  Scenario: An instance whose share is used up draws on what others leave
+    Load: engines that break off long answers, beside many instances with a share of two repeats each. Guards against
+    refusing a review of 200,000 tokens while the budget of the whole fleet is hardly touched.
+    Given 76 instances that may make 228 repeats in 10 seconds, of which one has used its share
+    Then it may repeat once more while it hears the others, and not when it does not
+    And not when the others have made 60 repeats
+
+  Scenario Outline: Repeats of instances that hear each other stay within the budget
+    Guards against a common part that is used beside all shares.
+    Then <instances> instances that tell each other and repeat everything stay within 0.2 of the requests plus 106 in any 10 seconds
+
+    Examples:
+      | instances |
+      | 2         |
+      | 9         |
+      | 76        |
+
   Scenario Outline: Repeats of all instances stay within the budget
     Guards against a storm of repeats, whatever the instances know of each other.
     Then <instances> instances that repeat everything stay within 0.2 of the requests plus 106 in any 10 seconds
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -206,15 +206,57 @@
     assert 0 < most <= bound, most
 
 
+@given(
+    '{instances:d} instances that may make {slack:d} repeats in 10 seconds, of '
+    'which one has used its share'
+)
+def share_used(context, instances, slack):
+    context.budget = RepeatBudget(0.2, _WINDOW_S, slack)
+    context.budget.instances = instances
+    while context.budget.left(_NOW_S, 's') > 0:
+        context.budget.note_repeat(_NOW_S, 's')
+
+
+@then(
+    'it may repeat once more while it hears the others, and not when it '
+    'does not'
+)
+def draws_on_others(context):
+    assert context.budget.left(_NOW_S, 's') <= 0
+    context.budget.hears_others = True
+    assert context.budget.left(_NOW_S, 's') > 0
+
+
+@then('not when the others have made {count:d} repeats')
+def others_repeat(context, count):
+    for _ in range(count):
+        context.budget.note_other_repeat(_NOW_S, 's')
+    assert context.budget.left(_NOW_S, 's') <= 0
+
+
+@then(
+    '{instances:d} instances that tell each other and repeat everything stay '
+    'within {ratio:g} of the requests plus {slack:d} in any 10 seconds'
+)
+def told_repeat_bound(context, instances, ratio, slack):
+    _press(instances, ratio, slack, hears_others=True)
+
+
 @then(
     '{instances:d} instances that repeat everything stay within '
     '{ratio:g} of the requests plus {slack:d} in any 10 seconds'
 )
 def repeat_bound(context, instances, ratio, slack):
+    _press(instances, ratio, slack, hears_others=False)
+
+
+def _press(instances, ratio, slack, hears_others):
+    """Let instances repeat as much as they may, and count the sum."""
     budgets = [RepeatBudget(ratio, _WINDOW_S, slack) for _ in range(instances)]
     requests_s, repeats_s = deque(), deque()
     for budget in budgets:
         budget.instances = instances
+        budget.hears_others = hears_others
     for step in range(300):
         now_s = step * 0.1
         for budget in budgets:
@@ -223,11 +265,20 @@
             while budget.left(now_s, 's') > 0:
                 budget.note_repeat(now_s, 's')
                 repeats_s.append(now_s)
+                _tell_others(budgets, budget, now_s, hears_others)
         _forget(requests_s, now_s - _WINDOW_S)
         _forget(repeats_s, now_s - _WINDOW_S)
         assert len(repeats_s) <= ratio * len(requests_s) + slack
 
 
+def _tell_others(budgets, sender, now_s, hears_others):
+    if not hears_others:
+        return
+    for budget in budgets:
+        if budget is not sender:
+            budget.note_other_repeat(now_s, 's')
+
+
 def _forget(times_s, before_s):
     while times_s and times_s[0] <= before_s:
         times_s.popleft()
