Count the time without an endpoint from when one is sought

A request that reaches nothing is refused after 1.2 s, but the time was counted from its arrival, so that a stream that had run for longer was given up at the first engine that did not listen.

Ruled out: no limit in time (an instance that is cut off from all endpoints must say so soon).

Change: the time counts from when an endpoint is sought, and the endpoints in a row begin anew with it. A scenario failed before.

--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -103,7 +103,10 @@
         #: Endpoints that the request may have run at.
         self._runs = 0
         self._rejections = 0
+        #: Endpoints in a row that were not reached, and since when one is
+        #: sought.
         self._unreached = 0
+        self._sought_s = call.arrived_s
         #: Whether an attempt reached an endpoint, which repeats count from.
         self._has_arrived = False
         self._head: AnswerHead | None = None
@@ -205,6 +208,8 @@
             return self._expire(reason)
         if not self._desk.may_repeat(now_s, self.call):
             return self._stop_trying('repeat_budget_used_up')
+        self._unreached = 0
+        self._sought_s = now_s
         return [*self._drop(reason), *self._place(now_s)]
 
     def _stop_trying(self, reason: str) -> list[RelayAction]:
@@ -308,7 +313,7 @@
         blame = self._blame(fault, detail)
         if now_s + _LEAST_LEFT_S >= self.call.deadline_s:
             return [*blame, *self._expire(detail)]
-        is_late = now_s - self.call.arrived_s > _UNREACHED_S
+        is_late = now_s - self._sought_s > _UNREACHED_S
         if is_late or self._unreached >= _MOST_UNREACHED:
             return [*blame, *self._stop_trying('endpoints_unreachable')]
         # Nothing arrived anywhere, so that the budget has no part in it.
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -107,7 +107,15 @@
     Guards against refusing a request because many endpoints crashed together and others live.
     Given a repeatable call
     When nothing listens at 6 endpoints in turn
-    Then it is sent to another endpoint
+    Then it is sent to endpoint 7 in the order
+
+  Scenario: A stream that broke off late is continued past dead engines
+    Load: a data centre's engines crash together while they write long answers. Guards against giving a stream up at the
+    first engine that does not listen, since it began long ago.
+    Given a resumable stream of which 2 events came
+    When its engine breaks off after 3 seconds and the next 2 do not listen
+    Then it is sent to endpoint 4 in the order
+    And it goes on after event 2
 
   Scenario: An instance that reaches nothing says so soon
     Guards against a request that is held at an instance which is cut off from all endpoints.
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -146,6 +146,16 @@
     )
 
 
+@when(
+    'its engine breaks off after {seconds:d} seconds and the next {count:d} do '
+    'not listen'
+)
+def breaks_off_late(context, seconds, count):
+    context.run.now_s += seconds
+    breaks_after(context)
+    unreachable_in_turn(context, count)
+
+
 @when('the engine sends event {number:d}')
 def sends_event(context, number):
     context.run.events(number)
@@ -212,7 +222,7 @@
 
 @when('nothing listens at {count:d} endpoints in turn')
 def unreachable_in_turn(context, count):
-    context.run.desk.endpoints = count + 1
+    context.run.desk.endpoints = count + 2
     for _ in range(count):
         unreachable(context)
 
@@ -290,9 +300,19 @@
 @then('it is sent to another endpoint')
 def sent_elsewhere(context):
     assert isinstance(context.run.last[-1], SendAttempt)
-    placed = context.run.desk.placed
-    assert len(placed) > 1
-    assert len(placed) == len(set(placed))
+    assert context.run.desk.placed == ['e-0', 'e-1']
+
+
+@then('it is sent to endpoint {number:d} in the order')
+def sent_in_order(context, number):
+    assert isinstance(context.run.last[-1], SendAttempt)
+    expected = [f'e-{place}' for place in range(number)]
+    assert context.run.desk.placed == expected, context.run.desk.placed
+
+
+@then('it goes on after event {number:d}')
+def goes_on_after(context, number):
+    assert context.run.last[-1].attempt.resume_after == number
 
 
 @then("the caller gets the endpoint's 500")
