--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -35,6 +35,7 @@
 # Runs the task alone, with a leaving phase of 2 seconds.
 _PROCESS = """
 from circuits import Component, handler
+from bergamotturn.connection.poller import SocketPoller
 from bergamotturn.process.shutdown import Shutdown
 from bergamotturn.process.shutdown_task import ShutdownTask
 from bergamotturn.process.timers import Timers
@@ -45,6 +46,8 @@
         print(phase if isinstance(phase, str) else 'started', flush=True)
 
 root = Phases()
+# Without a poller the library waits on a lock that its signal handler takes.
+SocketPoller().register(root)
 task = ShutdownTask('a', Timers().register(root))
 task._shutdown = Shutdown(0, 1)
 task.register(root)
