Excuse calls at a paused instance in the soak, as its trace shows

Its logs: instance b4 wrote nothing from 324.26 to 328.11 s, the one pause that the run injected; it took the charge at 328.15 and answered within 0.07 s.

Ruled out: a request that the program forgot (its lines are complete).

Change: a call that nobody ended is excused if its own instance was paused meanwhile; all else is asked as before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,5 +9,11 @@
     Then the soak of <seconds> seconds with seed <seed> breaks no promise
 
     Examples:
-      | seed | seconds |
-      | 1    | 10      |
+      | seed   | seconds |
+      | 1      | 10      |
+
+    Examples: Seeds that failed
+      # A charge waited for an instance that was paused for 3.8 s; the check asked for an end all the same.
+      # The poller's counter of skipped turns was missing at the start of each instance.
+      | seed   | seconds |
+      | 143244 | 10      |
--- a/features/support/soak/callers.py
+++ b/features/support/soak/callers.py
@@ -12,13 +12,15 @@
 
 from features.standins.users_platform import event
 
-__all__ = ('Call', 'Callers')
+__all__ = ('NO_END', 'Call', 'Callers')
 
 #: Routes of the fleet's configuration, with their shares of the load.
 _KINDS: Final = (('draft', 0.5), ('look', 0.25), ('charge', 0.25))
 _WHOLE_STREAM: Final = b''.join(event(number) for number in range(1, 6))
 _HOST_NAME: Final = 'h.example'
 _LIMIT_S: Final = {'draft': 5.0, 'look': 2.0, 'charge': 2.0}
+#: Fault of a call that nobody ended.
+NO_END: Final = 'no end two seconds after the time limit'
 _KEEP_S: Final = 2.0
 _LEAVING_SHARE: Final = 0.05
 
@@ -138,7 +140,7 @@
         except TimeoutError:
             call.has_left = leaves
             if not leaves:
-                call.fault = 'no end two seconds after the time limit'
+                call.fault = NO_END
         except aiohttp.ClientError:
             call.is_whole = False
         call.ended_s = monotonic()
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, Final
 
-from .callers import Call
+from .callers import NO_END, Call
 from .faults import Faults
 
 __all__ = ('broken_promises',)
@@ -42,7 +42,7 @@
 
 
 def _broken_by_answer(call: Call, runs: int, faults: Faults) -> Iterator[str]:
-    if call.fault:
+    if call.fault and not _is_paused(call, faults):
         yield f'{call}: {call.fault}'
     if call.kind == 'charge' and runs > 1:
         yield f'{call}: ran {runs} times'
@@ -84,3 +84,13 @@
         'peer_link',
         'compact',
     )
+
+
+def _is_paused(call: Call, faults: Faults) -> bool:
+    """Return whether nobody could end the call.
+
+    A paused process ends nothing, and its callers stay connected to it.
+    """
+    if call.fault != NO_END:
+        return False
+    return faults.was_paused(call.address, call.sent_s, call.ended_s)
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -144,6 +144,17 @@
             for fault in self.faults
         )
 
+    def was_paused(self, address: str, from_s: float, to_s: float) -> bool:
+        """Return whether the instance at ``address`` stood still then."""
+        port = int(address.rpartition(':')[2])
+        return any(
+            fault.name == 'pause'
+            and self._fleet.instances[fault.subject][0] == port
+            and fault.began_s <= to_s
+            and fault.ends_s >= from_s
+            for fault in self.faults
+        )
+
     def _instance(self) -> str | None:
         present = sorted(set(self._fleet.instances) - self._away)
         # Two stay, so that callers find one that lives.
