Make the first update of an instance in one place

Cause: the platform's daemon held a copy of membership_task's _own_update, one field aside.

Change: first_update in peer_membership, which both daemons use already; the settings of the platform's daemon say which address operators would use. No behaviour changes.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -10,7 +10,6 @@
 import sys
 from pathlib import Path
 from secrets import token_hex
-from time import time
 from typing import Final
 
 import eliot
@@ -22,7 +21,6 @@
 from ..connection.http_client import HttpClient
 from ..connection.metrics_listener import MetricsListener
 from ..connection.peer_link import PeerLink
-from ..connection.peer_messages import MemberState, MemberUpdate
 from ..connection.poller import SocketPoller
 from ..connection.relay_listener import RelayListener
 from ..connection.stores import Stores
@@ -31,7 +29,7 @@
 from ..process.log_lines import LogFlusher, LogLines
 from ..process.mirror.mirror_task import MIRROR, MirrorTask
 from ..process.mirror.table_watch import WatchTerms
-from ..process.peer_membership import PeerMembershipTask
+from ..process.peer_membership import PeerMembershipTask, first_update
 from ..process.registration_task import INSTANCES_TABLE, RegistrationTask
 from ..process.relay.relay_task import RelayTask
 from ..process.settings_task import SettingsTask
@@ -85,7 +83,7 @@
     root = Component(channel='root')
     # Registered first, so that every component uses it.
     SocketPoller().register(root)
-    me = _own_update(settings, boot_id)
+    me = first_update(settings, boot_id)
     drain_s = settings.drain_grace_s - _LEAVE_S - _END_S
     parts = (
         timers,
@@ -179,21 +177,3 @@
         WatchTerms(MIRROR, ENDPOINTS_TABLE, _FOLLOW_S, gather_s, most_s),
         WatchTerms(MIRROR, INSTANCES_TABLE, reread_s=_REREAD_S),
     )
-
-
-def _own_update(settings: ServingSettings, boot_id: str) -> MemberUpdate:
-    """Return the first update about this instance.
-
-    The wall clock puts a new boot above the one before it at once. If the
-    clock was set back, the peers tell the instance the number to exceed.
-    """
-    return MemberUpdate(
-        instance=settings.instance,
-        boot_id=boot_id,
-        data_centre=settings.data_centre,
-        incarnation=int(time()),
-        state=MemberState.alive,
-        caller_address=settings.caller_address,
-        peer_address=settings.peer_address,
-        operator_address=settings.peer_address,
-    )
--- a/bergamotturn/process/membership_task.py
+++ b/bergamotturn/process/membership_task.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 from random import SystemRandom
-from time import time
 from typing import Final, final
 
 from circuits import Component, Event, handler
@@ -13,7 +12,6 @@
     InstanceListPoll,
     InstanceListWire,
 )
-from ..connection.peer_messages import MemberState, MemberUpdate
 from ..connection.store_events import (
     STORES,
     RowScan,
@@ -24,7 +22,7 @@
 from ..version.settings import Settings
 from .events import endpoint_list_changed, order_placed
 from .order_rows import OrderRows
-from .peer_membership import PeerMembershipTask
+from .peer_membership import PeerMembershipTask, first_update
 from .timers import Timers
 
 __all__ = ('MembershipTask',)
@@ -52,7 +50,9 @@
         :param list_wire: how the platform's list is asked for, if not in the
             usual way.
         """
-        super().__init__(_own_update(settings, boot_id), settings.peers, timers)
+        super().__init__(
+            first_update(settings, boot_id), settings.peers, timers
+        )
         self._rows = OrderRows(
             self._membership.orders, self.channel, SystemRandom()
         )
@@ -96,21 +96,3 @@
     def _operate(self, operations: Iterable[RowScan | RowWrite]) -> None:
         for operation in operations:
             self.fire(store_operation(operation), STORES)
-
-
-def _own_update(settings: Settings, boot_id: str) -> MemberUpdate:
-    """Return the first update about this instance.
-
-    The wall clock puts a new boot above the one before it at once. If the
-    clock was set back, the peers tell the instance the number to exceed.
-    """
-    return MemberUpdate(
-        instance=settings.instance,
-        boot_id=boot_id,
-        data_centre=settings.data_centre,
-        incarnation=int(time()),
-        state=MemberState.alive,
-        caller_address=settings.caller_address,
-        peer_address=settings.peer_address,
-        operator_address=settings.operator_address,
-    )
--- a/bergamotturn/process/peer_membership.py
+++ b/bergamotturn/process/peer_membership.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable
 from random import SystemRandom
-from time import monotonic
-from typing import Final
+from time import monotonic, time
+from typing import Final, Protocol
 
 from circuits import Component, Event, handler
 
@@ -39,7 +39,7 @@
 from .membership import TICK_S, Membership
 from .timers import Timers
 
-__all__ = ('PeerMembershipTask',)
+__all__ = ('PeerMembershipTask', 'first_update')
 
 
 #: Ticks after which loads of members are told, a second together: each time
@@ -47,6 +47,16 @@
 _LOAD_TICKS: Final = 4
 
 
+class MemberSettings(Protocol):
+    """What the others are told of an instance's settings."""
+
+    instance: str
+    data_centre: str
+    caller_address: Address
+    peer_address: Address
+    operator_address: Address
+
+
 class membership_tick(Event):
     """Let membership judge what is overdue."""
 
@@ -157,3 +167,21 @@
         if orders.digest != self._told_orders:
             self._told_orders = orders.digest
             self.fire(orders_changed(OrderView(orders.orders)), '*')
+
+
+def first_update(settings: MemberSettings, boot_id: str) -> MemberUpdate:
+    """Return the first update about this instance.
+
+    The wall clock puts a new boot above the one before it at once. If the
+    clock was set back, the peers tell the instance the number to exceed.
+    """
+    return MemberUpdate(
+        instance=settings.instance,
+        boot_id=boot_id,
+        data_centre=settings.data_centre,
+        incarnation=int(time()),
+        state=MemberState.alive,
+        caller_address=settings.caller_address,
+        peer_address=settings.peer_address,
+        operator_address=settings.operator_address,
+    )
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -94,6 +94,11 @@
         """Return the address for other instances."""
         return Address.parse(self.peer)
 
+    @property
+    def operator_address(self) -> Address:
+        """Return the address for operators, who ask no instance here."""
+        return self.peer_address
+
     @property
     def peer_listen_address(self) -> Address:
         """Return the address to listen on for other instances."""
