Count recent happenings by one class

EndpointLoad, the endpoint table and the repeat budget each dropped old times from a list of their own in the same way; the table's list grew until it was asked for.

Change: RecentCount in process/endpoints; the span of a second is named once. What counts is the same, to the boundary.

--- a/bergamotturn/process/endpoints/endpoint_load.py
+++ b/bergamotturn/process/endpoints/endpoint_load.py
@@ -10,10 +10,12 @@
 from math import inf
 from typing import Final, final
 
-__all__ = ('EndpointLoad', 'WorkPart')
+from .recent_count import RecentCount
+
+__all__ = ('RATE_SPAN_S', 'EndpointLoad', 'WorkPart')
 
 #: Span in which requests to a cold endpoint are counted.
-_RATE_SPAN_S: Final = 1.0
+RATE_SPAN_S: Final = 1.0
 
 
 @final
@@ -58,7 +60,7 @@
         '_advanced_s',
         '_parts',
         '_readings',
-        '_sent_s',
+        '_sent',
         'kv_tokens',
         'longs',
         'shorts',
@@ -72,7 +74,7 @@
         self._parts: dict[Hashable, WorkPart] = {}
         self._readings: dict[Hashable, _Reading] = {}
         self._advanced_s = -inf
-        self._sent_s: list[float] = []
+        self._sent = RecentCount(RATE_SPAN_S)
 
     @property
     def requests(self) -> int:
@@ -125,10 +127,7 @@
 
     def sent_lately(self, now_s: float) -> int:
         """Return the requests sent there in the last second."""
-        since_s = now_s - _RATE_SPAN_S
-        while self._sent_s and self._sent_s[0] < since_s:
-            self._sent_s.pop(0)
-        return len(self._sent_s)
+        return self._sent.count(now_s)
 
     def add(self, now_s: float, key: Hashable, part: WorkPart) -> None:
         """Take a request, or its part, into account."""
@@ -139,8 +138,7 @@
             self._readings[key] = _Reading(part, part.read_s)
         if part.runs:
             self._count(part, 1)
-            self.sent_lately(now_s)
-            self._sent_s.append(now_s)
+            self._sent.note(now_s)
 
     def note_read(self, now_s: float, key: Hashable) -> None:
         """Take into account that a prompt is read."""
--- a/bergamotturn/process/endpoints/repeat_budget.py
+++ b/bergamotturn/process/endpoints/repeat_budget.py
@@ -7,10 +7,10 @@
 made few repeats.
 """
 
-from collections import deque
-from dataclasses import dataclass, field
 from typing import Final, final
 
+from .recent_count import RecentCount
+
 __all__ = ('RepeatBudget',)
 
 #: Part of the bound that is used: instances may differ on how many there are.
@@ -22,22 +22,24 @@
 
 
 @final
-@dataclass(slots=True, eq=False)
 class _Counts:
-    """Times of a service's requests and repeats within the window.
+    """A service's requests and repeats within the window.
 
-    :param others_s: repeats that other instances told of.
+    :ivar others: repeats that other instances told of.
     """
 
-    requests_s: deque[float] = field(default_factory=deque)
-    repeats_s: deque[float] = field(default_factory=deque)
-    others_s: deque[float] = field(default_factory=deque)
+    __slots__ = ('others', 'repeats', 'requests')
+
+    def __init__(self, window_s: float) -> None:
+        """Start with none."""
+        self.requests = RecentCount(window_s)
+        self.repeats = RecentCount(window_s)
+        self.others = RecentCount(window_s)
 
-    def forget(self, before_s: float) -> None:
-        """Drop what left the window."""
-        for times_s in (self.requests_s, self.repeats_s, self.others_s):
-            while times_s and times_s[0] < before_s:
-                times_s.popleft()
+    def use_window(self, window_s: float) -> None:
+        """Count within another window from now on."""
+        for each in (self.requests, self.repeats, self.others):
+            each.span_s = window_s
 
 
 @final
@@ -65,36 +67,37 @@
         """Keep to other bounds from now on."""
         self._ratio = ratio
         self._window_s = window_s
+        for counts in self._counts.values():
+            counts.use_window(window_s)
         self._slack_repeats = slack_repeats
 
     def note_request(self, now_s: float, service: str) -> None:
         """Count a request's first sending."""
-        self._of(now_s, service).requests_s.append(now_s)
+        self._of(service).requests.note(now_s)
 
     def note_repeat(self, now_s: float, service: str) -> None:
         """Count a request that is sent once more."""
-        self._of(now_s, service).repeats_s.append(now_s)
+        self._of(service).repeats.note(now_s)
 
     def note_other_repeat(self, now_s: float, service: str) -> None:
         """Count a repeat that another instance told of."""
-        self._of(now_s, service).others_s.append(now_s)
+        self._of(service).others.note(now_s)
 
     def left(self, now_s: float, service: str) -> int:
         """Return how many repeats this instance may make now."""
-        counts = self._of(now_s, service)
-        own = len(counts.repeats_s)
+        counts = self._of(service)
+        own = counts.repeats.count(now_s)
         slack = _USED_SHARE * self._slack_repeats / self.instances
-        allowed = self._ratio * len(counts.requests_s) + slack
+        allowed = self._ratio * counts.requests.count(now_s) + slack
         left = int(allowed) - own
         if left > 0 or not self.hears_others:
             return left
         common = int(_COMMON_SHARE * self._slack_repeats)
-        return max(left, common - own - len(counts.others_s))
+        return max(left, common - own - counts.others.count(now_s))
 
-    def _of(self, now_s: float, service: str) -> _Counts:
+    def _of(self, service: str) -> _Counts:
         counts = self._counts.get(service)
         if counts is None:
-            counts = _Counts()
+            counts = _Counts(self._window_s)
             self._counts[service] = counts
-        counts.forget(now_s - self._window_s)
         return counts
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -10,8 +10,10 @@
 from ..placement.plan import Candidate, rank_of
 from .cells import Cells
 from .cold_guard import ColdGuard
+from .endpoint_load import RATE_SPAN_S
 from .entry import EndpointEntry
 from .health import EndpointHealth, Fault
+from .recent_count import RecentCount
 from .work_book import WorkBook
 
 __all__ = ('EndpointTable', 'Exclusions')
@@ -19,7 +21,6 @@
 #: Endpoints that failed lately are used after all when fewer than this share
 #: of a service's endpoints is left: isolated faults may hit half of them.
 _LEAST_HEALTHY_SHARE: Final = 0.34
-_SPAN_S: Final = 1.0
 #: Unreached endpoints of a data centre from which the others there count as
 #: unreached too: more than single crashes make, few enough to find early.
 _LEAST_CUT_OFF: Final = 3
@@ -51,18 +52,17 @@
 @final
 @dataclass(slots=True, eq=False)
 class _Known:
-    """What is known of one endpoint."""
+    """What is known of one endpoint.
+
+    :param own_sent: this instance's requests there.
+    """
 
     entry: EndpointEntry
     rank: int
     health: EndpointHealth = field(default_factory=EndpointHealth)
-    own_sent_s: list[float] = field(default_factory=list)
-
-    def own_sent_lately(self, now_s: float) -> int:
-        """Return this instance's requests there in the last second."""
-        while self.own_sent_s and self.own_sent_s[0] < now_s - _SPAN_S:
-            self.own_sent_s.pop(0)
-        return len(self.own_sent_s)
+    own_sent: RecentCount = field(
+        default_factory=lambda: RecentCount(RATE_SPAN_S)
+    )
 
 
 @final
@@ -133,7 +133,7 @@
         """Count a request of this instance."""
         known = self._known.get(endpoint_id)
         if known is not None:
-            known.own_sent_s.append(now_s)
+            known.own_sent.note(now_s)
 
     def answered(self, endpoint_id: str) -> None:
         """Note a good answer."""
@@ -266,6 +266,6 @@
             service,
             known.entry.endpoint_id,
             load.sent_lately(now_s),
-            known.own_sent_lately(now_s),
+            known.own_sent.count(now_s),
             is_cold=known.entry.cold_until_s > now_s,
         )
