Bound answers that never end, and let a resumed call's own limit answer it

Cause: EventStream kept all bytes up to a blank line and searched them again at each read; comments and empty events counted as progress, so a stalled stream lived until its deadline; interim (1xx) answers, stale answers and data lines of the own engine wire had no limit.

Ruled out: dropping comments, since the body must reach callers unchanged; a longer alarm, since the answer is promised within a second of the deadline.

The alarm waits 0.1 s more, so that it still ends within 0.9 s of the deadline.

--- a/bergamotturn/connection/answer_parser.py
+++ b/bergamotturn/connection/answer_parser.py
@@ -154,6 +154,7 @@
         '_framing',
         '_has_excess',
         '_head_bytes',
+        '_interim_bytes',
         '_bytes_without_body',
         '_keeps_alive',
         '_message',
@@ -168,6 +169,8 @@
         #: None until the head is complete.
         self._framing: _Framing | None = None
         self._head_bytes = b''
+        #: Total size of the heads of interim (1xx) answers.
+        self._interim_bytes = 0
         #: Bytes received since the last body data.
         self._bytes_without_body = 0
         #: The last bytes received after the head.
@@ -235,7 +238,7 @@
             raise _MalformedAnswerError('unexpected switch of protocols')
         framing = _determine_framing(message, status, self._method)
         if status < _FIRST_FINAL_STATUS:
-            self._message = _Message()
+            self._skip_interim(head)
             return
         self._framing = framing
         self._keeps_alive = (
@@ -251,6 +254,12 @@
             ),
         )
 
+    def _skip_interim(self, head: bytes) -> None:
+        self._message = _Message()
+        self._interim_bytes += len(head)
+        if self._interim_bytes > _MAX_FRAMING_BYTES:
+            raise _MalformedAnswerError('too many interim answers')
+
     def _feed_body(self, received: bytes, step: AnswerStep) -> None:
         message = self._message
         try:
--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -24,6 +24,10 @@
 #: component has answered. Below 1 s, so that the answer is sent within a second
 #: of the deadline.
 _OVERDUE_DELAY_S: Final = 0.8
+#: Time between the end of that delay and the listener's answer. When a process
+#: that was paused resumes, the request's own time limit and the listener's are
+#: due in the same turn of the event loop; the request's answer goes first.
+_RESUME_GRACE_S: Final = 0.1
 
 #: Header fields of an answer that the listener sets for its own connection.
 _CONNECTION_HEADERS: Final = frozenset(
@@ -40,6 +44,10 @@
 )
 
 
+class _call_late(Event):
+    """Check ``call_id`` again after the resume grace."""
+
+
 class _call_overdue(Event):
     """Answer ``call_id`` if no component has answered it."""
 
@@ -145,6 +153,14 @@
         else:
             self._answer_failure(call.web_call, failure)
 
+    @handler('_call_late')
+    def _on_late(self, call_id: str) -> None:
+        call = self._open_calls.get(call_id)
+        if call is not None:
+            call.overdue_timer = self._timers.call_after(
+                _RESUME_GRACE_S, _call_overdue(call_id), self.channel
+            )
+
     @handler('_call_overdue')
     def _on_overdue(self, call_id: str) -> None:
         call = self._open_calls.get(call_id)
@@ -174,7 +190,7 @@
         """Submit a call by firing ``submission`` on ``channel``."""
         timer = self._timers.call_after(
             max(0, deadline_s - monotonic()) + _OVERDUE_DELAY_S,
-            _call_overdue(call_id),
+            _call_late(call_id),
             self.channel,
         )
         self._open_calls[call_id] = _OpenCall(call_id, web_call, timer)
--- a/bergamotturn/connection/engine_adapter.py
+++ b/bergamotturn/connection/engine_adapter.py
@@ -121,6 +121,7 @@
         """Create a parser for one answer."""
         self._partial_line = b''
         self._data_lines: list[bytes] = []
+        self._data_bytes = 0
         self._is_broken = False
 
     def feed(self, data: bytes) -> list[Chunk]:
@@ -143,11 +144,15 @@
             self._data_lines.append(
                 line.removeprefix(b'data:').removeprefix(b' ')
             )
+            self._data_bytes += len(line)
+            if self._data_bytes > _MAX_LINE_BYTES:
+                return [self._mark_broken('an event of the stream is too long')]
             return []
         if line or not self._data_lines:
             return []
         content = b'\n'.join(self._data_lines)
         self._data_lines = []
+        self._data_bytes = 0
         return [self._decode(content)]
 
     def _decode(self, content: bytes) -> Chunk:
@@ -171,6 +176,7 @@
     def _mark_broken(self, detail: str) -> Chunk:
         self._is_broken = True
         self._partial_line = b''
+        self._data_lines = []
         return BrokenChunk(detail)
 
 
--- a/bergamotturn/connection/stale_answer.py
+++ b/bergamotturn/connection/stale_answer.py
@@ -16,16 +16,20 @@
 __all__ = ('StaleAnswer', 'is_stale')
 
 _MAX_HEAD_BYTES: Final = 16_384
+#: Largest stale answer that is skipped. A longer one costs more than a new
+#: connection.
+_MAX_STALE_BYTES: Final = 262_144
 
 
 @final
 class StaleAnswer:
     """Skips one stale answer."""
 
-    __slots__ = ('_http',)
+    __slots__ = ('_http', '_received_bytes')
 
     def __init__(self, method: str) -> None:
         """Expect the first byte of the answer to a ``method`` request."""
+        self._received_bytes = 0
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -41,6 +45,12 @@
         :returns: the bytes after the end of the answer; None while it is not
             complete; a failure when its end cannot be found.
         """
+        self._received_bytes += len(received)
+        if self._received_bytes > _MAX_STALE_BYTES:
+            return Failure(
+                ErrorKind.endpoint_failed,
+                'the answer to an earlier request does not end',
+            )
         self._http.receive_data(received)
         try:
             return self._skip_to_end()
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -441,31 +441,29 @@
         self, now_s: float, data: bytes
     ) -> Sequence[RelayAction]:
         forwarded = []
+        has_progress = False
         for event in self._stream.feed(data):
-            number = event.number
-            if number is not None and self._last_event_number is not None:
-                if number <= self._last_event_number:
-                    return self._on_attempt_failed(
-                        now_s, Fault.garbled, f'duplicate event {number}'
-                    )
-                if number > self._last_event_number + 1:
-                    return self._on_attempt_failed(
-                        now_s, Fault.garbled, f'gap before event {number}'
-                    )
-            if number is not None:
-                self._last_event_number = number
-            self.event_count += 1
+            has_progress |= event.is_progress
+            disorder = _find_disorder(event.number, self._last_event_number)
+            if disorder:
+                return self._on_attempt_failed(now_s, Fault.garbled, disorder)
+            if event.number is not None:
+                self._last_event_number = event.number
+            self.event_count += event.is_progress
             forwarded.append(event.data)
+        if self._stream.is_event_too_long:
+            return self._on_attempt_failed(
+                now_s, Fault.garbled, 'an event exceeds the size limit'
+            )
         if not forwarded:
             return []
+        replies = [*self._forward_head(), *_reply_data(forwarded)]
+        if not has_progress:
+            return replies
         self.wake_s = min(
             self.call.deadline_s, now_s + self._event_gap_limit_s()
         )
-        return [
-            *self._note_prefilled(),
-            *self._forward_head(),
-            *_reply_data(forwarded),
-        ]
+        return [*self._note_prefilled(), *replies]
 
     def _note_prefilled(self) -> list[RelayAction]:
         if self._is_prefilled:
@@ -494,5 +492,14 @@
 _FIRST_SERVER_ERROR: Final = 500
 
 
+def _find_disorder(number: int | None, last_number: int | None) -> str:
+    """Return how event ``number`` does not follow the one before it."""
+    if number is None or last_number is None or number == last_number + 1:
+        return ''
+    if number <= last_number:
+        return f'duplicate event {number}'
+    return f'gap before event {number}'
+
+
 def _reply_data(parts: Sequence[bytes]) -> list[RelayAction]:
     return [ReplyData(b''.join(parts))] if parts else []
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -72,10 +72,12 @@
 class _RelayRun:
     """A relayed request and the actions that its flow returned."""
 
-    def __init__(self, call_route, router=None):
+    def __init__(self, call_route, router=None, **call_fields):
         self.now_s = 0.0
         self.router = router or _Router()
-        self.flow = RelayFlow(relay_call(call_route), self.router)
+        self.flow = RelayFlow(
+            relay_call(call_route, **call_fields), self.router
+        )
         self.actions = []
         self.record(self.flow.begin(0))
 
@@ -117,6 +119,12 @@
     context.run.receive_events(*range(1, count + 1))
 
 
+@given('a stream whose route allows pauses of {gap_s:f} seconds')
+def slow_stream(context, gap_s):
+    context.run = _RelayRun(route(gap_objective_s=gap_s), deadline_s=100)
+    context.run.receive_head(_SUCCESS)
+
+
 @given('a request that may run only once')
 def request_without_rerun(context):
     context.run = _RelayRun(route(**_PLAIN_ROUTE))
