Follow the store's tables with a few instances of each data centre

Ruled out: one follower for the whole fleet (a role to hand over, and changes that cross data centres from one machine); gossip of versions alone, which needs seconds while few instances know a change.

Change: in a fleet of more than 16, two instances of each data centre, chosen by hash among the live members, follow the store and forward each answer to half of the others there. A lost forward is noticed by versions in pings, as before.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -40,9 +40,11 @@
     'PingRequest',
     'PromiseAsk',
     'PromiseGiven',
+    'StoreUnreachable',
     'SuspicionNote',
     'TableAsk',
     'TableContent',
+    'TableDelta',
     'TableVersion',
     'WorkAsk',
     'WorkBegan',
@@ -415,6 +417,27 @@
     rows: tuple[Row, ...]
 
 
+@final
+class TableDelta(_Message, frozen=True, kw_only=True):
+    """What a follower's copy of a table has received from the store.
+
+    :param since_version: version from which ``rows`` holds all changes.
+    :param rows: changed and removed rows.
+    """
+
+    prefix: str
+    since_version: int
+    version: int
+    rows: tuple[Row, ...]
+
+
+@final
+class StoreUnreachable(_Message, frozen=True, kw_only=True):
+    """Notification that the store does not answer its sender."""
+
+    prefix: str
+
+
 @final
 class WorkShare(msgspec.Struct, frozen=True, array_like=True):
     """Load of one request at one endpoint.
@@ -521,6 +544,8 @@
     | ConfigurationContent
     | TableAsk
     | TableContent
+    | TableDelta
+    | StoreUnreachable
 )
 _PermitMessage = (
     PermitAsk
@@ -579,6 +604,8 @@
         BurnReply: 'burn',
         TableAsk: 'mirror',
         TableContent: 'mirror',
+        TableDelta: 'mirror',
+        StoreUnreachable: 'mirror',
         WorkBegan: 'relay',
         WorkRead: 'relay',
         WorkEnded: 'relay',
--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -27,6 +27,7 @@
 from ..process.change_log import ChangeLog
 from ..process.entry_choice import EntryChoice
 from ..process.log_lines import LogFlusher, LogLines
+from ..process.mirror.follower_choice import FollowerChoice
 from ..process.mirror.mirror_task import MIRROR, MirrorTask
 from ..process.mirror.table_watch import WatchSettings
 from ..process.peer_membership import PeerMembershipTask, first_update
@@ -97,7 +98,11 @@
         ),
         Stores(timers, PlatformTable(Address.parse(settings.store.address))),
         PeerLink(settings, boot_id),
-        MirrorTask(_watched_tables(settings.in_force_s), timers),
+        MirrorTask(
+            _watched_tables(settings.in_force_s),
+            timers,
+            FollowerChoice(settings.instance, settings.data_centre),
+        ),
         TableRowReader(),
         RegistrationTask(own_member, timers),
         PeerMembershipTask(own_member, settings.peers, timers),
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -13,16 +13,25 @@
 from ...connection.peer_link import PEERS
 from ...connection.peer_messages import (
     Envelope,
+    StoreUnreachable,
     TableAsk,
     TableContent,
+    TableDelta,
     TableVersion,
+    multicast_message,
     send_message,
 )
 from ...connection.store_events import STORES, StoreOutcome, store_operation
 from ..actions import SendTo
-from ..events import table_changed, table_read, table_versions_changed
+from ..events import (
+    MemberView,
+    table_changed,
+    table_read,
+    table_versions_changed,
+)
 from ..metrics import TABLE_AGE_S
 from ..timers import Timers
+from .follower_choice import FollowerChoice
 from .table_copy import TableChange
 from .table_watch import (
     StartStoreOperation,
@@ -50,15 +59,23 @@
     """Keeps copies of tables, publishes changes and answers peers.
 
     :param tables: settings of the watch of each table.
+    :param choice: choice of the instances that follow the store.
     """
 
     channel = MIRROR
 
-    def __init__(self, tables: Iterable[WatchSettings], timers: Timers) -> None:
+    def __init__(
+        self,
+        tables: Iterable[WatchSettings],
+        timers: Timers,
+        choice: FollowerChoice,
+    ) -> None:
         """Start with empty copies."""
         super().__init__()
         random = SystemRandom()
         self._timers = timers
+        self._choice = choice
+        self._view = MemberView(())
         self._watches = {
             settings.prefix: TableWatch(settings, random) for settings in tables
         }
@@ -74,6 +91,11 @@
         if component is self:
             self._set_timer()
 
+    @handler('members_changed', channel='*')
+    def _on_members_changed(self, view: MemberView) -> None:
+        self._view = view
+        self._choose_followers('members_changed')
+
     @handler('_watches_due')
     def _on_watches_due(self) -> None:
         self._due_s = inf
@@ -92,6 +114,7 @@
                     watch, watch.on_outcome(now_s, outcome), 'store'
                 )
                 self._log_store_state(watch, outcome)
+                self._report_unreachable(watch)
         self._set_timer()
 
     def read_table(self, prefix: str) -> None:
@@ -115,18 +138,48 @@
     def peer_message(self, envelope: Envelope) -> None:
         """Handle a peer's request for a copy, or its answer."""
         message = envelope.message
-        if not isinstance(message, TableAsk | TableContent):
+        if isinstance(message, StoreUnreachable):
+            self._choice.note_cut_off(monotonic(), envelope.sender)
+            self._choose_followers('store_unreachable')
+            return
+        if not isinstance(message, TableAsk | TableContent | TableDelta):
             return
         watch = self._watches.get(message.prefix)
         if watch is None:
             return
         if isinstance(message, TableAsk):
             actions = watch.on_ask(envelope.sender, message)
+        elif isinstance(message, TableDelta):
+            actions = watch.on_delta(envelope.sender, message)
         else:
             actions = watch.on_content(message)
         self._carry_out(watch, actions, envelope.sender)
         self._set_timer()
 
+    def _choose_followers(self, reason: str) -> None:
+        known = self._choice.followers
+        self._choice.use_members(monotonic(), self._view.members)
+        if self._choice.followers == known:
+            return
+        is_following = self._choice.is_follower
+        for watch in self._watches.values():
+            watch.set_following(is_following=is_following)
+        log_message(
+            'followers_chosen',
+            followers=list(self._choice.followers),
+            is_follower=is_following,
+            members=len(self._view.members),
+            reason=reason,
+        )
+        self._set_timer()
+
+    def _report_unreachable(self, watch: TableWatch) -> None:
+        """Let the others of the data centre choose another follower."""
+        if watch.is_store_answering or not self._choice.is_follower:
+            return
+        message = StoreUnreachable(prefix=watch.settings.prefix)
+        self.fire(multicast_message(self._choice.neighbours, message), PEERS)
+
     def _set_timer(self) -> None:
         """Schedule the time at which the next watch is due."""
         due_s = min(
@@ -175,6 +228,7 @@
             removed=list(change.removed_keys),
         )
         self.fire(table_changed(prefix, change), '*')
+        self._forward(watch, change)
         tables = tuple(
             TableVersion(each.settings.prefix, each.copy.changed_version)
             for each in self._watches.values()
@@ -184,6 +238,15 @@
             self._published_versions = tables
             self.fire(table_versions_changed(tables), '*')
 
+    def _forward(self, watch: TableWatch, change: TableChange) -> None:
+        """Send a change to the instances that this one forwards to."""
+        if not watch.settings.wait_s or not self._choice.audience:
+            return
+        message = multicast_message(
+            self._choice.audience, watch.message_for(change)
+        )
+        self.fire(message, PEERS)
+
     def _log_store_state(
         self, watch: TableWatch, outcome: StoreOutcome
     ) -> None:
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -23,12 +23,18 @@
     :param removed_keys: keys of the removed rows.
     :param version: version of the copy after the changes.
     :param is_snapshot: whether the answer was a snapshot of the table.
+    :param answer: all rows of the answer. A row that was added and removed
+        within it changed nothing here, but other copies may have it.
+    :param since_version: version of a copy to which ``answer`` can be applied
+        without a gap.
     """
 
     rows: tuple[Row, ...]
     removed_keys: tuple[str, ...]
     version: int
     is_snapshot: bool = False
+    answer: tuple[Row, ...] = ()
+    since_version: int = 0
 
     def __bool__(self) -> bool:
         """Return whether anything changed."""
@@ -39,7 +45,13 @@
 class TableCopy:
     """The rows of one table that this instance has received."""
 
-    __slots__ = ('_removed_versions', 'changed_version', 'rows', 'version')
+    __slots__ = (
+        '_removed_versions',
+        '_unchanged_since',
+        'changed_version',
+        'rows',
+        'version',
+    )
 
     def __init__(self) -> None:
         """Start empty, at version 0, which is below every version."""
@@ -52,6 +64,9 @@
         #: counter for all its tables, so copies with the same content may
         #: differ in ``version``.
         self.changed_version = 0
+        #: Version at the last answer that had rows. The table has not changed
+        #: between it and ``version``.
+        self._unchanged_since = 0
 
     def newer_rows(self, above: int) -> tuple[Row, ...]:
         """Return the rows whose version is greater than ``above``."""
@@ -66,14 +81,24 @@
         """
         changed = []
         removed = []
-        for row in rows:
+        since_version = self._unchanged_since
+        answer = tuple(rows)
+        for row in answer:
             self.changed_version = max(self.changed_version, row.row_version)
             if row.is_removed:
                 removed.extend(self._remove(row.row_key, row.row_version))
             elif self._put(row):
                 changed.append(row)
         self.version = max(self.version, version)
-        return TableChange(tuple(changed), tuple(removed), self.version)
+        if answer:
+            self._unchanged_since = self.version
+        return TableChange(
+            tuple(changed),
+            tuple(removed),
+            self.version,
+            answer=answer,
+            since_version=since_version,
+        )
 
     def replace(
         self,
@@ -96,6 +121,7 @@
             if key not in present and row.row_version <= version
         ]
         change = self.merge(version, (*removed, *snapshot))
+        self._unchanged_since = self.version
         return replace(change, is_snapshot=True)
 
     def _put(self, row: Row) -> bool:
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -1,9 +1,11 @@
 """Keeps a copy of one table current.
 
-All rows of the table are read once, and then only its changes. While the store
-refuses, does not answer or has lost its history, changes are taken from the
-copies of other instances: each instance sends the versions of its copies with
-its pings. The classes use no socket and no clock.
+All rows of the table are read once, and then only its changes. In a large fleet
+only some instances follow the store and forward changes to the others. While
+the store refuses, does not answer or has lost its history, and when a forwarded
+change is lost, changes are taken from the copies of other instances: each
+instance sends the versions of its copies with its pings. The classes use no
+socket and no clock.
 """
 
 from dataclasses import dataclass
@@ -11,7 +13,7 @@
 from random import Random
 from typing import Final, final
 
-from ...connection.peer_messages import TableAsk, TableContent
+from ...connection.peer_messages import TableAsk, TableContent, TableDelta
 from ...connection.store_events import (
     Row,
     RowFollow,
@@ -100,6 +102,7 @@
         self.last_answer_s = float('-inf')
         #: Whether the last call to the store succeeded.
         self.is_store_answering = False
+        self._is_following = True
         self._random = random
         self._pending_operation: RowFollow | RowScan | None = None
         self._scanned_rows: list[Row] = []
@@ -113,10 +116,22 @@
     @property
     def due_s(self) -> float:
         """Return when :meth:`advance` is due, or infinity."""
-        if self._pending_operation is not None:
+        if self._pending_operation is not None or self._is_waiting:
             return inf
         return -inf if self._next_call_s is None else self._next_call_s
 
+    @property
+    def _is_waiting(self) -> bool:
+        """Return whether other instances forward the changes."""
+        is_followed = bool(self.settings.wait_s) and not self._is_scan_needed
+        return is_followed and not self._is_following
+
+    def set_following(self, *, is_following: bool) -> None:
+        """Follow the store, or leave that to other instances."""
+        if is_following and not self._is_following:
+            self._next_call_s = None
+        self._is_following = is_following
+
     def silent_s(self, now_s: float) -> float | None:
         """Return the time since the last successful call, if there was one."""
         if self.last_answer_s < 0:
@@ -132,6 +147,8 @@
         """Start the next call to the store if it is due."""
         if self._pending_operation is not None:
             return []
+        if self._is_waiting:
+            return []
         if self._next_call_s is not None and now_s < self._next_call_s:
             return []
         self._next_call_s = None
@@ -207,6 +224,8 @@
         self.is_complete = True
         change = self.copy.replace(self._scan_version, self._scanned_rows)
         self._scanned_rows = []
+        # By then an instance of a large fleet knows whether it is a follower.
+        self._delay_next_call(now_s)
         return [change, *self.advance(now_s)]
 
     def _delay_next_call(self, now_s: float) -> None:
@@ -286,13 +305,26 @@
         """Answer a peer whose copy is older."""
         if not self.is_complete or self.copy.changed_version <= ask.above:
             return []
-        content = TableContent(
+        return [SendTo(sender, self._content(ask.above))]
+
+    def message_for(self, change: TableChange) -> TableContent | TableDelta:
+        """Return the message that forwards ``change`` to other instances."""
+        if change.is_snapshot:
+            return self._content(change.since_version)
+        return TableDelta(
             prefix=self.settings.prefix,
-            version=self.copy.version,
-            keys=tuple(self.copy.rows),
-            rows=self.copy.newer_rows(ask.above),
+            since_version=change.since_version,
+            version=change.version,
+            rows=change.answer,
         )
-        return [SendTo(sender, content)]
+
+    def on_delta(self, sender: str, delta: TableDelta) -> list[WatchAction]:
+        """Apply changes that a follower forwards, or ask it for its copy."""
+        if not self.is_complete or self.copy.version < delta.since_version:
+            above = self.copy.version
+            ask = TableAsk(prefix=self.settings.prefix, above=above)
+            return [SendTo(sender, ask)]
+        return [self.copy.merge(delta.version, delta.rows)]
 
     def on_content(self, content: TableContent) -> list[WatchAction]:
         """Apply a peer's answer with the rows that this copy lacks."""
@@ -307,3 +339,11 @@
         )
         self.is_complete = True
         return [change]
+
+    def _content(self, above: int) -> TableContent:
+        return TableContent(
+            prefix=self.settings.prefix,
+            version=self.copy.version,
+            keys=tuple(self.copy.rows),
+            rows=self.copy.newer_rows(above),
+        )
--- /dev/null
+++ b/features/followers.feature
@@ -0,0 +1,49 @@
+Feature: A large fleet follows the platform's tables through a few instances
+  Guards against calls to the platform's store that grow with the fleet, and against instances that miss a change
+  because the one that follows the store for them failed. The load is that of a fleet whose engines change all the time.
+
+  Scenario: Each instance gets changes from exactly one follower
+    Guards against instances that nobody forwards to, and against a change that is sent twice.
+    Given 195 instances in 5 data centres
+    Then each data centre has 2 followers
+    And each other instance is in the audience of one follower of its data centre
+
+  Scenario: A small fleet follows the tables itself
+    Guards against a follower that nine instances depend on.
+    Given 9 instances in 3 data centres
+    Then each instance is a follower and forwards nothing
+
+  Scenario: A fleet that starts does not follow with every instance
+    Guards against one waiting call from each instance while members have not met yet.
+    Given an instance that knows 100 others from the list of instances only
+    Then it expects at most 2 followers in its data centre
+
+  Scenario: Calls to the store do not grow with the fleet
+    Guards against a call from every instance for each change of the tables.
+    Given 100 instances in 4 data centres whose copies are complete
+    When a row changes 4 times a second for 20 seconds
+    Then the store got at most 400 calls for it
+    And every copy equals the table 2 seconds later
+
+  Scenario: Followers are killed while rows change
+    Guards against half of a data centre that learns of no change until the death of its follower is known.
+    Given 100 instances in 4 data centres whose copies are complete
+    When both followers of one data centre are killed and a row is removed
+    Then every copy equals the table 2 seconds later
+    And each data centre has 2 followers 2 seconds later
+
+  Scenario: The store refuses the followers and serves the others
+    Guards against a fleet that waits for followers that the store turns away.
+    Given 100 instances in 4 data centres whose copies are complete
+    When the store refuses all followers and then a row changes
+    Then every copy equals the table 4 seconds later
+
+  Scenario: The store is down for all
+    Guards against every instance that calls a store which does not answer.
+    Given 100 instances in 4 data centres whose copies are complete
+    When the store refuses all instances for 10 seconds
+    Then the store got at most 250 calls for it
+
+  Scenario: Random deaths, refusals and changes
+    Guards against a copy that has a removed row, or misses one, after changes came by different ways.
+    Then in 60 random courses of 40 instances every copy ends equal to the table
--- /dev/null
+++ b/features/steps/followers_steps.py
@@ -0,0 +1,165 @@
+"""Steps for the instances that follow the platform's tables for others."""
+
+from collections import Counter, defaultdict
+from random import Random
+
+from behave import given, then, when
+
+from bergamotturn.connection.peer_messages import MemberState
+from bergamotturn.process.mirror.follower_choice import FollowerChoice
+from features.support.watch_fleet import WatchFleet, member
+
+_SETTLE_S = 3
+
+
+@given('{instances:d} instances in {centres:d} data centres')
+def fleet(context, instances, centres):
+    context.fleet = WatchFleet(instances, centres)
+
+
+@given(
+    '{instances:d} instances in {centres:d} data centres whose copies are '
+    'complete'
+)
+def complete_fleet(context, instances, centres):
+    context.fleet = WatchFleet(instances, centres)
+    for number in range(20):
+        context.fleet.put(f't/{number}', b'x')
+    context.fleet.run(_SETTLE_S)
+    assert not context.fleet.lagging()
+    context.fleet.calls.clear()
+
+
+@given(
+    'an instance that knows {count:d} others from the list of instances only'
+)
+def unmet_members(context, count):
+    context.choice = FollowerChoice('n-0', 'c')
+    listed = [
+        member(f'n-{number}', 'c', MemberState.suspect, boot_id='')
+        for number in range(1, count + 1)
+    ]
+    context.choice.use_members(0, (member('n-0', 'c'), *listed))
+
+
+@then('it expects at most {count:d} followers in its data centre')
+def expects_followers(context, count):
+    assert len(context.choice.followers) <= count
+
+
+@then('each data centre has {count:d} followers')
+def followers_of_centres(context, count):
+    fleet_now = context.fleet
+    found = Counter(
+        fleet_now.members[name].data_centre for name in fleet_now.followers()
+    )
+    centres = {each.data_centre for each in fleet_now.members.values()}
+    assert found == dict.fromkeys(centres, count), found
+
+
+@then('each data centre has {count:d} followers {after_s:d} seconds later')
+def followers_later(context, count, after_s):
+    context.fleet.run(after_s)
+    followers_of_centres(context, count)
+
+
+@then(
+    'each other instance is in the audience of one follower of its data centre'
+)
+def one_follower_each(context):
+    sources = defaultdict(list)
+    for node in context.fleet.nodes.values():
+        for name in node.choice.audience:
+            sources[name].append(node.name)
+    followers = set(context.fleet.followers())
+    members = context.fleet.members
+    for name in members:
+        expected = 0 if name in followers else 1
+        assert len(sources[name]) == expected, (name, sources[name])
+        for source in sources[name]:
+            assert members[source].data_centre == members[name].data_centre
+
+
+@then('each instance is a follower and forwards nothing')
+def all_follow(context):
+    assert len(context.fleet.followers()) == len(context.fleet.members)
+    assert not any(
+        node.choice.audience for node in context.fleet.nodes.values()
+    )
+
+
+@when('a row changes {rate:d} times a second for {for_s:d} seconds')
+def row_changes(context, rate, for_s):
+    for number in range(rate * for_s):
+        value = b'' if number % 5 == 0 else str(number).encode()
+        context.fleet.put(f't/{number % 20}', value)
+        context.fleet.run(1 / rate)
+
+
+@when('both followers of one data centre are killed and a row is removed')
+def followers_killed(context):
+    fleet_now = context.fleet
+    followers = [
+        name
+        for name in fleet_now.followers()
+        if fleet_now.members[name].data_centre == 'c-1'
+    ]
+    assert len(followers) == 2
+    fleet_now.kill(followers)
+    fleet_now.put('t/3', b'')
+
+
+@when('the store refuses all followers and then a row changes')
+def followers_refused(context):
+    # A follower whose waiting call ends finds out that it is refused.
+    context.fleet.refused.update(context.fleet.followers())
+    context.fleet.put('t/4', b'y')
+    context.fleet.run(0.5)
+    context.fleet.put('t/5', b'z')
+
+
+@when('the store refuses all instances for {for_s:d} seconds')
+def store_down(context, for_s):
+    context.fleet.refused.update(context.fleet.members)
+    context.fleet.run(for_s)
+
+
+@then('the store got at most {count:d} calls for it')
+def calls_at_most(context, count):
+    assert context.fleet.calls.total() <= count, context.fleet.calls
+
+
+@then('every copy equals the table {after_s:d} seconds later')
+def copies_equal(context, after_s):
+    context.fleet.run(after_s)
+    assert not context.fleet.lagging(), context.fleet.lagging()
+
+
+@then(
+    'in {courses:d} random courses of {instances:d} instances every copy ends '
+    'equal to the table'
+)
+def random_courses(context, courses, instances):
+    for seed in range(courses):
+        _run_random_course(seed, instances)
+
+
+def _run_random_course(seed, instances):
+    random = Random(seed)
+    course = WatchFleet(instances, 2, seed)
+    course.run(1)
+    for _ in range(30):
+        draw = random.random()
+        if draw < 0.1:
+            course.kill(random.sample(sorted(course.members), 2))
+        elif draw < 0.2:
+            names = sorted(course.members)
+            course.refused = set(random.sample(names, instances // 2))
+        elif draw < 0.3:
+            course.refused = set()
+        value = b'' if random.random() < 0.3 else bytes([random.randrange(9)])
+        course.put(f't/{random.randrange(8)}', value)
+        course.run(random.choice((0.05, 0.4)))
+    course.refused = set()
+    course.run(8)
+    assert not course.lagging(), (seed, course.lagging())
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -23,6 +23,7 @@
     store_outcome,
 )
 from bergamotturn.process.actions import SendTo
+from bergamotturn.process.mirror.follower_choice import FollowerChoice
 from bergamotturn.process.mirror.mirror_task import MirrorTask
 from bergamotturn.process.mirror.table_copy import TableChange
 from bergamotturn.process.mirror.table_watch import (
@@ -180,8 +181,10 @@
     context.store = _filled_table()
     context.harness = _WatchHarness()
     context.harness.pass_time(0)
-    while not isinstance(context.harness.operations[0], RowFollow):
+    while isinstance(context.harness.operations[0], RowScan):
         context.harness.answer(context.store)
+        context.harness.pass_time(_SETTINGS.batch_wait_s)
+    assert isinstance(context.harness.operations[0], RowFollow)
     assert len(context.harness.values()) == 3
 
 
@@ -237,6 +240,7 @@
     assert isinstance(harness.operations[0], RowScan)
     while isinstance(harness.operations[0], RowScan):
         harness.answer(context.store)
+        harness.pass_time(_SETTINGS.batch_wait_s)
     assert set(harness.values()) == {'t/0', 't/2'}
 
 
@@ -251,7 +255,8 @@
         store_component = _HoldingStore(store)
         timers = Timers().register(store_component)
         settings = WatchSettings('mirror', INSTANCES_TABLE, reread_s=60)
-        MirrorTask([settings], timers).register(store_component)
+        choice = FollowerChoice(name, 'a')
+        MirrorTask([settings], timers, choice).register(store_component)
         RegistrationTask(_member(name), timers).register(store_component)
         context.starting.append(store_component)
     for store_component in context.starting:
--- /dev/null
+++ b/features/support/watch_fleet.py
@@ -0,0 +1,237 @@
+"""A fleet's copies of one table in virtual time, without network.
+
+Each instance runs the product's watch and its choice of followers. Answers of
+the store and messages take one step; every instance pings a random other one
+four times a second.
+"""
+
+from collections import Counter
+from itertools import chain
+from random import Random
+from types import SimpleNamespace
+
+from bergamotturn.connection.exchange import Address
+from bergamotturn.connection.peer_messages import (
+    MemberState,
+    MemberUpdate,
+    StoreUnreachable,
+    TableAsk,
+    TableContent,
+    TableDelta,
+)
+from bergamotturn.connection.store_events import (
+    Row,
+    RowScan,
+    StoreOutcome,
+    StoreStatus,
+)
+from bergamotturn.process.actions import SendTo
+from bergamotturn.process.mirror.follower_choice import FollowerChoice
+from bergamotturn.process.mirror.table_copy import TableChange
+from bergamotturn.process.mirror.table_watch import (
+    StartStoreOperation,
+    TableWatch,
+    WatchSettings,
+)
+
+__all__ = ('WatchFleet', 'member')
+
+_STEP_S = 0.01
+_PING_STEPS = 25
+#: Time after which all members know of a death.
+_DETECTION_S = 3.0
+_SETTINGS = WatchSettings(
+    'mirror', 't/', wait_s=25, batch_wait_s=0.4, max_batch_wait_s=1.2
+)
+
+
+def member(name, centre, state=MemberState.alive, boot_id='x'):
+    """Return an update about the member ``name``."""
+    address = Address('10.0.0.1', 1)
+    return MemberUpdate(
+        instance=name,
+        boot_id=boot_id,
+        data_centre=centre,
+        incarnation=1,
+        state=state,
+        caller_address=address,
+        peer_address=address,
+        operator_address=address,
+    )
+
+
+class WatchFleet:
+    """Instances of several data centres that keep copies of one table."""
+
+    def __init__(self, instances, centres, seed=1):
+        self.now_s = 0.0
+        self.version = 1
+        self.rows = {}
+        self.calls = Counter()
+        self.messages = Counter()
+        self._random = Random(seed)
+        self._steps = 0
+        self._pending = []
+        self._letters = []
+        self.refused = set()
+        self.members = {
+            f'n-{number}': member(f'n-{number}', f'c-{number % centres}')
+            for number in range(instances)
+        }
+        self.nodes = {
+            name: SimpleNamespace(
+                name=name,
+                watch=TableWatch(_SETTINGS, self._random),
+                choice=FollowerChoice(name, update.data_centre),
+                is_alive=True,
+            )
+            for name, update in self.members.items()
+        }
+        self._deaths = []
+        self._choose()
+
+    def put(self, key, value):
+        """Write a row, or remove it if ``value`` is empty."""
+        self.version += 1
+        row = Row(key, self.version, value, is_removed=not value)
+        self.rows[key] = row
+
+    def kill(self, names):
+        """End instances; the others know of it seconds later."""
+        for name in names:
+            self.nodes[name].is_alive = False
+        self._deaths.append((self.now_s + _DETECTION_S, tuple(names)))
+
+    def followers(self):
+        """Return the live instances that follow the store."""
+        return [node.name for node in self._alive() if node.choice.is_follower]
+
+    def lagging(self):
+        """Return the live instances whose copy differs from the table."""
+        expected = {
+            key: row.value
+            for key, row in self.rows.items()
+            if not row.is_removed
+        }
+        return [
+            node.name
+            for node in self._alive()
+            if {key: row.value for key, row in node.watch.copy.rows.items()}
+            != expected
+        ]
+
+    def run(self, for_s):
+        """Let ``for_s`` seconds pass."""
+        for _ in range(round(for_s / _STEP_S)):
+            self._step()
+
+    def _alive(self):
+        return [node for node in self.nodes.values() if node.is_alive]
+
+    def _step(self):
+        self.now_s += _STEP_S
+        self._steps += 1
+        self._bury()
+        letters, self._letters = self._letters, []
+        for sender, receiver, message in letters:
+            if self.nodes[receiver].is_alive:
+                self._receive(self.nodes[receiver], sender, message)
+        pending, self._pending = self._pending, []
+        for node, operation, ends_s in pending:
+            self._answer(node, operation, ends_s)
+        for place, node in enumerate(self._alive()):
+            self._carry_out(node, node.watch.advance(self.now_s))
+            self._carry_out(node, node.watch.ask_peer(self.now_s))
+            if (self._steps + place) % _PING_STEPS == 0:
+                self._ping(node)
+
+    def _ping(self, node):
+        other = self._random.choice(self._alive())
+        for one, two in ((node, other), (other, node)):
+            version = two.watch.copy.changed_version
+            one.watch.on_peer_version(self.now_s, two.name, version)
+
+    def _bury(self):
+        due = [names for at_s, names in self._deaths if at_s <= self.now_s]
+        if not due:
+            return
+        self._deaths = [
+            death for death in self._deaths if death[0] > self.now_s
+        ]
+        for name in chain.from_iterable(due):
+            centre = self.members[name].data_centre
+            self.members[name] = member(name, centre, MemberState.dead)
+        self._choose()
+
+    def _choose(self):
+        for node in self.nodes.values():
+            self._choose_for(node)
+
+    def _choose_for(self, node):
+        node.choice.use_members(self.now_s, self.members.values())
+        node.watch.set_following(is_following=node.choice.is_follower)
+
+    def _answer(self, node, operation, ends_s):
+        if not node.is_alive:
+            return
+        if node.name in self.refused:
+            outcome = StoreOutcome(
+                operation_id=operation.operation_id, status=StoreStatus.refused
+            )
+            self._carry_out(node, node.watch.on_outcome(self.now_s, outcome))
+            for name in node.choice.neighbours:
+                self._post(node.name, name, StoreUnreachable(prefix='t/'))
+            return
+        rows = self._rows_for(operation)
+        is_scan = isinstance(operation, RowScan)
+        if not is_scan and not rows and self.now_s < ends_s:
+            self._pending.append((node, operation, ends_s))
+            return
+        outcome = StoreOutcome(
+            operation_id=operation.operation_id,
+            status=StoreStatus.found,
+            rows=tuple(rows),
+            table_version=self.version,
+        )
+        self._carry_out(node, node.watch.on_outcome(self.now_s, outcome))
+
+    def _rows_for(self, operation):
+        if isinstance(operation, RowScan):
+            return [row for row in self.rows.values() if not row.is_removed]
+        return [
+            row
+            for row in self.rows.values()
+            if row.row_version > operation.since_version
+        ]
+
+    def _post(self, sender, receiver, message):
+        self.messages[type(message).__name__] += 1
+        self._letters.append((sender, receiver, message))
+
+    def _receive(self, node, sender, message):
+        watch = node.watch
+        if isinstance(message, StoreUnreachable):
+            node.choice.note_cut_off(self.now_s, sender)
+            self._choose_for(node)
+        elif isinstance(message, TableAsk):
+            self._carry_out(node, watch.on_ask(sender, message))
+        elif isinstance(message, TableDelta):
+            self._carry_out(node, watch.on_delta(sender, message))
+        elif isinstance(message, TableContent):
+            self._carry_out(node, watch.on_content(message))
+
+    def _carry_out(self, node, actions):
+        for action in actions:
+            if isinstance(action, StartStoreOperation):
+                self.calls[node.name] += 1
+                ends_s = self.now_s + getattr(action.operation, 'wait_s', 0)
+                self._pending.append((node, action.operation, ends_s))
+            elif isinstance(action, SendTo):
+                self._post(node.name, action.instance, action.message)
+            elif isinstance(action, TableChange) and action:
+                self._forward(node, action)
+
+    def _forward(self, node, change):
+        message = node.watch.message_for(change)
+        for name in node.choice.audience:
+            self._post(node.name, name, message)
