Take a success only with the echo of the request's id; clear the known reds

Cause: an answer without the id was taken for the expected one. A late copy of an earlier answer without it, on a connection in use again, would have reached the next caller.

Change: a 2xx without the echo is unrecognised: retried where that is allowed, else 502. The example "200 with server-stamp is success" is now split: with the echo success, without it or with another one unrecognised, which is stricter.

--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -124,7 +124,7 @@
         """Return the parsed head of an answer."""
         fields = {header.name: header.value for header in headers}
         return EndpointAnswerHead(
-            kind=_head_kind(status, fields),
+            kind=_head_kind(call, status, fields),
             status=status,
             headers=tuple(
                 header
@@ -211,15 +211,20 @@
     return f'{call.call_id}.{attempt.number}'
 
 
-def _head_kind(status: int, fields: dict[str, str]) -> HeadKind:
+def _head_kind(
+    call: RelayCall, status: int, fields: dict[str, str]
+) -> HeadKind:
     if status == HTTPStatus.MISDIRECTED_REQUEST:
         return HeadKind.moved
     if _NOT_RUN in fields:
         return HeadKind.not_run
     if HTTPStatus.OK <= status < HTTPStatus.MULTIPLE_CHOICES:
+        # Engines echo the id. Without it, a success may be a late copy of the
+        # answer to the connection's previous request.
+        is_own = fields.get(_CALL_ID) == call.call_id
         return (
             HeadKind.success
-            if _SERVER_STAMP in fields
+            if is_own and _SERVER_STAMP in fields
             else HeadKind.unrecognised
         )
     return HeadKind.failure
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -67,19 +67,23 @@
       | unknown | public  | taken        |
 
   Scenario Outline: The status and headers of an answer are classified
-    Guards against treating a request that ran as not run, and against accepting a success without the endpoint's stamp.
+    Guards against treating a request that ran as not run, against accepting a success without the endpoint's stamp, and
+    against a late copy of an earlier answer, without the echo of the request's id, that reaches the next caller.
     Then an answer <status> with <fields> is <kind>
 
     Examples:
-      | status | fields                       | kind    |
-      | 200    | server-stamp                 | success |
-      | 200    | nothing                      | alien   |
-      | 503    | not-executed                 | not_run |
-      | 503    | server-stamp                 | failure |
-      | 421    | instance-id                  | moved   |
-      | 429    | not-executed                 | not_run |
-      | 500    | server-stamp                 | failure |
-      | 404    | server-stamp                 | failure |
+      | status | fields                            | kind    |
+      | 200    | server-stamp + request-id         | success |
+      | 200    | server-stamp                      | alien   |
+      | 200    | server-stamp + another request-id | alien   |
+      | 200    | request-id                        | alien   |
+      | 200    | nothing                           | alien   |
+      | 503    | not-executed                      | not_run |
+      | 503    | server-stamp                      | failure |
+      | 421    | instance-id                       | moved   |
+      | 429    | not-executed                      | not_run |
+      | 500    | server-stamp                      | failure |
+      | 404    | server-stamp                      | failure |
 
   Scenario: Prefill helpers and reservations are listed in the request
     Guards against a prompt that one engine prefills alone although the plan has prefill helpers.
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -9,13 +9,12 @@
     silenced, and the store is unavailable.
     Then the soak of <seconds> seconds with seed <seed> breaks no promise
 
-    @known_red
     Examples: Seed of each run of the checks
       | seed   | seconds |
       | 1      | 10      |
 
-    @known_red
     Examples: Seeds that failed
+      # Also: an instance that resumed after a pause reported a charge as overdue that it answered in the same turn.
       # The check failed a charge that could not end because its instance was paused for 3.8 s.
       # The poller's counter of skipped turns was not set when an instance started.
       | seed   | seconds |
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -319,10 +319,14 @@
 
 @then('an answer {status:d} with {fields} is {kind}')
 def answer_head_kind(context, status, fields, kind):
-    headers = () if fields == 'nothing' else (Header(fields, '1'),)
-    head = PlatformEndpointFormat().read_head(
-        relay_call(route()), status, headers
+    call = relay_call(route())
+    texts = {'request-id': call.call_id, 'another request-id': 'another'}
+    headers = tuple(
+        Header(name.removeprefix('another '), texts.get(name, '1'))
+        for name in fields.split(' + ')
+        if name != 'nothing'
     )
+    head = PlatformEndpointFormat().read_head(call, status, headers)
     assert head.kind is HeadKind(kind)
 
 
