--- a/features/followers.feature
+++ b/features/followers.feature
@@ -47,3 +47,17 @@
   Scenario: Random deaths, refusals and changes
     Guards against a copy that has a removed row, or misses one, after changes came by different ways.
     Then in 60 random courses of 40 instances every copy ends equal to the table
+
+  Scenario: A follower forwards each change and reports a store that refuses it
+    Guards against changes that stay at the follower, and against neighbours that rely on one without the store.
+    Given the running component of a follower in a data centre of 20 instances
+    When the store answers it with a changed row
+    Then its audience gets the row as a change without a gap
+    When the store refuses its next call
+    Then all its neighbours are told that the store is unreachable
+
+  Scenario: An instance of another follower's audience makes no call
+    Guards against a second waiting call from each instance of a large fleet.
+    Given the running component of an instance that is no follower
+    When a follower forwards a change
+    Then the change is published and the store got no call for it
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -2,11 +2,32 @@
 
 from collections import Counter, defaultdict
 from random import Random
+from threading import RLock
 
 from behave import given, then, when
-
-from bergamotturn.connection.peer_messages import MemberState
+from circuits import Component, handler
+
+from bergamotturn.connection.peer_messages import (
+    Envelope,
+    MemberState,
+    StoreUnreachable,
+    TableDelta,
+    peer_message,
+)
+from bergamotturn.connection.store_events import (
+    Row,
+    RowFollow,
+    RowScan,
+    StoreOutcome,
+    StoreStatus,
+    store_outcome,
+)
+from bergamotturn.process.events import MemberView, members_changed
 from bergamotturn.process.mirror.follower_choice import FollowerChoice
+from bergamotturn.process.mirror.mirror_task import MIRROR, MirrorTask
+from bergamotturn.process.mirror.table_watch import WatchSettings
+from bergamotturn.process.timers import Timers
+from features.support.component_loop import turn
 from features.support.watch_fleet import WatchFleet, member
 
 _SETTLE_S = 3
@@ -163,3 +184,118 @@
     course.refused = set()
     course.run(8)
     assert not course.lagging(), (seed, course.lagging())
+
+
+class _StoreAndPeers(Component):
+    """Answers scans at once; records waiting calls and sent messages."""
+
+    channel = 'stores'
+
+    def __init__(self):
+        super().__init__()
+        self.follows = []
+        self.sent = []
+        self.changes = []
+
+    def store_operation(self, operation):
+        if isinstance(operation, RowFollow):
+            self.follows.append(operation)
+            return
+        assert isinstance(operation, RowScan)
+        self.answer(operation, StoreStatus.found, 1)
+
+    def answer(self, operation, status, version, rows=()):
+        outcome = StoreOutcome(
+            operation_id=operation.operation_id,
+            status=status,
+            rows=rows,
+            table_version=version,
+        )
+        self.fire(store_outcome(outcome), MIRROR)
+
+    @handler('multicast_message', channel='peers')
+    def _on_multicast(self, instances, message):
+        self.sent.append((tuple(instances), message))
+
+    @handler('table_changed', channel='*')
+    def _on_table_changed(self, prefix, change):
+        self.changes.append(change)
+
+
+def _start_component(context, *, is_follower):
+    view = MemberView(tuple(member(f'n-{number}', 'c') for number in range(20)))
+    names = [each.instance for each in view.members]
+    chosen = FollowerChoice('n-0', 'c')
+    chosen.use_members(0, view.members)
+    others = [name for name in names if name not in chosen.followers]
+    context.name = chosen.followers[0] if is_follower else others[0]
+    context.store = _StoreAndPeers()
+    timers = Timers().register(context.store)
+    settings = WatchSettings(MIRROR, 't/', wait_s=25, batch_wait_s=0.05)
+    choice = FollowerChoice(context.name, 'c')
+    MirrorTask([settings], timers, choice).register(context.store)
+    context.lock = RLock()
+    context.store.fire(members_changed(view), '*')
+    turn(context.store, context.lock, 0.3)
+    context.choice = choice
+
+
+@given('the running component of a follower in a data centre of 20 instances')
+def running_follower(context):
+    _start_component(context, is_follower=True)
+    assert len(context.store.follows) == 1
+
+
+@given('the running component of an instance that is no follower')
+def running_other(context):
+    _start_component(context, is_follower=False)
+
+
+@when('the store answers it with a changed row')
+def store_answers(context):
+    row = Row('t/1', 2, b'x')
+    context.store.answer(
+        context.store.follows[-1], StoreStatus.found, 2, (row,)
+    )
+    turn(context.store, context.lock, 0.3)
+
+
+@then('its audience gets the row as a change without a gap')
+def audience_gets_row(context):
+    ((instances, message),) = context.store.sent
+    assert instances == context.choice.audience
+    assert instances
+    assert isinstance(message, TableDelta)
+    assert (message.since_version, message.version) == (1, 2)
+    assert [row.row_key for row in message.rows] == ['t/1']
+
+
+@when('the store refuses its next call')
+def store_refuses(context):
+    context.store.sent.clear()
+    context.store.answer(context.store.follows[-1], StoreStatus.refused, 0)
+    turn(context.store, context.lock, 0.05)
+
+
+@then('all its neighbours are told that the store is unreachable')
+def neighbours_told(context):
+    instances, message = context.store.sent[0]
+    assert len(instances) == 19
+    assert isinstance(message, StoreUnreachable)
+
+
+@when('a follower forwards a change')
+def follower_forwards(context):
+    delta = TableDelta(
+        prefix='t/', since_version=1, version=2, rows=(Row('t/1', 2, b'x'),)
+    )
+    source = context.choice.followers[0]
+    envelope = Envelope(source, 'boot', delta)
+    context.store.fire(peer_message(envelope), MIRROR)
+    turn(context.store, context.lock, 0.3)
+
+
+@then('the change is published and the store got no call for it')
+def change_published(context):
+    assert [change.version for change in context.store.changes] == [2]
+    assert not context.store.follows
