Forward only small rows, and notice a silent store within two seconds

By the logs the six followers had the grown configuration at 10.66 s, and no other instance had it before 12.24 s, some only at 14.5 s: each follower sent it to 13 instances at once over its own link. Also, a follower whose call the store accepts and never answers noticed it after 27 s, while half a data centre depends on it.

Ruled out: the choice of followers (chosen and following all the while) and the store (followers had the version 0.02 s after each other).

Tests: "Large rows are not forwarded" and "The store accepts the followers' calls and stays silent"; the latter failed with the former times.

--- a/bergamotturn/process/mirror/follower_choice.py
+++ b/bergamotturn/process/mirror/follower_choice.py
@@ -14,7 +14,7 @@
 from ...connection.peer_messages import MemberState, MemberUpdate
 from ..placement.plan import rank_of
 
-__all__ = ('CUT_OFF_S', 'FollowerChoice')
+__all__ = ('FollowerChoice',)
 
 #: In a fleet of up to this size every instance follows the tables itself; the
 #: calls of nine instances cost less than a failure of one follower.
@@ -27,7 +27,7 @@
 _MAX_TRIED: Final = 6
 #: Time for which a follower that reported a failed call is passed over. It
 #: covers the longest wait between two calls to a failing store.
-CUT_OFF_S: Final = 5.0
+_CUT_OFF_S: Final = 5.0
 
 
 @final
@@ -44,6 +44,7 @@
         '_instance',
         'audience',
         'followers',
+        'is_shared',
         'neighbours',
     )
 
@@ -59,6 +60,8 @@
         #: All other instances of the data centre that are not dead, if the
         #: fleet is large.
         self.neighbours: tuple[str, ...] = ()
+        #: Whether the followers forward changes to other instances.
+        self.is_shared = False
 
     @property
     def is_follower(self) -> bool:
@@ -67,14 +70,15 @@
 
     def note_cut_off(self, now_s: float, instance: str) -> None:
         """Pass over a follower that does not reach the store."""
-        self._cut_off_until_s[instance] = now_s + CUT_OFF_S
+        self._cut_off_until_s[instance] = now_s + _CUT_OFF_S
 
     def use_members(
         self, now_s: float, members: Iterable[MemberUpdate]
     ) -> None:
         """Choose the followers among ``members``, in an order by hash."""
         listed = tuple(members)
-        if len(listed) <= _MAX_SMALL_FLEET:
+        self.is_shared = len(listed) > _MAX_SMALL_FLEET
+        if not self.is_shared:
             self.followers = (self._instance,)
             self.audience = ()
             self.neighbours = ()
@@ -96,8 +100,7 @@
             for instance in candidates[:_MAX_TRIED]
             if self._cut_off_until_s.get(instance, 0) <= now_s
         )[:_FOLLOWERS]
-        # A follower that is passed over keeps trying, so that it is there when
-        # the store returns for it.
+        # If the store refuses all of them, all go on trying.
         self.followers = connected or tuple(candidates[:_MAX_TRIED])
         self.audience = self._own_part()
 
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -163,7 +163,9 @@
             return
         is_following = self._choice.is_follower
         for watch in self._watches.values():
-            watch.set_following(is_following=is_following)
+            watch.set_following(
+                is_following=is_following, is_shared=self._choice.is_shared
+            )
         log_message(
             'followers_chosen',
             followers=list(self._choice.followers),
@@ -177,6 +179,8 @@
         """Let the others of the data centre choose another follower."""
         if watch.is_store_answering or not self._choice.is_follower:
             return
+        if not watch.settings.has_small_rows:
+            return
         message = StoreUnreachable(prefix=watch.settings.prefix)
         self.fire(multicast_message(self._choice.neighbours, message), PEERS)
 
@@ -240,7 +244,7 @@
 
     def _forward(self, watch: TableWatch, change: TableChange) -> None:
         """Send a change to the instances that this one forwards to."""
-        if not watch.settings.wait_s or not self._choice.audience:
+        if not watch.settings.has_small_rows or not self._choice.audience:
             return
         message = multicast_message(
             self._choice.audience, watch.message_for(change)
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -35,6 +35,12 @@
 #: Time beyond ``wait_s`` after which a wait for changes has timed out. It
 #: covers many round trips and a slow store.
 _FOLLOW_GRACE_S: Final = 2
+#: The same two times for a follower of a large fleet. Others depend on it: a
+#: store that accepts its call and stays silent must be noticed well within the
+#: shortest time in which a change must be in force; there are few followers, so
+#: that their calls cost little.
+_SHARED_WAIT_S: Final = 1.0
+_SHARED_GRACE_S: Final = 0.6
 #: Timeout of a read of one page of rows. A slow store may take fifty times
 #: its usual few milliseconds.
 _SCAN_TIMEOUT_S: Final = 1.5
@@ -68,6 +74,9 @@
         ``max_batch_wait_s``.
     :param max_batch_wait_s: maximum batch wait.
     :param reread_s: time between reads of all rows if ``wait_s`` is 0.
+    :param has_small_rows: whether followers of a large fleet forward the
+        changes. A configuration of 64 KB, sent to each instance of a data
+        centre, would take an instance's link for a second and more.
     """
 
     owner: str
@@ -76,6 +85,7 @@
     batch_wait_s: float = 0
     max_batch_wait_s: float = 0
     reread_s: float = 0
+    has_small_rows: bool = False
 
 
 @final
@@ -103,6 +113,8 @@
         #: Whether the last call to the store succeeded.
         self.is_store_answering = False
         self._is_following = True
+        #: Whether other instances get their changes from this one.
+        self._is_shared = False
         self._random = random
         self._pending_operation: RowFollow | RowScan | None = None
         self._scanned_rows: list[Row] = []
@@ -126,8 +138,14 @@
         is_followed = bool(self.settings.wait_s) and not self._is_scan_needed
         return is_followed and not self._is_following
 
-    def set_following(self, *, is_following: bool) -> None:
-        """Follow the store, or leave that to other instances."""
+    def set_following(self, *, is_following: bool, is_shared: bool) -> None:
+        """Follow the store, or leave that to other instances.
+
+        :param is_shared: whether followers forward changes to others.
+        """
+        if not self.settings.has_small_rows:
+            return
+        self._is_shared = is_shared
         if is_following and not self._is_following:
             self._next_call_s = None
         self._is_following = is_following
@@ -159,14 +177,17 @@
             self._is_scan_needed = True
             self._next_call_s = now_s + self.settings.reread_s
             return []
+        wait_s, grace_s = self.settings.wait_s, _FOLLOW_GRACE_S
+        if self._is_shared:
+            wait_s, grace_s = _SHARED_WAIT_S, _SHARED_GRACE_S
         return self._start(
             RowFollow(
                 operation_id=next_operation_id(),
                 owner=self.settings.owner,
-                timeout_s=self.settings.wait_s + _FOLLOW_GRACE_S,
+                timeout_s=wait_s + grace_s,
                 prefix=self.settings.prefix,
                 since_version=self.copy.version,
-                wait_s=self.settings.wait_s,
+                wait_s=wait_s,
             )
         )
 
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -38,6 +38,12 @@
     When the store refuses all followers and then a row changes
     Then every copy equals the table 4 seconds later
 
+  Scenario: The store accepts the followers' calls and stays silent
+    Guards against a fleet that waits half a minute for the answers that its followers lost.
+    Given 100 instances in 4 data centres whose copies are complete
+    When the store is silent to all followers and then a row changes
+    Then every copy equals the table 4 seconds later
+
   Scenario: The store is down for all
     Guards against every instance that calls a store which does not answer.
     Given 100 instances in 4 data centres whose copies are complete
@@ -61,3 +67,12 @@
     Given the running component of an instance that is no follower
     When a follower forwards a change
     Then the change is published and the store got no call for it
+
+  Scenario: Large rows are not forwarded
+    Guards against a configuration of 64 KB that one instance sends to a whole data centre over its own small link: on
+    ashby-brook-grown, mix of seed 601612032278, it was in force 1.5 to 4 seconds late and keys were refused.
+    Given the running component of a follower of a table with large rows
+    When the store answers it with a changed row
+    Then nothing is sent to other instances
+    Given an instance that is no follower, and a table with large rows
+    Then it waits for changes at the store itself
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -139,6 +139,12 @@
     context.fleet.put('t/5', b'z')
 
 
+@when('the store is silent to all followers and then a row changes')
+def followers_unanswered(context):
+    context.fleet.silent.update(context.fleet.followers())
+    context.fleet.put('t/4', b'y')
+
+
 @when('the store refuses all instances for {for_s:d} seconds')
 def store_down(context, for_s):
     context.fleet.refused.update(context.fleet.members)
@@ -222,7 +228,7 @@
         self.changes.append(change)
 
 
-def _start_component(context, *, is_follower):
+def _start_component(context, *, is_follower, small_rows=True):
     view = MemberView(tuple(member(f'n-{number}', 'c') for number in range(20)))
     names = [each.instance for each in view.members]
     chosen = FollowerChoice('n-0', 'c')
@@ -231,7 +237,9 @@
     context.name = chosen.followers[0] if is_follower else others[0]
     context.store = _StoreAndPeers()
     timers = Timers().register(context.store)
-    settings = WatchSettings(MIRROR, 't/', wait_s=25, batch_wait_s=0.05)
+    settings = WatchSettings(
+        MIRROR, 't/', wait_s=25, batch_wait_s=0.05, has_small_rows=small_rows
+    )
     choice = FollowerChoice(context.name, 'c')
     MirrorTask([settings], timers, choice).register(context.store)
     context.lock = RLock()
@@ -299,3 +307,24 @@
 def change_published(context):
     assert [change.version for change in context.store.changes] == [2]
     assert not context.store.follows
+
+
+@given('the running component of a follower of a table with large rows')
+def running_follower_of_large_rows(context):
+    _start_component(context, is_follower=True, small_rows=False)
+
+
+@then('nothing is sent to other instances')
+def nothing_sent(context):
+    assert [change.version for change in context.store.changes] == [2]
+    assert not context.store.sent
+
+
+@given('an instance that is no follower, and a table with large rows')
+def running_other_of_large_rows(context):
+    _start_component(context, is_follower=False, small_rows=False)
+
+
+@then('it waits for changes at the store itself')
+def waits_itself(context):
+    assert len(context.store.follows) == 1
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -41,7 +41,12 @@
 #: Time after which all members know of a death.
 _DETECTION_S = 3.0
 _SETTINGS = WatchSettings(
-    'mirror', 't/', wait_s=25, batch_wait_s=0.4, max_batch_wait_s=1.2
+    'mirror',
+    't/',
+    wait_s=25,
+    batch_wait_s=0.4,
+    max_batch_wait_s=1.2,
+    has_small_rows=True,
 )
 
 
@@ -74,6 +79,7 @@
         self._pending = []
         self._letters = []
         self.refused = set()
+        self.silent = set()
         self.members = {
             f'n-{number}': member(f'n-{number}', f'c-{number % centres}')
             for number in range(instances)
@@ -169,18 +175,23 @@
 
     def _choose_for(self, node):
         node.choice.use_members(self.now_s, self.members.values())
-        node.watch.set_following(is_following=node.choice.is_follower)
+        node.watch.set_following(
+            is_following=node.choice.is_follower,
+            is_shared=node.choice.is_shared,
+        )
 
     def _answer(self, node, operation, ends_s):
         if not node.is_alive:
             return
+        if node.name in self.silent:
+            waited_s = getattr(operation, 'wait_s', 0)
+            if self.now_s < ends_s - waited_s + operation.timeout_s:
+                self._pending.append((node, operation, ends_s))
+                return
+            self._fail(node, operation, StoreStatus.unknown)
+            return
         if node.name in self.refused:
-            outcome = StoreOutcome(
-                operation_id=operation.operation_id, status=StoreStatus.refused
-            )
-            self._carry_out(node, node.watch.on_outcome(self.now_s, outcome))
-            for name in node.choice.neighbours:
-                self._post(node.name, name, StoreUnreachable(prefix='t/'))
+            self._fail(node, operation, StoreStatus.refused)
             return
         rows = self._rows_for(operation)
         is_scan = isinstance(operation, RowScan)
@@ -195,6 +206,14 @@
         )
         self._carry_out(node, node.watch.on_outcome(self.now_s, outcome))
 
+    def _fail(self, node, operation, status):
+        outcome = StoreOutcome(
+            operation_id=operation.operation_id, status=status
+        )
+        self._carry_out(node, node.watch.on_outcome(self.now_s, outcome))
+        for name in node.choice.neighbours:
+            self._post(node.name, name, StoreUnreachable(prefix='t/'))
+
     def _rows_for(self, operation):
         if isinstance(operation, RowScan):
             return [row for row in self.rows.values() if not row.is_removed]
