Rename what stopped a newcomer in the followers' code

is_forwarded says what the setting does, _relies_on_followers whose changes an instance takes, _grant_grace what the listener's first alarm does; the limit of an event is private. A step also compares the neighbours by name.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -154,7 +154,7 @@
             self._answer_failure(call.web_call, failure)
 
     @handler('_call_late')
-    def _on_late(self, call_id: str) -> None:
+    def _grant_grace(self, call_id: str) -> None:
         call = self._open_calls.get(call_id)
         if call is not None:
             call.overdue_timer = self._timers.call_after(
--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -197,7 +197,7 @@
             _FOLLOW_WAIT_S,
             batch_wait_s,
             max_batch_wait_s,
-            has_small_rows=True,
+            is_forwarded=True,
         ),
         WatchSettings(MIRROR, INSTANCES_TABLE, reread_s=_REREAD_INTERVAL_S),
     )
--- a/bergamotturn/process/mirror/follower_choice.py
+++ b/bergamotturn/process/mirror/follower_choice.py
@@ -1,4 +1,4 @@
-"""Chooses which instances follow the platform's tables.
+"""Chooses which instances follow the forwarded tables of the platform.
 
 If every instance of a large fleet waited for changes itself, each change would
 cost the store one call per instance. There, a few instances of each data centre
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -179,7 +179,7 @@
         """Let the others of the data centre choose another follower."""
         if watch.is_store_answering or not self._choice.is_follower:
             return
-        if not watch.settings.has_small_rows:
+        if not watch.settings.is_forwarded:
             return
         message = StoreUnreachable(prefix=watch.settings.prefix)
         self.fire(multicast_message(self._choice.neighbours, message), PEERS)
@@ -244,7 +244,7 @@
 
     def _forward(self, watch: TableWatch, change: TableChange) -> None:
         """Send a change to the instances that this one forwards to."""
-        if not watch.settings.has_small_rows or not self._choice.audience:
+        if not watch.settings.is_forwarded or not self._choice.audience:
             return
         message = multicast_message(
             self._choice.audience, watch.message_for(change)
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -74,9 +74,9 @@
         ``max_batch_wait_s``.
     :param max_batch_wait_s: maximum batch wait.
     :param reread_s: time between reads of all rows if ``wait_s`` is 0.
-    :param has_small_rows: whether followers of a large fleet forward the
-        changes. A configuration of 64 KB, sent to each instance of a data
-        centre, would take an instance's link for a second and more.
+    :param is_forwarded: whether followers of a large fleet forward the
+        changes; only for tables with small rows. A configuration of 64 KB,
+        sent to each instance of a data centre, would fill a follower's link.
     """
 
     owner: str
@@ -85,7 +85,7 @@
     batch_wait_s: float = 0
     max_batch_wait_s: float = 0
     reread_s: float = 0
-    has_small_rows: bool = False
+    is_forwarded: bool = False
 
 
 @final
@@ -128,13 +128,13 @@
     @property
     def due_s(self) -> float:
         """Return when :meth:`advance` is due, or infinity."""
-        if self._pending_operation is not None or self._is_waiting:
+        if self._pending_operation is not None or self._relies_on_followers:
             return inf
         return -inf if self._next_call_s is None else self._next_call_s
 
     @property
-    def _is_waiting(self) -> bool:
-        """Return whether other instances forward the changes."""
+    def _relies_on_followers(self) -> bool:
+        """Return whether a follower forwards the changes to this instance."""
         is_followed = bool(self.settings.wait_s) and not self._is_scan_needed
         return is_followed and not self._is_following
 
@@ -143,7 +143,7 @@
 
         :param is_shared: whether followers forward changes to others.
         """
-        if not self.settings.has_small_rows:
+        if not self.settings.is_forwarded:
             return
         self._is_shared = is_shared
         if is_following and not self._is_following:
@@ -165,7 +165,7 @@
         """Start the next call to the store if it is due."""
         if self._pending_operation is not None:
             return []
-        if self._is_waiting:
+        if self._relies_on_followers:
             return []
         if self._next_call_s is not None and now_s < self._next_call_s:
             return []
--- a/bergamotturn/request/relay/event_stream.py
+++ b/bergamotturn/request/relay/event_stream.py
@@ -11,11 +11,11 @@
 
 import msgspec
 
-__all__ = ('MAX_EVENT_BYTES', 'EventStream', 'StreamEvent')
+__all__ = ('EventStream', 'StreamEvent')
 
 #: Largest event that is buffered. An event of a hundred tokens has a few
 #: kilobytes; each stream may hold this much memory.
-MAX_EVENT_BYTES: Final = 262_144
+_MAX_EVENT_BYTES: Final = 262_144
 
 #: A blank line ends an event; lines end with CRLF, LF or CR.
 _EVENT_END: Final = re.compile(rb'\r\n\r\n|\n\n|\r\r')
@@ -61,7 +61,7 @@
     @property
     def is_event_too_long(self) -> bool:
         """Return whether the incomplete event exceeds the limit."""
-        return len(self._buffer) > MAX_EVENT_BYTES
+        return len(self._buffer) > _MAX_EVENT_BYTES
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Return the events that ``data`` completes."""
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -228,7 +228,7 @@
         self.changes.append(change)
 
 
-def _start_component(context, *, is_follower, small_rows=True):
+def _start_component(context, *, is_follower, is_forwarded=True):
     view = MemberView(tuple(member(f'n-{number}', 'c') for number in range(20)))
     names = [each.instance for each in view.members]
     chosen = FollowerChoice('n-0', 'c')
@@ -238,7 +238,7 @@
     context.store = _StoreAndPeers()
     timers = Timers().register(context.store)
     settings = WatchSettings(
-        MIRROR, 't/', wait_s=25, batch_wait_s=0.05, has_small_rows=small_rows
+        MIRROR, 't/', wait_s=25, batch_wait_s=0.05, is_forwarded=is_forwarded
     )
     choice = FollowerChoice(context.name, 'c')
     MirrorTask([settings], timers, choice).register(context.store)
@@ -288,6 +288,7 @@
 @then('all its neighbours are told that the store is unreachable')
 def neighbours_told(context):
     instances, message = context.store.sent[0]
+    assert set(instances) == set(context.choice.neighbours)
     assert len(instances) == 19
     assert isinstance(message, StoreUnreachable)
 
@@ -311,7 +312,7 @@
 
 @given('the running component of a follower of a table with large rows')
 def running_follower_of_large_rows(context):
-    _start_component(context, is_follower=True, small_rows=False)
+    _start_component(context, is_follower=True, is_forwarded=False)
 
 
 @then('nothing is sent to other instances')
@@ -322,7 +323,7 @@
 
 @given('an instance that is no follower, and a table with large rows')
 def running_other_of_large_rows(context):
-    _start_component(context, is_follower=False, small_rows=False)
+    _start_component(context, is_follower=False, is_forwarded=False)
 
 
 @then('it waits for changes at the store itself')
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -46,7 +46,7 @@
     wait_s=25,
     batch_wait_s=0.4,
     max_batch_wait_s=1.2,
-    has_small_rows=True,
+    is_forwarded=True,
 )
 
 
