Log requests that a stop interrupts, with their last event and unsent output

A process that ended with requests in flight logged nothing about them, so the three hypotheses of the planned stop (a drain shorter than the answer, a stream stalled in the instance, a slow caller) looked the same. request_interrupted has the events so far and the time since the last one, answer_interrupted the output that the caller's socket had not accepted. No change of behaviour.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -7,6 +7,7 @@
 from typing import Final, final
 
 from circuits import Event, handler
+from eliot import log_message
 
 from ..errors import ErrorKind, Failure
 from ..process.events import ShutdownPhase, in_flight_changed
@@ -98,6 +99,17 @@
         }
         for call in self._open_calls.values():
             call.web_call.response.close |= self._is_draining
+            if phase == ShutdownPhase.ended:
+                self._log_interrupted(call)
+
+    def _log_interrupted(self, call: _OpenCall) -> None:
+        web_call = call.web_call
+        log_message(
+            'answer_interrupted',
+            key=call.call_id,
+            has_begun=web_call.has_begun,
+            unsent_bytes=self._server.pending_bytes(web_call.sock),
+        )
 
     @handler('reply_full')
     def _on_reply_full(
--- a/bergamotturn/process/relay_tasks/pending_relay.py
+++ b/bergamotturn/process/relay_tasks/pending_relay.py
@@ -22,6 +22,8 @@
     :param sent_s: monotonic time at which the current attempt was sent.
     :param first_event_s: time from the arrival of the request to its first
         event, 0 before.
+    :param last_data_s: monotonic time at which the last part of a streamed
+        answer was passed on, 0 before.
     """
 
     flow: RelayFlow
@@ -34,6 +36,7 @@
     reservation_set: ReservationSet | None = None
     renewal_timer: int = 0
     first_event_s: float = 0
+    last_data_s: float = 0
 
 
 @final
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -13,6 +13,7 @@
 from ...request.relay.flow import RelayFlow
 from ..endpoints.entry import EndpointEntry
 from ..endpoints.health import Fault
+from ..events import ShutdownPhase
 from .pending_relay import PendingRelay, ReservationCall
 from .reservations import ReservationState
 from .runner import SECONDS_DIGITS, RelayRunner
@@ -51,6 +52,28 @@
         self._log_end(pending, 'caller_gone', events=pending.flow.event_count)
         self._perform_all(pending, actions)
 
+    @handler('shutdown_phase_changed')
+    def _on_shutdown_phase(self, phase: str) -> None:
+        if phase != ShutdownPhase.ended:
+            return
+        for pending in self._pending.values():
+            self._log_interrupted(pending)
+
+    def _log_interrupted(self, pending: PendingRelay) -> None:
+        now_s = monotonic()
+        call, flow = pending.flow.call, pending.flow
+        silent_s = now_s - pending.last_data_s if pending.last_data_s else None
+        log_message(
+            'request_interrupted',
+            request=call.call_id,
+            key=call.key,
+            attempts=flow.attempt_count,
+            events=flow.event_count,
+            after_s=round(now_s - call.arrived_s, SECONDS_DIGITS),
+            silent_s=silent_s and round(silent_s, SECONDS_DIGITS),
+            left_s=round(call.deadline_s - now_s, SECONDS_DIGITS),
+        )
+
     @handler('flow_due')
     def _on_flow_due(self, key: str) -> None:
         pending = self._pending.get(key)
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -142,6 +142,7 @@
         self._reply(pending, reply_head, action.status, action.headers)
 
     def _reply_data(self, pending: PendingRelay, action: ReplyData) -> None:
+        pending.last_data_s = monotonic()
         self._reply(pending, reply_data, action.data)
 
     def _reply_full(self, pending: PendingRelay, action: ReplyFull) -> None:
