--- /dev/null
+++ b/features/planned_stop.feature
@@ -0,0 +1,20 @@
+@fleet
+Feature: A planned stop of a loaded instance
+  Guards against requests that are accepted while an instance stops and then cut off. The fleet is three instances, the
+  store and five endpoints as processes.
+
+  @known_red
+  Scenario: Requests accepted during a planned stop are answered in full
+    Guards against an answer that is cut in the middle because the instance accepted its request too late to finish it.
+    Given a relay fleet whose longest answers take 4.7 seconds
+    When an instance gets SIGTERM and new requests come until it has ended
+    Then each request got a complete answer, a refusal without a run, or no connection
+    And the instance exits with 0 within its grace time
+
+  @known_red
+  Scenario: Requests that do not end before the process get a final answer
+    Guards against a whole request that gets neither an answer nor a refusal when the instance ends.
+    Given a relay fleet whose engines accept requests and send nothing
+    When an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
+    Then each of them gets a complete failure that does not say that it was not run
+    And the instance exits with 0 within its grace time
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -6,7 +6,8 @@
 that has a Token-Count header with a stream of numbered events, and any other
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
-events) and ``second`` (the answer to another request comes first).
+events), ``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
+between events) and ``second`` (the answer to another request comes first).
 """
 
 import asyncio
@@ -26,6 +27,7 @@
 _SILENT_S: Final = 60
 _EVENT_COUNT: Final = 5
 _EVENT_INTERVAL_S: Final = 0.05
+_EVENT_TOKENS: Final = 51
 _READ_ONLY_TABLES: Final = frozenset(('op', 'servers'))
 
 
@@ -254,12 +256,16 @@
         )
         await answer.prepare(request)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
+        count, interval_s = _EVENT_COUNT, _EVENT_INTERVAL_S
+        if fault == 'paced':
+            count = _longest_answer(request.headers['Token-Count'])
+            interval_s = self.fault.delay_s
         try:
-            for number in range(first, _EVENT_COUNT + 1):
+            for number in range(first, count + 1):
                 if fault == 'cut' and number > 2:
                     await answer.write(b'id: 3\nda')
                     request.transport.abort()
-                await asyncio.sleep(_EVENT_INTERVAL_S)
+                await asyncio.sleep(interval_s)
                 await answer.write(event(number))
         except ConnectionError:
             self._interrupted_count += 1
@@ -284,6 +290,11 @@
     return f'id: {number}\ndata: event {number}\n\n'.encode()
 
 
+def _longest_answer(token_count: str) -> int:
+    """Return the number of events in which the output limit is reached."""
+    return int(token_count.partition(',')[2]) // _EVENT_TOKENS
+
+
 def _now_ms() -> int:
     return int(monotonic() * 1000)
 
--- /dev/null
+++ b/features/steps/planned_stop_steps.py
@@ -0,0 +1,162 @@
+"""Steps for a planned stop of an instance under load."""
+
+import signal
+import threading
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from features.standins.users_platform import event
+from features.support.relay_fleet import RelayFleet
+
+_GRACE_S = 8.0
+#: As long an answer as the engine's limit of output tokens allows.
+_LONGEST_HEADERS = {
+    'Token_Count': '1000,4182',
+    'Request_Deadline': '10000',
+    'timeout_s': 12,
+}
+_LONGEST_ANSWER = b''.join(event(number) for number in range(1, 83))
+_EVENT_INTERVAL_S = 0.057
+_REQUEST_INTERVAL_S = 0.02
+_STOPPED = 'b1'
+#: Time without a first event after which an engine counts as silent.
+_UNBOUNDED_MS = 20_000
+
+
+@given('a relay fleet whose longest answers take 4.7 seconds')
+def fleet_of_long_answers(context):
+    fleet = _start_fleet(context)
+    for port in fleet.engines:
+        fleet.fault(port, fault='paced', delay_s=_EVENT_INTERVAL_S)
+
+
+@given('a relay fleet whose engines accept requests and send nothing')
+def fleet_of_silent_engines(context):
+    fleet = _start_fleet(context)
+    for port in (*fleet.engines, *fleet.plain):
+        fleet.fault(port, fault='silent')
+
+
+def _start_fleet(context):
+    context.fleet = RelayFleet()
+    context.fleet.__enter__()
+    context.add_cleanup(context.fleet.__exit__)
+    _use_long_limits(context.fleet)
+    return context.fleet
+
+
+def _use_long_limits(fleet):
+    """Publish limits that no request of these scenarios reaches."""
+    configuration = fleet.configuration(2)
+    for route in configuration['routes']:
+        route['timeoutMs'] = _UNBOUNDED_MS
+        route['attempts'] = 1
+    engine = configuration['services'][0]['engine']
+    engine.update(per_seq_ms=0.0085, context_per_k=0.00285)
+    fleet.put_configuration(
+        2, routes=configuration['routes'], services=configuration['services']
+    )
+    for name in fleet.instances:
+        fleet.wait_until(
+            lambda asked=name: _configuration_version(fleet, asked) == 2,
+            f'{name} uses the limits',
+        )
+
+
+def _configuration_version(fleet, name):
+    versions = [
+        line['version']
+        for line in fleet.log(name)
+        if line['message_type'] == 'configuration_in_force'
+    ]
+    return max(versions, default=0)
+
+
+@when('an instance gets SIGTERM and new requests come until it has ended')
+def requests_during_stop(context):
+    fleet = context.fleet
+    context.outcomes = {}
+    callers = []
+    context.stopped_s = monotonic()
+    fleet.signal(_STOPPED, signal.SIGTERM)
+    while monotonic() < context.stopped_s + _GRACE_S / 2:
+        request = fleet.next_id()
+        caller = threading.Thread(
+            target=_send, args=(context, request, '/draft/x')
+        )
+        caller.start()
+        callers.append(caller)
+        sleep(_REQUEST_INTERVAL_S)
+    for caller in callers:
+        caller.join()
+
+
+@when(
+    'an instance gets SIGTERM while a stream, a lookup and a charge wait for '
+    'their answers'
+)
+def waiting_requests(context):
+    fleet = context.fleet
+    context.outcomes = {}
+    callers = [
+        threading.Thread(target=_send, args=(context, path, f'{path}x'))
+        for path in ('/draft/', '/look/', '/charge/')
+    ]
+    for caller in callers:
+        caller.start()
+    ports = (*fleet.engines, *fleet.plain)
+    fleet.wait_until(
+        lambda: all(fleet.runs(ports, path) for path in context.sent),
+        'the requests run',
+    )
+    context.stopped_s = monotonic()
+    fleet.signal(_STOPPED, signal.SIGTERM)
+    for caller in callers:
+        caller.join()
+
+
+def _send(context, request, path):
+    context.sent = {*getattr(context, 'sent', ()), request}
+    context.outcomes[request] = context.fleet.send_request(
+        _STOPPED, path, request=request, **_LONGEST_HEADERS
+    )
+
+
+@then(
+    'each request got a complete answer, a refusal without a run, or no '
+    'connection'
+)
+def complete_or_refused(context):
+    fleet = context.fleet
+    complete = 0
+    refused = 0
+    for request, answer in context.outcomes.items():
+        runs = fleet.runs(fleet.engines, request)
+        if answer.status == 200:
+            assert answer.is_complete, (request, answer)
+            assert answer.body == _LONGEST_ANSWER, (request, answer)
+            complete += 1
+        elif answer.status == 503:
+            assert not runs, (request, answer)
+            refused += 1
+        else:
+            assert (answer.status, runs) == (0, 0), (request, answer, runs)
+    assert complete, 'no request was served while the instance was leaving'
+    assert refused, 'no request was refused while the instance was draining'
+
+
+@then(
+    'each of them gets a complete failure that does not say that it was not run'
+)
+def final_failures(context):
+    assert len(context.outcomes) == 3, context.outcomes
+    for request, answer in context.outcomes.items():
+        assert answer.is_complete, (request, answer)
+        assert answer.status in {502, 504}, (request, answer)
+
+
+@then('the instance exits with 0 within its grace time')
+def ends_in_time(context):
+    left_s = context.stopped_s + _GRACE_S - monotonic()
+    assert context.fleet.wait_end(_STOPPED, max(left_s, 0.01)) == 0
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -153,6 +153,10 @@
         content = {**_configuration(version), **changes}
         self.put('op', 'config', content)
 
+    def configuration(self, version: int) -> dict[str, Any]:
+        """Return configuration ``version`` as it is without changes."""
+        return _configuration(version)
+
     def entry(self, port: int, **changes: Any) -> dict[str, Any]:
         """Return the table entry of the endpoint on ``port``."""
         is_engine = port in self.engines
