--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -368,16 +368,6 @@
         self.is_over = True
         return self._close_attempt('caller_gone')
 
-    def on_endpoint_gone(self, now_s: float) -> Sequence[RelayAction]:
-        """Place the request anew if it waits for the endpoint's memory.
-
-        The endpoint is stopping or out of service. A request that was already
-        sent to it continues there.
-        """
-        if self._attempt is None or self._is_sent:
-            return []
-        return [*self._close_attempt('endpoint_gone'), *self._place(now_s)]
-
     def _on_silence(self, now_s: float) -> Sequence[RelayAction]:
         """Retry at another endpoint, or keep waiting if that is not allowed."""
         self._has_reached_endpoint = True
