Wait at a planned stop until answers have been sent

A caller that read more slowly than the endpoint sent lost the end of its answer: the last 2 MB of 6 MB in the new scenario (IncompleteRead, 3,955,381 bytes read). A call counted as answered once its answer was queued, so the process ended with output that the caller's socket had not accepted. A draining listener now counts connections with such output as in flight, checked every 0.1 s; the drain's limit and the stall limit hold as before.

planned_stop.feature, 'waits until an answer has been sent', failed before.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -1,8 +1,9 @@
 """Base of the listeners that submit calls and return their answers."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import count
+from socket import socket
 from time import monotonic
 from typing import Final, final
 
@@ -30,6 +31,9 @@
 #: due in the same turn of the event loop; the request's answer goes first.
 _RESUME_GRACE_S: Final = 0.1
 
+#: Interval at which a draining listener looks for answers not yet sent.
+_UNSENT_CHECK_INTERVAL_S: Final = 0.1
+
 #: Header fields of an answer that the listener sets for its own connection.
 _CONNECTION_HEADERS: Final = frozenset(
     (
@@ -45,6 +49,10 @@
 )
 
 
+class _unsent_check(Event):
+    """Report again how many calls and unsent answers there are."""
+
+
 class _call_late(Event):
     """Check ``call_id`` again after the resume grace."""
 
@@ -99,16 +107,18 @@
         }
         for call in self._open_calls.values():
             call.web_call.response.close |= self._is_draining
-            if phase == ShutdownPhase.ended:
-                self._log_interrupted(call)
+        if phase == ShutdownPhase.ended:
+            _log_interrupted(
+                self._open_calls.values(), self._server.pending_output()
+            )
+        elif phase == ShutdownPhase.draining:
+            self._report_unsent()
 
-    def _log_interrupted(self, call: _OpenCall) -> None:
-        web_call = call.web_call
-        log_message(
-            'answer_interrupted',
-            key=call.call_id,
-            has_begun=web_call.has_begun,
-            unsent_bytes=self._server.pending_bytes(web_call.sock),
+    @handler('_unsent_check')
+    def _report_unsent(self) -> None:
+        self._report_in_flight()
+        self._timers.call_after(
+            _UNSENT_CHECK_INTERVAL_S, _unsent_check(), self.channel
         )
 
     @handler('reply_full')
@@ -227,8 +237,25 @@
             self.fire(caller_gone(call_id), channel)
 
     def _report_in_flight(self) -> None:
-        IN_FLIGHT.set(len(self._open_calls))
-        self.fire(in_flight_changed(len(self._open_calls)), '*')
+        in_flight = len(self._open_calls)
+        IN_FLIGHT.set(in_flight)
+        if self._is_draining:
+            # The end of an answer is lost if the process ends before its
+            # socket has accepted it.
+            in_flight += len(self._server.pending_output())
+        self.fire(in_flight_changed(in_flight), '*')
+
+
+def _log_interrupted(
+    calls: Iterable[_OpenCall], unsent_bytes: Mapping[socket, int]
+) -> None:
+    for call in calls:
+        log_message(
+            'answer_interrupted',
+            key=call.call_id,
+            has_begun=call.web_call.has_begun,
+            unsent_bytes=unsent_bytes.get(call.web_call.sock, 0),
+        )
 
 
 def _without_connection_headers(
--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -118,10 +118,13 @@
         """Number of open connections."""
         return len(self._connections)
 
-    def pending_bytes(self, sock: socket) -> int:
-        """Return how much output for ``sock`` its socket has not accepted."""
-        connection = self._connections.get(sock)
-        return 0 if connection is None else connection.pending_bytes
+    def pending_output(self) -> dict[socket, int]:
+        """Return how many bytes each socket has not accepted, if any."""
+        return {
+            sock: connection.pending_bytes
+            for sock, connection in self._connections.items()
+            if connection.pending_bytes
+        }
 
     def is_open(self, sock: socket) -> bool:
         """Return whether ``sock`` is open and not refused."""
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -16,3 +16,10 @@
     When an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
     Then each of them gets a complete failure that does not say that it was not run
     And the instance exits with 0 within its grace time
+
+  Scenario: A planned stop waits until an answer has been sent
+    Guards against the loss of the end of an answer whose caller reads more slowly than the endpoint sends.
+    Given a relay fleet
+    When an instance gets SIGTERM while a caller has read only the head of a large answer
+    Then the caller still gets the whole answer
+    And the instance exits with 0 within its grace time
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -7,7 +7,8 @@
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
 events), ``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
-between events) and ``second`` (the answer to another request comes first).
+between events), ``large`` (a plain answer of :data:`LARGE_BYTES`) and
+``second`` (the answer to another request comes first).
 """
 
 import asyncio
@@ -22,12 +23,14 @@
 
 from .serving import FaultyService, json_answer, read_body, run
 
-__all__ = ('UsersEndpoint', 'UsersStore', 'event', 'main')
+__all__ = ('LARGE_BYTES', 'UsersEndpoint', 'UsersStore', 'event', 'main')
 
 _SILENT_S: Final = 60
 _EVENT_COUNT: Final = 5
 _EVENT_INTERVAL_S: Final = 0.05
 _EVENT_TOKENS: Final = 51
+#: More than a socket buffers, and less than an instance buffers.
+LARGE_BYTES: Final = 6_000_000
 _READ_ONLY_TABLES: Final = frozenset(('op', 'servers'))
 
 
@@ -241,8 +244,10 @@
             request.transport.write(_OTHER_ANSWER)
         if 'Token-Count' in headers:
             return await self._send_stream(request, fault)
+        body = f'done by {self._id}'.encode()
         return web.Response(
-            body=f'done by {self._id}', headers=self._answer_headers(request)
+            body=body.ljust(LARGE_BYTES) if fault == 'large' else body,
+            headers=self._answer_headers(request),
         )
 
     async def _send_stream(
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,12 +2,14 @@
 
 import signal
 import threading
+from contextlib import closing
+from http.client import HTTPConnection
 from time import monotonic, sleep
 
 from behave import given, then, when
 
-from features.standins.users_platform import event
-from features.support.relay_fleet import RelayFleet
+from features.standins.users_platform import LARGE_BYTES, event
+from features.support.relay_fleet import HOST_NAME, RelayFleet
 
 _GRACE_S = 8.0
 #: As long an answer as the engine's limit of output tokens allows.
@@ -20,6 +22,14 @@
 _EVENT_INTERVAL_S = 0.057
 _REQUEST_INTERVAL_S = 0.02
 _STOPPED = 'b1'
+#: Longer than an idle instance takes from SIGTERM to its end.
+_READ_PAUSE_S = 5.0
+_LOOKUP_FIELDS = {
+    'Host': HOST_NAME,
+    'Request-Id': 'large',
+    'Request-Deadline': '10000',
+    'X-Api-Key': 'key-w',
+}
 #: Time without a first event after which an engine counts as silent.
 _UNBOUNDED_MS = 20_000
 
@@ -160,3 +170,33 @@
 def ends_in_time(context):
     left_s = context.stopped_s + _GRACE_S - monotonic()
     assert context.fleet.wait_end(_STOPPED, max(left_s, 0.01)) == 0
+
+
+@when(
+    'an instance gets SIGTERM while a caller has read only the head of a large '
+    'answer'
+)
+def slow_caller(context):
+    fleet = context.fleet
+    for port in fleet.plain:
+        fleet.fault(port, fault='large')
+    host, port = fleet.caller_address(_STOPPED).split(':')
+    context.connection = HTTPConnection(host, int(port), timeout=_GRACE_S)
+    context.connection.request('POST', '/look/x', b'body', _LOOKUP_FIELDS)
+    context.answer = context.connection.getresponse()
+    fleet.wait_until(
+        lambda: any(
+            line['message_type'] == 'request_ended'
+            for line in fleet.log(_STOPPED)
+        ),
+        'the endpoint has sent the whole answer',
+    )
+    context.stopped_s = monotonic()
+    fleet.signal(_STOPPED, signal.SIGTERM)
+    sleep(_READ_PAUSE_S)
+
+
+@then('the caller still gets the whole answer')
+def whole_answer(context):
+    with closing(context.connection):
+        assert len(context.answer.read()) == LARGE_BYTES
