Log the shared parts of prompts and how far a failed attempt had come

The logs could not tell whether requests whose engines crashed had a part of their prompts in common, nor whether an answer had begun. request_taken lists the shared parts, attempt_failed says whether the head had arrived and how many events. No change of behaviour.

--- a/bergamotturn/platform/caller_format.py
+++ b/bergamotturn/platform/caller_format.py
@@ -15,6 +15,10 @@
 #: Prompt tokens and maximum output tokens, separated by a comma.
 _TOKEN_COUNT: Final = 'token-count'
 _LAST_EVENT_ID: Final = 'last-event-id'
+#: Parts of the prompt as ``id:tokens``, separated by commas.
+_PROMPT_PREFIX: Final = 'prompt-prefix'
+#: Parts that are read; the engine gets all of them.
+_MAX_SHARED_PARTS: Final = 64
 _MS_PER_S: Final = 1000.0
 
 #: Headers that belong to the caller's connection, or that bergamotturn sets.
@@ -75,9 +79,17 @@
             prompt_tokens=_parse_number(prompt) or 0,
             output_tokens=_parse_number(output) or 0,
             resume_after=_parse_number(headers.get(_LAST_EVENT_ID, '')),
+            shared_parts=_shared_parts(headers.get(_PROMPT_PREFIX, '')),
         )
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts but the last, which is the request's own."""
+    parts = text.split(',', _MAX_SHARED_PARTS)[:-1]
+    ids = (part.partition(':')[0].strip().lower() for part in parts)
+    return tuple(filter(None, ids))
+
+
 def _parse_number(text: str) -> int | None:
     stripped = text.strip()
     if not (stripped.isascii() and stripped.isdigit()):
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -40,6 +40,7 @@
             output_tokens=call.output_tokens,
             left_s=round(call.deadline_s - monotonic(), SECONDS_DIGITS),
             resume_after=call.resume_after,
+            shared_parts=call.shared_parts,
         )
         self._perform_all(pending, pending.flow.begin(monotonic()))
 
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -299,6 +299,8 @@
             endpoint=endpoint_id,
             fault=action.fault.value,
             detail=action.detail,
+            has_head=action.has_head,
+            events=action.events,
             after_s=round(monotonic() - pending.sent_s, SECONDS_DIGITS),
             alone_for_s=round(for_s, SECONDS_DIGITS),
         )
--- a/bergamotturn/request/relay/actions.py
+++ b/bergamotturn/request/relay/actions.py
@@ -94,11 +94,15 @@
     """Report that the endpoint of ``attempt`` failed.
 
     :param detail: what was seen, for logs.
+    :param has_head: whether the head of its answer had arrived.
+    :param events: events of its answer that had arrived.
     """
 
     attempt: Attempt
     fault: Fault
     detail: str
+    has_head: bool = False
+    events: int = 0
 
 
 @final
--- a/bergamotturn/request/relay/call.py
+++ b/bergamotturn/request/relay/call.py
@@ -26,6 +26,8 @@
     :param output_tokens: maximum number of tokens of the answer.
     :param resume_after: sequence number of the last event that the caller
         received from an earlier attempt.
+    :param shared_parts: ids of the parts of the prompt that other requests may
+        share, in their order.
     :param arrived_s: monotonic time at which the request's first byte came.
     :param caller_deadline_s: monotonic time until which the caller waits.
     :param deadline_s: monotonic time by which the answer must be complete.
@@ -44,6 +46,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: int | None = None
+    shared_parts: tuple[str, ...] = ()
     arrived_s: float
     caller_deadline_s: float
     deadline_s: float
--- a/bergamotturn/request/relay/call_builder.py
+++ b/bergamotturn/request/relay/call_builder.py
@@ -32,6 +32,8 @@
     :param output_tokens: maximum number of tokens of the answer.
     :param resume_after: sequence number of the last event that the caller
         received from an earlier attempt.
+    :param shared_parts: ids of the parts of the prompt that other requests may
+        share, in their order.
     """
 
     call_id: str
@@ -46,6 +48,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     resume_after: int | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 def build_relay_call(
@@ -89,6 +92,7 @@
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
         resume_after=request.resume_after,
+        shared_parts=request.shared_parts,
         arrived_s=arrived_s,
         caller_deadline_s=caller_deadline_s,
         deadline_s=deadline_s,
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -120,6 +120,7 @@
         self._last_event_number = call.resume_after
         self._is_prefilled = False
         self._is_head_forwarded = False
+        self._attempt_event_count = 0
 
     @property
     def attempt(self) -> Attempt | None:
@@ -141,6 +142,7 @@
         )
         self._is_sent = False
         self._is_prefilled = False
+        self._attempt_event_count = 0
         self._head = None
         self._body.clear()
         self._stream = EventStream()
@@ -208,7 +210,15 @@
         return actions
 
     def _report_failure(self, fault: Fault, detail: str) -> list[RelayAction]:
-        return [ReportFailure(self._attempt, fault, detail)]
+        return [
+            ReportFailure(
+                self._attempt,
+                fault,
+                detail,
+                has_head=self._head is not None,
+                events=self._attempt_event_count,
+            )
+        ]
 
     def _report_success(self) -> list[RelayAction]:
         """Report the success, and failures of endpoints that failed before.
@@ -446,6 +456,7 @@
             if event.number is not None:
                 self._last_event_number = event.number
             self.event_count += event.is_progress
+            self._attempt_event_count += event.is_progress
             forwarded.append(event.data)
         if self._stream.is_event_too_long:
             return self._on_attempt_failed(
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -54,6 +54,19 @@
     And it gets the workspace of the API key and the remaining time, and no API key
     And it gets no header of the caller's connection
 
+  Scenario Outline: The parts of a prompt that others may share are read
+    Guards against the own part of a request among its shared parts, and against an unbounded list.
+    Then the prompt prefix <prefix> has the shared parts <parts>
+
+    Examples:
+      | prefix                    | parts  |
+      | none                      | none   |
+      | 5c:800                    | none   |
+      | 5C:40,91bd:410,e4:250     | 5c 91bd |
+      | 5c:40, 91bd:410 ,e4:250   | 5c 91bd |
+      | 5c,,e4:250                | 5c     |
+      | 5c:x,e4                   | 5c     |
+
   Scenario Outline: Private routes need a known API key
     Guards against accepting an unknown or revoked key, and against refusing calls to public routes.
     Then a request with the key <key> on a route that is <kind> is <outcome>
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -379,3 +379,14 @@
             workspaces=(workspace,),
         )
     )
+
+
+@then('the prompt prefix {prefix} has the shared parts {parts}')
+def shared_parts(context, prefix, parts):
+    headers = () if prefix == 'none' else (('prompt-prefix', prefix),)
+    read = PlatformCallerFormat().read(_request(headers))
+    expected = () if parts == 'none' else tuple(parts.split())
+    assert read.shared_parts == expected, read.shared_parts
+    many = ','.join(f'{number:x}:1' for number in range(1000))
+    read = PlatformCallerFormat().read(_request((('prompt-prefix', many),)))
+    assert len(read.shared_parts) == 64, read.shared_parts
