Bound what a stopping instance accepts by the answers of each route

The bound from the engine's profile alone takes every answer to be as long as its limit: reviews were refused from 0.5 s after SIGTERM on, although they end in 5.5 s at most, and on larger prompts from the first moment. The relay decides, which knows both.

--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -1,8 +1,6 @@
 """Listener for callers whose requests are relayed unchanged."""
 
-from math import inf
 from random import SystemRandom
-from time import monotonic
 from typing import Final, Protocol, final
 
 from circuits import handler
@@ -14,7 +12,6 @@
 from ..request.calls import submit_relay
 from ..request.relay.call import RelayCall
 from ..request.relay.call_builder import CallerRequest, build_relay_call
-from ..request.relay.longest_answer import longest_answer_s
 from ..version.serving import ServingConfiguration, ServingIndex
 from ..version.settings import Limits
 from .call_listener import CallListener
@@ -58,7 +55,6 @@
         self._random = SystemRandom()
         self._index: ServingIndex | None = None
         self._is_leaving = False
-        self._cut_off_s = inf
 
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
@@ -79,10 +75,6 @@
         for call in self._open_calls.values():
             call.web_call.response.close |= self._is_leaving
 
-    @handler('cut_off_scheduled')
-    def _on_cut_off_scheduled(self, cut_off_s: float) -> None:
-        self._cut_off_s = cut_off_s
-
     def _serve(self, call: WebCall) -> None:
         call_key = self._next_call_id()
         call.response.close |= self._is_leaving
@@ -111,21 +103,9 @@
     ) -> RelayCall | Failure:
         if self._is_draining:
             return Failure(ErrorKind.draining)
-        relay_call = build_relay_call(
+        return build_relay_call(
             self._index, caller_request, call_key, began_s, self._random
         )
-        if isinstance(relay_call, Failure) or self._ends_in_time(relay_call):
-            return relay_call
-        return Failure(ErrorKind.draining)
-
-    def _ends_in_time(self, relay_call: RelayCall) -> bool:
-        """Return whether the answer ends before the process does."""
-        if self._index is None or self._cut_off_s == inf:
-            return True
-        now_s = monotonic()
-        service = self._index.services.get(relay_call.service)
-        longest_s = longest_answer_s(relay_call, service, now_s)
-        return now_s + longest_s <= self._cut_off_s
 
     def _version_number(self) -> int:
         if self._index is None:
--- /dev/null
+++ b/bergamotturn/process/relay_tasks/answer_durations.py
@@ -0,0 +1,47 @@
+"""Durations of the answers that were given last."""
+
+from collections import deque
+from typing import Final, final
+
+__all__ = ('AnswerDurations',)
+
+#: Answers of each route whose durations are kept.
+_MAX_KEPT: Final = 100
+#: Answers of a route from which the longest of the next ones is estimated.
+_MIN_KEPT: Final = 20
+#: The next answers may last longer than the longest so far by this factor.
+_MARGIN_FACTOR: Final = 1.1
+
+
+@final
+class AnswerDurations:
+    """Estimates the longest duration of a route's answers."""
+
+    __slots__ = ('_durations_s',)
+
+    def __init__(self) -> None:
+        """Start without answers."""
+        self._durations_s: dict[str, deque[float]] = {}
+
+    def record(self, route: str, duration_s: float) -> None:
+        """Record a complete answer.
+
+        :param duration_s: time from the arrival of the request to the end.
+        """
+        kept = self._durations_s.get(route)
+        if kept is None:
+            kept = deque(maxlen=_MAX_KEPT)
+            self._durations_s[route] = kept
+        kept.append(duration_s)
+
+    def keep_routes(self, routes: frozenset[str]) -> None:
+        """Forget all routes but ``routes``."""
+        for route in self._durations_s.keys() - routes:
+            self._durations_s.pop(route)
+
+    def longest_s(self, route: str) -> float | None:
+        """Return the longest duration to expect, None if it is unknown."""
+        kept = self._durations_s.get(route, ())
+        if len(kept) < _MIN_KEPT:
+            return None
+        return _MARGIN_FACTOR * max(kept)
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -9,6 +9,7 @@
 
 from ...connection.exchange import Exchange, ExchangePart, Header
 from ...errors import ErrorKind, Failure
+from ...request.calls import reply_failed
 from ...request.relay.call import RelayCall
 from ...request.relay.flow import RelayFlow
 from ..endpoints.entry import EndpointEntry
@@ -27,6 +28,10 @@
 
     @handler('submit_relay')
     def _on_submit_relay(self, call: RelayCall) -> None:
+        now_s = monotonic()
+        if now_s + self._longest_answer_s(now_s, call) > self._cut_off_s:
+            self._refuse_for_stop(call)
+            return
         pending = PendingRelay(RelayFlow(call, self._router))
         self._pending[call.key] = pending
         log_message(
@@ -38,11 +43,15 @@
             version=self._index.configuration.version_number,
             prompt_tokens=call.prompt_tokens,
             output_tokens=call.output_tokens,
-            left_s=round(call.deadline_s - monotonic(), SECONDS_DIGITS),
+            left_s=round(call.deadline_s - now_s, SECONDS_DIGITS),
             resume_after=call.resume_after,
             shared_parts=call.shared_parts,
         )
-        self._perform_all(pending, pending.flow.begin(monotonic()))
+        self._perform_all(pending, pending.flow.begin(now_s))
+
+    @handler('cut_off_scheduled')
+    def _on_cut_off_scheduled(self, cut_off_s: float) -> None:
+        self._cut_off_s = cut_off_s
 
     @handler('caller_gone')
     def _on_caller_gone(self, key: str) -> None:
@@ -61,6 +70,19 @@
             self._log_interrupted(pending)
             self._perform_all(pending, pending.flow.on_stop())
 
+    def _refuse_for_stop(self, call: RelayCall) -> None:
+        """Refuse a request whose answer the stop would probably interrupt."""
+        log_message(
+            'request_refused',
+            request=call.call_id,
+            outcome=ErrorKind.draining.value,
+            version=self._index.configuration.version_number,
+            path=call.target,
+            ends_in_s=round(self._cut_off_s - monotonic(), SECONDS_DIGITS),
+        )
+        failure = Failure(ErrorKind.draining)
+        self.fire(reply_failed(call.key, failure), 'caller')
+
     def _log_interrupted(self, pending: PendingRelay) -> None:
         now_s = monotonic()
         call, flow = pending.flow.call, pending.flow
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 from itertools import count
+from math import inf
 from time import monotonic
 from types import MappingProxyType
 from typing import Any, Final
@@ -41,6 +42,7 @@
     SendPrefillDone,
 )
 from ...request.relay.call import RelayCall
+from ...request.relay.longest_answer import longest_answer_s
 from ...version.serving import ServingConfiguration
 from ...version.serving_settings import ServingSettings
 from ..metrics import (
@@ -54,6 +56,7 @@
 )
 from ..placement.policies import policy_of
 from ..timers import Timers
+from .answer_durations import AnswerDurations
 from .pending_relay import PendingRelay
 from .placement_router import PlacementRouter
 from .reservation_manager import ReservationManager
@@ -61,6 +64,8 @@
 __all__ = ('SECONDS_DIGITS', 'RelayRunner', 'flow_due')
 
 _MS: Final = 1000.0
+#: Outcome of a request whose complete answer was passed on.
+_ANSWERED: Final = 'answered'
 #: Decimal places of seconds in log lines.
 SECONDS_DIGITS: Final = 3
 
@@ -92,6 +97,9 @@
         )
         self._pending: dict[str, PendingRelay] = {}
         self._exchanges: dict[int, tuple[PendingRelay, Attempt]] = {}
+        self._durations = AnswerDurations()
+        #: Monotonic time at which a stop interrupts the requests in flight.
+        self._cut_off_s = inf
         self._work_numbers = count(1)
         self._action_handlers: Mapping[type[RelayAction], ActionHandler] = (
             MappingProxyType(
@@ -116,6 +124,16 @@
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         super()._on_serving_changed(configuration)
         self._router.use_index(self._index)
+        self._durations.keep_routes(
+            frozenset(route.name for route in configuration.routes)
+        )
+
+    def _longest_answer_s(self, now_s: float, call: RelayCall) -> float:
+        """Return the longest time to expect until the answer is complete."""
+        service = self._router.service(call.service)
+        possible_s = longest_answer_s(call, service, now_s)
+        expected_s = self._durations.longest_s(call.route.name)
+        return possible_s if expected_s is None else min(possible_s, expected_s)
 
     def _perform_all(
         self, pending: PendingRelay, actions: Iterable[RelayAction]
@@ -146,13 +164,13 @@
         self._reply(pending, reply_data, action.data)
 
     def _reply_full(self, pending: PendingRelay, action: ReplyFull) -> None:
-        self._log_end(pending, 'answered', status=action.status)
+        self._log_end(pending, _ANSWERED, status=action.status)
         self._reply(
             pending, reply_full, action.status, action.headers, action.body
         )
 
     def _reply_end(self, pending: PendingRelay, action: ReplyEnd) -> None:
-        self._log_end(pending, 'answered', events=pending.flow.event_count)
+        self._log_end(pending, _ANSWERED, events=pending.flow.event_count)
         self._reply(pending, reply_end)
 
     def _reply_failure(
@@ -312,6 +330,8 @@
     ) -> None:
         call = pending.flow.call
         after_s = monotonic() - call.arrived_s
+        if outcome == _ANSWERED:
+            self._durations.record(call.route.name, after_s)
         RELAYED.labels(call.service, outcome).inc()
         ENDED_AFTER_S.labels(call.service).observe(after_s)
         log_message(
