Take an empty stream that ends with its connection as broken off

An answer may have neither a length nor chunks and end with its connection. When its engine crashed before the first event, the caller got a complete, empty stream. Such an end before any event now counts as a break, and the request is sent to another engine or ends as endpoint_lost; an end inside an event was one already. An end between two events cannot be told from a complete answer.

relay_flow.feature, 'complete only after an event', failed before for the end before the first event.

--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -50,6 +50,8 @@
     )
 )
 
+_LENGTH_FIELDS: Final = frozenset(('content-length', 'transfer-encoding'))
+
 #: Covers many round trips and is well below the second after which a lost SYN
 #: is retransmitted.
 _CONNECT_TIMEOUT_S: Final = 0.4
@@ -133,6 +135,7 @@
             ),
             load=_load_report(fields.get(_LOAD_REPORT, '')),
             faulty_address=fields.get(_FAULTY_ADDRESS, ''),
+            is_close_delimited=_LENGTH_FIELDS.isdisjoint(fields),
         )
 
     def reserve(
--- a/bergamotturn/request/relay/call.py
+++ b/bergamotturn/request/relay/call.py
@@ -86,6 +86,8 @@
     :param load: load report that came with the answer, if any.
     :param faulty_address: address (``host:port``) of another endpoint that the
         answer names as the one that failed, or an empty string.
+    :param is_close_delimited: whether the answer ends with its connection, so
+        that an endpoint that crashes seems to end it.
     """
 
     kind: HeadKind
@@ -93,3 +95,4 @@
     headers: tuple[Header, ...] = ()
     load: LoadReport | None = None
     faulty_address: str = ''
+    is_close_delimited: bool = False
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -489,6 +489,10 @@
             return self._on_attempt_failed(
                 now_s, Fault.broke_off, 'stream ended in the middle of an event'
             )
+        if self._head.is_close_delimited and not self._attempt_event_count:
+            return self._on_attempt_failed(
+                now_s, Fault.broke_off, 'stream ended before its first event'
+            )
         return [
             *self._note_prefilled(),
             *self._forward_head(),
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -98,6 +98,16 @@
       | 500    | server-stamp                      | failure |
       | 404    | server-stamp                      | failure |
 
+  Scenario Outline: An answer that ends with its connection is told apart
+    Guards against taking the crash of an endpoint for the end of its answer.
+    Then an answer with the length field <field> <kind> with its connection
+
+    Examples:
+      | field             | kind         |
+      | content-length    | doesn't end  |
+      | transfer-encoding | doesn't end  |
+      | none              | ends         |
+
   Scenario: Prefill helpers and reservations are listed in the request
     Guards against a prompt that one engine prefills alone although the plan has prefill helpers.
     Then a plan with prefill helpers lists the runner first, then helpers with and without a reservation
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -26,6 +26,18 @@
     When its engine's answer breaks off in the middle of event 3
     Then the caller's connection is closed
 
+  Scenario Outline: A stream that ends with its connection is complete only after an event
+    Guards against an answer without a length or chunks whose engine crashed, passed on as a complete and empty one.
+    Given a stream whose answer ends with its connection
+    When its connection ends <place>
+    Then the stream <outcome>
+
+    Examples:
+      | place                      | outcome                   |
+      | before the first event     | is sent to another engine |
+      | in the middle of event 2   | is sent to another engine |
+      | after event 2              | is complete               |
+
   Scenario: A request that no engine ran is refused as not run
     Guards against a 502, after which callers do not retry, and against endless attempts at full engines.
     Given a request that may run only once
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -390,3 +390,11 @@
     many = ','.join(f'{number:x}:1' for number in range(1000))
     read = PlatformCallerFormat().read(_request((('prompt-prefix', many),)))
     assert len(read.shared_parts) == 64, read.shared_parts
+
+
+@then('an answer with the length field {field} {kind} with its connection')
+def close_delimited(context, field, kind):
+    head = PlatformEndpointFormat().read_head(
+        relay_call(route()), 200, (Header(field, '1'),)
+    )
+    assert head.is_close_delimited is (kind == 'ends'), head
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -125,6 +125,36 @@
     context.run.receive_head(_SUCCESS)
 
 
+@given('a stream whose answer ends with its connection')
+def close_delimited_stream(context):
+    context.run = _RelayRun(route())
+    context.run.receive_head(
+        EndpointAnswerHead(HeadKind.success, 200, is_close_delimited=True)
+    )
+
+
+@when('its connection ends {place}')
+def connection_ends(context, place):
+    run = context.run
+    if place == 'in the middle of event 2':
+        data = event(1) + event(2)[:-3]
+        run.record(run.flow.on_data(run.now_s, data))
+    elif place == 'after event 2':
+        run.receive_events(1, 2)
+    run.record(run.flow.on_end(run.now_s))
+
+
+@then('the stream is sent to another engine')
+def stream_sent_elsewhere(context):
+    assert isinstance(context.run.last_actions[-1], SendAttempt)
+    assert not context.run.actions_of(_FINAL_ACTIONS)
+
+
+@then('the stream is complete')
+def stream_complete(context):
+    assert isinstance(context.run.last_actions[-1], ReplyEnd)
+
+
 @given('a request that may run only once')
 def request_without_rerun(context):
     context.run = _RelayRun(route(**_PLAIN_ROUTE))
