--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -96,6 +96,7 @@
 
     :param every: only calls whose number it divides are affected.
     :param count: maximum number of affected calls.
+    :param parts: prompt parts that a fault depends on.
     :param calls: calls counted so far.
     """
 
@@ -104,6 +105,7 @@
     delay_s: float = 1
     every: int = 1
     count: int = 1_000_000
+    parts: list[str] = field(default_factory=list)
     calls: int = 0
     set_s: float = field(default_factory=monotonic)
 
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -7,31 +7,52 @@
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
 events), ``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
-between events), ``large`` (a plain answer of :data:`LARGE_BYTES`) and
-``second`` (the answer to another request comes first).
+between events), ``large`` (a plain answer of :data:`LARGE_BYTES`), ``second``
+(the answer to another request comes first) and these:
+
+- ``deadly``: a request with one of ``parts`` among its shared prompt parts
+  crashes the endpoint after the head of its answer; it restarts with a new id
+  after ``delay_s``. ``/_crash`` crashes it without a request.
+- ``unframed``: the answer has neither a length nor chunks and ends with its
+  connection. ``unframed_cut`` closes it inside the third event of a stream,
+  ``unframed_reset`` resets it after the last byte.
 """
 
 import asyncio
+import socket
+import struct
 import sys
 from base64 import b64decode, b64encode
 from collections import Counter
-from time import monotonic
+from time import monotonic, time
 from typing import Any, Final, final
 
 import msgspec
 from aiohttp import web
 
-from .serving import FaultyService, json_answer, read_body, run
+from .serving import FaultyService, Listener, json_answer, read_body, run
 
-__all__ = ('LARGE_BYTES', 'UsersEndpoint', 'UsersStore', 'event', 'main')
+__all__ = (
+    'LARGE_BYTES',
+    'UsersEndpoint',
+    'UsersStore',
+    'event',
+    'main',
+    'shared_parts',
+)
 
 _SILENT_S: Final = 60
 _EVENT_COUNT: Final = 5
 _EVENT_INTERVAL_S: Final = 0.05
 _EVENT_TOKENS: Final = 51
+#: Time in which the bytes written so far reach the instance.
+_DELIVERY_S: Final = 0.02
+#: Value of ``SO_LINGER`` with which closing a socket resets the connection.
+_LINGER_RESET: Final = struct.pack('ii', 1, 0)
 #: More than a socket buffers, and less than an instance buffers.
 LARGE_BYTES: Final = 6_000_000
-_READ_ONLY_TABLES: Final = frozenset(('op', 'servers'))
+_SERVERS: Final = 'servers'
+_READ_ONLY_TABLES: Final = frozenset(('op', _SERVERS))
 
 
 @final
@@ -55,6 +76,17 @@
             web.post('/api/rows-tx', self._run_transaction),
         )
 
+    def replace_server(self, old_id: str, new_id: str) -> None:
+        """Replace an endpoint's entry by that of its next start."""
+        old = self._rows.get((_SERVERS, old_id), {'value': ''})
+        if not old['value']:
+            return
+        entry = msgspec.json.decode(b64decode(old['value']))
+        entry.update({'born': int(time() * 1000), 'sequence': 1})
+        self._write(_SERVERS, old_id, '', is_deleted=True)
+        encoded = b64encode(msgspec.json.encode(entry)).decode()
+        self._write(_SERVERS, new_id, encoded)
+
     async def _show_facts(self, _: web.Request) -> web.Response:
         tables = Counter(table for table, _ in self._rows)
         return json_answer({'calls': self._calls, 'tables': tables})
@@ -189,11 +221,19 @@
 
 @final
 class UsersEndpoint(FaultyService):
-    """One endpoint, whose instance id is ``i-PORT``."""
-
-    def __init__(self, port: int) -> None:
-        """Start without executed requests."""
-        self._id = f'i-{port}'
+    """One endpoint, whose instance id is ``i-PORT`` until it crashes."""
+
+    def __init__(self, port: int, store: UsersStore) -> None:
+        """Start without executed requests.
+
+        :param store: where it replaces its entry when it restarts.
+        """
+        self._store = store
+        self._first_id = f'i-{port}'
+        self._id = self._first_id
+        self._crashes: list[dict[str, Any]] = []
+        self._restart_task: asyncio.Task[None] | None = None
+        self._arrivals: list[dict[str, Any]] = []
         self._runs: Counter[str] = Counter()
         self._requests: list[dict[str, Any]] = []
         self._interrupted_count = 0
@@ -201,6 +241,7 @@
         super().__init__(
             port,
             web.get('/_facts', self._show_facts),
+            web.post('/_crash', self._crash_on_demand),
             web.post('/api/order', self._handle_order),
             web.route('*', '/{path:.*}', self._handle_request),
         )
@@ -212,6 +253,8 @@
                 'seen': self._requests,
                 'cut_off': self._interrupted_count,
                 'reserved': self._reserved_tokens,
+                'arrivals': self._arrivals,
+                'crashes': self._crashes,
             }
         )
 
@@ -225,6 +268,14 @@
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
+        parts = shared_parts(headers.get('Prompt-Prefix', ''))
+        self._arrivals.append(
+            {
+                'request': headers.get('Request-Id', ''),
+                'parts': parts,
+                'at_s': monotonic(),
+            }
+        )
         if headers.get('Expect-Instance', self._id) != self._id:
             return web.Response(status=421, headers={'Instance-Id': self._id})
         fault = self.fault.for_next_call()
@@ -242,6 +293,11 @@
             request.transport.abort()
         if fault == 'second':
             request.transport.write(_OTHER_ANSWER)
+        deadly = set(parts).intersection(self.fault.parts)
+        if fault == 'deadly' and deadly:
+            return await self._crash_while_answering(request, min(deadly))
+        if fault.startswith('unframed'):
+            return await self._send_unframed(request, fault)
         if 'Token-Count' in headers:
             return await self._send_stream(request, fault)
         body = f'done by {self._id}'.encode()
@@ -276,6 +332,78 @@
             self._interrupted_count += 1
         return answer
 
+    async def _send_unframed(
+        self, request: web.Request, fault: str
+    ) -> web.StreamResponse:
+        """Send an answer that ends with its connection."""
+        transport = request.transport
+        is_stream = 'Token-Count' in request.headers
+        content_type = 'text/event-stream' if is_stream else 'text/plain'
+        fields = {
+            'Content-Type': content_type,
+            **self._answer_headers(request),
+        }
+        lines = [f'{name}: {text}' for name, text in fields.items()]
+        transport.write(
+            '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', '')).encode()
+        )
+        if is_stream:
+            first = int(request.headers.get('Last-Event-Id', '0')) + 1
+            for number in range(first, _EVENT_COUNT + 1):
+                await asyncio.sleep(_EVENT_INTERVAL_S)
+                if fault == 'unframed_cut' and number > 2:
+                    transport.write(event(number)[:-1])
+                    break
+                transport.write(event(number))
+        else:
+            transport.write(f'done by {self._id}'.encode())
+        await asyncio.sleep(_DELIVERY_S)
+        if fault == 'unframed_reset':
+            connection = transport.get_extra_info('socket')
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+            )
+        transport.close()
+        return web.Response()
+
+    async def _crash_while_answering(
+        self, request: web.Request, part: str
+    ) -> web.StreamResponse:
+        answer = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                **self._answer_headers(request),
+            }
+        )
+        await answer.prepare(request)
+        await asyncio.sleep(_DELIVERY_S)
+        await self._crash(part, self.fault.delay_s)
+        return answer
+
+    async def _crash_on_demand(self, request: web.Request) -> web.Response:
+        """Crash for ``for_s`` seconds; the call itself gets no answer."""
+        await self._crash('', (await read_body(request))['for_s'])
+        return web.Response(status=204)
+
+    async def _crash(self, part: str, for_s: float) -> None:
+        """Stop listening, reset all connections and restart later.
+
+        :param part: the prompt part that caused it, if any.
+        """
+        if self._restart_task is not None:
+            return
+        self._crashes.append({'part': part, 'at_s': monotonic()})
+        self._restart_task = asyncio.create_task(self._restart(for_s))
+        await self.listener.stop()
+
+    async def _restart(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        old_id, self._id = self._id, f'{self._first_id}-{len(self._crashes)}'
+        self._reserved_tokens.clear()
+        await self.listener.start()
+        self._restart_task = None
+        self._store.replace_server(old_id, self._id)
+
     def _answer_headers(self, request: web.Request) -> dict[str, str]:
         return {
             'Server-Stamp': f'stamp-{self._id}',
@@ -295,6 +423,12 @@
     return f'id: {number}\ndata: event {number}\n\n'.encode()
 
 
+def shared_parts(prefix: str) -> list[str]:
+    """Return the ids of all prompt parts but the last."""
+    entries = prefix.split(',')[:-1]
+    return [entry.partition(':')[0].strip() for entry in entries]
+
+
 def _longest_answer(token_count: str) -> int:
     """Return the number of events in which the output limit is reached."""
     return int(token_count.partition(',')[2]) // _EVENT_TOKENS
@@ -306,13 +440,16 @@
 
 def main() -> None:
     """Serve on the ports given as arguments."""
-    store, *endpoints = map(int, sys.argv[1:])
-    run(
-        lambda: [
-            UsersStore(store).listener,
-            *(UsersEndpoint(port).listener for port in endpoints),
-        ]
-    )
+    store_port, *endpoints = map(int, sys.argv[1:])
+    run(lambda: _listeners(store_port, endpoints))
+
+
+def _listeners(store_port: int, endpoints: list[int]) -> list[Listener]:
+    store = UsersStore(store_port)
+    return [
+        store.listener,
+        *(UsersEndpoint(port, store).listener for port in endpoints),
+    ]
 
 
 if __name__ == '__main__':
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -4,7 +4,7 @@
 import re
 import signal
 from collections.abc import Iterator
-from contextlib import closing, contextmanager
+from contextlib import closing, contextmanager, suppress
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -205,6 +205,11 @@
         """Set the fault that an endpoint or the store shows."""
         call(Address(_HOST, port), 'POST', '/_faults', fault)
 
+    def crash(self, port: int, for_s: float) -> None:
+        """Crash an endpoint, which restarts with a new id after ``for_s``."""
+        with suppress(OSError):
+            call(Address(_HOST, port), 'POST', '/_crash', {'for_s': for_s})
+
     def facts(self, port: int) -> Any:
         """Return the recorded facts of an endpoint or of the store."""
         return call(Address(_HOST, port), 'GET', '/_facts').json()
