Keep the quarantined prompt parts in the platform's store

Cause: an instance that starts knows no quarantine, and after a restart of all instances nobody does, so that a prompt part that crashes engines is sent again until there is new evidence.

Change: QuarantineStoreTask keeps the parts in the one row quarantine/parts.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -31,6 +31,10 @@
 from ..process.mirror.mirror_task import MIRROR, MirrorTask
 from ..process.mirror.table_watch import WatchSettings
 from ..process.peer_membership import PeerMembershipTask, first_update
+from ..process.quarantine_store_task import (
+    QUARANTINE_TABLE,
+    QuarantineStoreTask,
+)
 from ..process.registration_task import INSTANCES_TABLE, RegistrationTask
 from ..process.relay_tasks.relay_task import RelayTask
 from ..process.settings_task import SettingsTask
@@ -59,8 +63,8 @@
 #: occur meanwhile; without peers, one more call fits into the remaining time.
 _BATCH_WAIT_SHARE: Final = 0.1
 _MAX_BATCH_WAIT_SHARE: Final = 0.3
-#: Running instances learn of each other by pings; only instances that start
-#: later need the table.
+#: Running instances learn of each other, and of quarantined prompt parts, from
+#: their peers; only instances that start later need the tables.
 _REREAD_INTERVAL_S: Final = 60.0
 #: Time that idle connections to engines are kept; engines close idle ones too.
 _IDLE_CONNECTION_S: Final = 15.0
@@ -114,6 +118,7 @@
         ),
         TableRowReader(),
         RegistrationTask(own_member, timers),
+        QuarantineStoreTask(timers),
         PeerMembershipTask(own_member, settings.peers, timers),
         RelayTask(settings, boot_id, timers, PlatformEndpointFormat()),
         RelayListener(
@@ -209,4 +214,5 @@
             is_forwarded=True,
         ),
         WatchSettings(MIRROR, INSTANCES_TABLE, reread_s=_REREAD_INTERVAL_S),
+        WatchSettings(MIRROR, QUARANTINE_TABLE, reread_s=_REREAD_INTERVAL_S),
     )
