Decide which prompt parts crash engines

Nothing related the crashes of engines to what their requests have in common, so that each request with a deadly part reached two engines at any instance.

PartQuarantine collects evidence from all instances: attempts that broke off before their second event, which count twice as much if the answer had begun, and otherwise only if the crash is confirmed. A part with evidence from three endpoints and six points, and no success since, is quarantined after 0.3 s, or at once with five endpoints and ten points. The deepest such part of the same requests goes first, and its requests no longer count against the others. A success ends evidence, quarantine and probation. It is not wired yet.

--- /dev/null
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -0,0 +1,362 @@
+"""Quarantines prompt parts that crash endpoints.
+
+Instances exchange evidence and successes, and each decides on its own. A part
+with enough evidence is quarantined after a delay in which others can object.
+Of several parts of the same requests the deepest is quarantined first, since
+the parts before it are shared with more requests; its requests then no longer
+count against them. After its quarantine a part is on probation, where one more
+crash suffices, until a request with it succeeds.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from itertools import islice
+from math import inf
+from typing import Final, final
+
+import msgspec
+
+from .crash_confirmation import CrashConfirmation
+from .part_evidence import CrashReport, PartEvidence, Suspects
+
+__all__ = ('PartEvidence', 'PartQuarantine', 'QuarantinedPart')
+
+#: Time for other instances to object.
+_DECISION_DELAY_S: Final = 0.3
+_FIRST_QUARANTINE_S: Final = 60.0
+_MAX_QUARANTINE_S: Final = 3600.0
+_BACKOFF_FACTOR: Final = 2.0
+#: Doubles the first quarantine to more than the longest one.
+_MAX_DOUBLINGS: Final = 6
+#: A success is an objection to evidence that follows within this time.
+_OBJECTION_S: Final = 3.0
+#: Instances decide on the same evidence at slightly different times.
+_SAME_END_S: Final = 1.0
+#: Time within which evidence is confirmed.
+_CONFIRMATION_S: Final = 2.0
+_EXPIRY_INTERVAL_S: Final = 1.0
+_MAX_UNCONFIRMED: Final = 512
+_MAX_QUARANTINED: Final = 64
+_MAX_SUCCESSES: Final = 4096
+_MAX_REQUEST_PARTS: Final = 64
+_MAX_ID_LENGTH: Final = 128
+
+
+@final
+class QuarantinedPart(msgspec.Struct, frozen=True):
+    """A prompt part whose requests are refused.
+
+    :param until_s: monotonic time of its end.
+    :param relapses: number of earlier quarantines without a success since.
+    """
+
+    part: str
+    until_s: float
+    relapses: int = 0
+
+    @property
+    def began_s(self) -> float:
+        """Return when it was decided."""
+        return self.until_s - _quarantine_s(self.relapses)
+
+
+@final
+class _Successes:
+    """Time of the last success with each part."""
+
+    __slots__ = ('_times_s',)
+
+    def __init__(self) -> None:
+        """Start without successes."""
+        self._times_s: dict[str, float] = {}
+
+    def record(self, now_s: float, parts: Iterable[str]) -> None:
+        """Record a success with all parts."""
+        times_s = self._times_s
+        for part in parts:
+            if len(part) <= _MAX_ID_LENGTH:
+                times_s[part] = now_s
+        if len(times_s) > _MAX_SUCCESSES:
+            newest = sorted(
+                times_s.items(), key=lambda known: known[1], reverse=True
+            )
+            self._times_s = dict(islice(newest, _MAX_SUCCESSES // 2))
+
+    def has_since(self, since_s: float, part: str) -> bool:
+        """Return whether there was a success after ``since_s``."""
+        return self._times_s.get(part, -inf) > since_s
+
+
+@final
+class _QuarantineTable:
+    """Parts in quarantine and on probation."""
+
+    __slots__ = ('by_part',)
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self.by_part: dict[str, QuarantinedPart] = {}
+
+    def in_force(self, now_s: float, part: str) -> QuarantinedPart | None:
+        """Return a quarantine unless it ended."""
+        known = self.by_part.get(part)
+        return known if known and now_s < known.until_s else None
+
+    def put(self, new: QuarantinedPart) -> None:
+        """Add a quarantine, or replace that of the same part."""
+        self.by_part.pop(new.part, None)
+        if len(self.by_part) == _MAX_QUARANTINED:
+            first = min(self.by_part.values(), key=lambda known: known.until_s)
+            self.by_part.pop(first.part)
+        self.by_part[new.part] = new
+
+    def renew(self, now_s: float, part: str) -> QuarantinedPart:
+        """Start a quarantine, longer if the part is on probation."""
+        known = self.by_part.get(part)
+        relapses = known.relapses + 1 if known else 0
+        new = QuarantinedPart(part, now_s + _quarantine_s(relapses), relapses)
+        self.put(new)
+        return new
+
+    def merge(self, now_s: float, new: QuarantinedPart) -> bool:
+        """Use a quarantine of another instance if it ends later.
+
+        :returns: whether the part is in quarantine only since then.
+        """
+        known = self.by_part.get(new.part)
+        if known and new.until_s < known.until_s + _SAME_END_S:
+            return False
+        was_in_force = self.in_force(now_s, new.part) is not None
+        relapses = max(new.relapses, known.relapses) if known else new.relapses
+        until_s = min(new.until_s, now_s + _MAX_QUARANTINE_S)
+        self.put(QuarantinedPart(new.part, until_s, relapses))
+        is_in_force = self.in_force(now_s, new.part) is not None
+        return is_in_force and not was_in_force
+
+
+@final
+class PartQuarantine:
+    """Evidence and quarantines as one instance knows them."""
+
+    __slots__ = (
+        '_confirmation',
+        '_due_s',
+        '_next_expiry_s',
+        '_own_successes',
+        '_peer_successes',
+        '_suspects',
+        '_table',
+        '_unconfirmed',
+    )
+
+    def __init__(self) -> None:
+        """Start without evidence."""
+        self._confirmation = CrashConfirmation()
+        self._suspects = Suspects()
+        self._table = _QuarantineTable()
+        self._own_successes = _Successes()
+        self._peer_successes = _Successes()
+        self._unconfirmed: deque[CrashReport] = deque(maxlen=_MAX_UNCONFIRMED)
+        self._due_s: dict[str, float] = {}
+        self._next_expiry_s = -inf
+
+    @property
+    def next_decision_s(self) -> float:
+        """Return when to decide next, infinity if no decision is due."""
+        return min(self._due_s.values(), default=inf)
+
+    def record_evidence(self, now_s: float, evidence: PartEvidence) -> None:
+        """Record own evidence or that of another instance.
+
+        The same break is to be recorded by ``record_break`` as well. Evidence
+        of a request with a part in quarantine is ignored, since it explains it.
+        """
+        self._expire(now_s)
+        parts = _tracked(evidence.parts)
+        if not parts or self.blocking(now_s, parts) is not None:
+            return
+        report = CrashReport.create(
+            now_s, msgspec.structs.replace(evidence, parts=parts)
+        )
+        if self._confirmation.is_confirmed(now_s, report.endpoint):
+            report.confirm()
+        if not report.points:
+            self._unconfirmed.append(report)
+        self._suspects.add(report)
+        # Evidence against other parts may have been evicted.
+        self._schedule(now_s, (*parts, *self._due_s))
+
+    def record_break(self, now_s: float, endpoint: str) -> None:
+        """Record that any attempt at an endpoint broke off.
+
+        Each attempt is recorded once, whether it is evidence or not and
+        whichever instance made it.
+        """
+        self._confirmation.record_break(now_s, endpoint)
+        self._confirm(now_s, endpoint)
+
+    def record_unreachable(self, now_s: float, endpoint: str) -> None:
+        """Record that an endpoint was found unreachable."""
+        self._confirmation.record_unreachable(now_s, endpoint)
+        self._confirm(now_s, endpoint)
+
+    def record_success(
+        self, now_s: float, parts: tuple[str, ...]
+    ) -> tuple[str, ...]:
+        """Record a success of this instance with a request's parts.
+
+        :returns: the parts whose evidence, quarantine or probation it ended.
+        """
+        tracked = parts[:_MAX_REQUEST_PARTS]
+        self._own_successes.record(now_s, tracked)
+        if not self._suspects and not self._table.by_part:
+            return ()
+        self._expire(now_s)
+        return tuple(part for part in tracked if self._drop(part))
+
+    def clear(self, now_s: float, parts: Iterable[str]) -> None:
+        """Record that requests of another instance with ``parts`` succeeded."""
+        cleared = tuple(parts)
+        self._peer_successes.record(now_s, cleared)
+        for part in cleared:
+            self._drop(part)
+
+    def objections(self, now_s: float, parts: Iterable[str]) -> tuple[str, ...]:
+        """Return parts with evidence and a recent success of this instance.
+
+        :param parts: parts of evidence that just arrived.
+        """
+        since_s = now_s - _OBJECTION_S
+        return tuple(
+            part
+            for part in parts
+            if self._own_successes.has_since(since_s, part)
+            and self.has_evidence(part)
+        )
+
+    def has_evidence(self, part: str) -> bool:
+        """Return whether anything is held against a part.
+
+        This includes its quarantine and probation.
+        """
+        return part in self._suspects or part in self._table.by_part
+
+    def decide(self, now_s: float) -> tuple[QuarantinedPart, ...]:
+        """Quarantine parts whose delay is over.
+
+        :returns: the new quarantines.
+        """
+        self._expire(now_s)
+        due = [part for part, due_s in self._due_s.items() if due_s <= now_s]
+        # Quarantines of deeper parts can explain the evidence against others.
+        due.sort(key=self._suspects.depth, reverse=True)
+        decided = []
+        for part in due:
+            if part not in self._due_s:
+                continue
+            if self._suspects.has_deeper_deadly(part, self._table.by_part):
+                self._due_s[part] = now_s + _DECISION_DELAY_S
+                continue
+            decided.append(self._table.renew(now_s, part))
+            self._drop_explained(now_s, part)
+        return tuple(decided)
+
+    def adopt(
+        self, now_s: float, parts: Iterable[QuarantinedPart]
+    ) -> tuple[QuarantinedPart, ...]:
+        """Use quarantines of another instance or of the store.
+
+        One that ended puts the part on probation. One that was decided before
+        the last known success with its part is ignored.
+
+        :returns: those that were not in force before.
+        """
+        adopted = []
+        for new in parts:
+            if len(new.part) > _MAX_ID_LENGTH:
+                continue
+            if _is_outdated(new, self._own_successes, self._peer_successes):
+                continue
+            if self._table.merge(now_s, new):
+                adopted.append(self._table.by_part[new.part])
+                self._drop_explained(now_s, new.part)
+            self._schedule(now_s, (new.part,))
+        return tuple(adopted)
+
+    def quarantined(self, now_s: float) -> tuple[QuarantinedPart, ...]:
+        """Return the quarantines in force."""
+        return tuple(
+            known
+            for known in self._table.by_part.values()
+            if now_s < known.until_s
+        )
+
+    def blocking(
+        self, now_s: float, parts: tuple[str, ...]
+    ) -> QuarantinedPart | None:
+        """Return the quarantine of the first such part of a request."""
+        if not self._table.by_part:
+            return None
+        for part in parts[:_MAX_REQUEST_PARTS]:
+            known = self._table.in_force(now_s, part)
+            if known is not None:
+                return known
+        return None
+
+    def _confirm(self, now_s: float, endpoint: str) -> None:
+        """Count the reports that a new report on their endpoint confirms."""
+        reports = self._unconfirmed
+        while reports and now_s - reports[0].time_s > _CONFIRMATION_S:
+            reports.popleft()
+        for report in reports:
+            if report.endpoint != endpoint or report.points:
+                continue
+            if self._confirmation.is_confirmed(report.time_s, endpoint):
+                report.confirm()
+                self._schedule(now_s, report.parts)
+
+    def _schedule(self, now_s: float, parts: Iterable[str]) -> None:
+        """Set or cancel the decisions on ``parts`` after a change."""
+        for part in parts:
+            if self._suspects.is_deadly(part, self._table.by_part):
+                is_certain = self._suspects.is_certain(part)
+                due_s = now_s if is_certain else now_s + _DECISION_DELAY_S
+                self._due_s[part] = min(due_s, self._due_s.get(part, inf))
+            else:
+                self._due_s.pop(part, None)
+
+    def _drop(self, part: str) -> bool:
+        """Drop what is known against a part, and return whether there was."""
+        self._due_s.pop(part, None)
+        was_quarantined = self._table.by_part.pop(part, None) is not None
+        return self._suspects.drop(part) or was_quarantined
+
+    def _drop_explained(self, now_s: float, part: str) -> None:
+        """Drop the evidence that the quarantine of a part explains."""
+        self._schedule(now_s, self._suspects.drop_requests_with(part))
+
+    def _expire(self, now_s: float) -> None:
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = now_s + _EXPIRY_INTERVAL_S
+        self._suspects.expire(now_s)
+        self._schedule(now_s, tuple(self._due_s))
+
+
+def _is_outdated(new: QuarantinedPart, *successes: _Successes) -> bool:
+    """Return whether a success refutes a quarantine."""
+    since_s = new.began_s - _OBJECTION_S
+    return any(known.has_since(since_s, new.part) for known in successes)
+
+
+def _tracked(parts: Iterable[str]) -> tuple[str, ...]:
+    """Return the distinct parts of a request that are tracked."""
+    usable = (part for part in parts if len(part) <= _MAX_ID_LENGTH)
+    return tuple(islice(dict.fromkeys(usable), _MAX_REQUEST_PARTS))
+
+
+def _quarantine_s(relapses: int) -> float:
+    doublings = min(relapses, _MAX_DOUBLINGS)
+    return min(
+        _FIRST_QUARANTINE_S * _BACKOFF_FACTOR**doublings, _MAX_QUARANTINE_S
+    )
--- /dev/null
+++ b/features/part_quarantine.feature
@@ -0,0 +1,289 @@
+Feature: Quarantine of prompt parts that crash endpoints
+  Guards against requests of one kind that crash endpoint after endpoint, and against refusing sound requests that share
+  a caller or other parts of their prompt with them.
+
+  Scenario: A part whose requests crash three endpoints is quarantined
+    Guards against endless crashes by one part, and against a quarantine of the first part that it shares with others.
+    Given an instance without evidence
+    When a request with "first deadly" crashes "e-1"
+    And a request with "first" succeeds
+    And requests with "first deadly" crash "e-2 e-3"
+    Then nothing is quarantined 0.29 seconds later
+    And "deadly" is quarantined 0.02 seconds later
+    And requests with "first deadly" are refused because of "deadly"
+    And requests with "first other" are not refused
+
+  Scenario: Two crashes are not enough
+    Guards against a quarantine because of a request that met two crashes by chance.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2"
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: Several reports of one crash count once
+    Guards against a quarantine because many requests with the same part ran at one endpoint that crashed.
+    Given an instance without evidence
+    When a request with "first sound" crashes "e-1"
+    And a request with "other sound" crashes "e-1"
+    And a request with "other sound" crashes "e-1"
+    And requests with "first sound" crash "e-2 e-2"
+    Then nothing is quarantined 1 second later
+
+  Scenario: Evidence of the same endpoint counts again after its restart
+    Guards against a part that is never quarantined because endpoints keep their id.
+    Given an instance without evidence
+    When a request with "first deadly" crashes "e-1"
+    And 1.9 seconds go by
+    And a request with "first deadly" crashes "e-1"
+    And requests with "first deadly" break off before their answers at "e-2 e-3"
+    Then nothing is quarantined 1 second later
+    When a request with "first deadly" crashes "e-1"
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: Crashes of a single endpoint never suffice
+    Guards against a quarantine because of an endpoint that crashes whenever it starts.
+    Given an instance without evidence
+    When a request with "first sound" crashes "e-1" 6 times, 3 seconds apart
+    Then nothing is quarantined 1 second later
+
+  Scenario: Of two parts with the same evidence the deeper one is quarantined
+    Guards against refusing all requests with a first part because of a rare deeper one.
+    Given an instance without evidence
+    When requests with "first second deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    And requests with "first second" are not refused
+    And nothing is held against "first second"
+
+  Scenario: A first part that has one more crash by chance is not quarantined
+    Guards against a quarantine of the first part because it has more evidence than the deadly part after it.
+    Given an instance without evidence
+    When a request with "first other" crashes "e-0"
+    And requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    And nothing is quarantined 5 seconds later
+
+  Scenario: A deadly first part is quarantined
+    Guards against endless crashes by a first part, whatever follows it.
+    Given an instance without evidence
+    When a request with "deadly a" crashes "e-1"
+    And a request with "deadly b" crashes "e-2"
+    And a request with "deadly c" crashes "e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    And requests with "deadly d" are refused because of "deadly"
+    And requests with "a" are not refused
+
+  Scenario: A deadly first part is quarantined although one part often follows it
+    Guards against a first part whose crashes are put down to a part that follows it most of the time.
+    Given an instance without evidence
+    When requests with "deadly a" crash "e-1 e-2"
+    And a request with "deadly b" crashes "e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: Evidence from five endpoints needs no delay
+    Guards against several more crashes within the delay when requests with a deadly part come at once.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3 e-4 e-5"
+    Then "deadly" is quarantined 0 seconds later
+
+  Scenario: Connections that broke off alone are no evidence before the answer
+    Guards against a quarantine because of connections that were cut while their endpoints went on.
+    Given an instance without evidence
+    When requests with "first sound" lose their connections to "e-1 e-2 e-3 e-4 e-5 e-6"
+    Then nothing is quarantined 5 seconds later
+    When a request with "first sound" succeeds
+    Then others are told of nothing
+
+  Scenario: Confirmed crashes before the answer count as half of a crash after its head
+    Guards against a quarantine because of requests that waited beside a deadly one.
+    Given an instance without evidence
+    When requests with "first deadly" break off before their answers at "e-1 e-2 e-3 e-4 e-5"
+    Then nothing is quarantined 1 second later
+    When a request with "first deadly" breaks off before its answer at "e-6"
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: Endpoints that are unreachable soon after confirm a crash
+    Guards against evidence that doesn't count because nothing else ran at the endpoint.
+    Given an instance without evidence
+    When requests with "first deadly" lose their connections to "e-1 e-2 e-3 e-4 e-5 e-6"
+    And 1.9 seconds go by
+    And "e-1 e-2 e-3 e-4 e-5 e-6" are found unreachable
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: Breaks and refused connections long after confirm no crash
+    Guards against a quarantine because of separate faults at the same endpoints.
+    Given an instance without evidence
+    When requests with "first sound" lose their connections to "e-1 e-2 e-3 e-4 e-5 e-6"
+    And 0.3 seconds go by
+    And other attempts at "e-1 e-2 e-3 e-4 e-5 e-6" break off
+    And 1.8 seconds go by
+    And "e-1 e-2 e-3 e-4 e-5 e-6" are found unreachable
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: A success drops all evidence
+    Guards against a quarantine of a part that was in crashes by chance.
+    Given an instance without evidence
+    When requests with "first sound" crash "e-1 e-2"
+    And a request with "sound" succeeds
+    Then others are told that "sound" is sound
+    When a request with "first sound" crashes "e-3"
+    Then "first" is quarantined 0.31 seconds later
+
+  Scenario: A success is not reported while nothing is suspected
+    Guards against a message to all instances for each request.
+    Given an instance without evidence
+    When a request with "first sound" succeeds
+    Then others are told of nothing
+
+  Scenario: An objection within the delay prevents the quarantine
+    Guards against a quarantine of a part that requests of another instance had succeeded with.
+    Given an instance without evidence
+    And another instance that had a success with "first" 0.9 seconds ago
+    When requests with "first" crash "e-1 e-2 e-3"
+    And 0.2 seconds go by
+    And the other instance objects to "first"
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: Old successes are no objection
+    Guards against a part that became deadly and is never quarantined.
+    Given an instance without evidence
+    And another instance that had a success with "first" 3.1 seconds ago
+    When requests with "first" crash "e-1 e-2 e-3"
+    Then the other instance has no objection to "first"
+    And "first" is quarantined 0.31 seconds later
+
+  Scenario: A success ends a quarantine
+    Guards against refusing sound requests for a minute because of a wrong quarantine.
+    Given an instance without evidence
+    When requests with "first sound" crash "e-1 e-2 e-3"
+    Then "sound" is quarantined 0.31 seconds later
+    When a request with "first sound" succeeds
+    Then others are told that "sound" is sound
+    And requests with "first sound" are not refused
+    And the ended quarantine is not adopted again
+
+  Scenario: The word of another instance ends a quarantine
+    Guards against instances that differ on which requests they refuse.
+    Given an instance without evidence
+    When requests with "first sound" crash "e-1 e-2 e-3"
+    Then "sound" is quarantined 0.31 seconds later
+    When another instance reports that "sound" is sound
+    Then requests with "first sound" are not refused
+    And the ended quarantine is not adopted again
+
+  Scenario: Several deadly parts are found at a time
+    Guards against a second deadly part that is never found because of the first one.
+    Given an instance without evidence
+    When requests with "first deadly-1" crash "e-1 e-2 e-3"
+    And requests with "first deadly-2" crash "e-4 e-5 e-6"
+    And requests with "other deadly-3" crash "e-7 e-8 e-9"
+    Then "deadly-1 deadly-2 deadly-3" are quarantined 0.31 seconds later
+    And requests with "first" are not refused
+    And nothing is held against "first other"
+
+  Scenario: Evidence with a quarantined part does not count against other parts
+    Guards against a quarantine of the parts of requests that were running when the deadly part was quarantined.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    When requests with "first deadly" crash "e-4 e-5 e-6 e-7"
+    Then nothing is quarantined 5 seconds later
+    And nothing is held against "first"
+
+  Scenario: A quarantine ends, and one more crash renews it for twice the time
+    Guards against three crashes each minute by a part that stays deadly, and against refusing for ever what is sound.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    And requests with "first deadly" are refused 59 seconds later
+    And requests with "first deadly" are not refused 2 seconds later
+    When a request with "first deadly" crashes "e-4"
+    Then "deadly" is quarantined 0.31 seconds later
+    And requests with "first deadly" are refused 119 seconds later
+    And requests with "first deadly" are not refused 2 seconds later
+
+  Scenario: A success ends the probation
+    Guards against a quarantine after a single crash of a part that has long been sound.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    When 61 seconds go by
+    And a request with "first deadly" succeeds
+    Then others are told that "deadly" is sound
+    When requests with "first deadly" crash "e-4 e-5"
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: A quarantine never lasts longer than an hour
+    Guards against refusing for days what was repaired.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    And its quarantines after one more crash each last "120 240 480 960 1920 3600 3600" seconds
+
+  Scenario: Quarantines of other instances are adopted
+    Guards against crashes at each instance until it has seen enough of them itself.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2"
+    And a quarantine of "deadly" that ends in 60 seconds arrives
+    Then it is new
+    And requests with "first deadly" are refused because of "deadly"
+    And nothing is held against "first"
+    When the same quarantine arrives again
+    Then it is not new
+    When a quarantine of "deadly" that ends in 30 seconds arrives
+    Then it is not new
+    When a quarantine of "deadly" that ends in 100 seconds arrives
+    Then it is not new
+    And requests with "first deadly" are refused 99 seconds later
+    And requests with "first deadly" are not refused 2 seconds later
+
+  Scenario: Instances that repeat each other's quarantines do not extend them
+    Guards against a quarantine that never ends because each message adds its delay to it.
+    Given an instance without evidence
+    When a quarantine of "deadly" arrives 1000 times, each 0.001 seconds later than what is known
+    Then its end has not changed
+
+  Scenario: A quarantine that ended in the store puts its part on probation
+    Guards against three more crashes after a restart of all instances.
+    Given an instance without evidence
+    When a quarantine of "deadly" that ended 10 seconds ago arrives
+    Then it is not new
+    And requests with "first deadly" are not refused
+    When a request with "first deadly" crashes "e-1"
+    Then "deadly" is quarantined 0.31 seconds later
+    And requests with "first deadly" are refused 119 seconds later
+
+  Scenario: Evidence expires
+    Guards against a quarantine because of crashes within hours.
+    Given an instance without evidence
+    When requests with "first sound" crash "e-1 e-2"
+    And 301 seconds go by
+    And a request with "first sound" crashes "e-3"
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: Parts with very long ids are not tracked
+    Guards against memory that callers fill with long ids.
+    Given an instance without evidence
+    When requests with a part of 129 characters crash "e-1 e-2 e-3"
+    Then nothing is quarantined 5 seconds later
+
+  Scenario: Random evidence leaves the tables bounded
+    Guards against memory that grows with each crash, and against a deadly part that is evicted by other evidence.
+    Then after 100000 random reports the tables are bounded and a deadly part is still found
+
+  Scenario: Checks are cheap while nothing is suspected
+    Guards against processor time for each request.
+    Then 20000 requests with 4 parts take less than 10 microseconds each to check and to record
+
+  Scenario: No order of reports breaks the rules of the quarantine
+    Guards against decisions that are due and never made, and against quarantines that outlast a success.
+    Then in random histories the rules of the quarantine hold
+
+  Scenario Outline: Simulated fleets find all deadly parts and no others
+    Guards against more than seven crashes by one part, and against refusing sound requests, while endpoints also crash
+    for other reasons.
+    Then <count> fleets with <deadly> deadly parts, from seed <seed> on, quarantine these before their 8th crash and no sound part
+
+    Examples:
+      | count | deadly | seed |
+      | 10    | 0      | 0    |
+      | 20    | 1      | 100  |
+      | 20    | 3      | 200  |
