End the drain of a planned stop at the announced time

The drain counted from the moment at which its late start was noticed, and its own end was noticed up to 0.1 s late as well, so a stop with waiting requests used up the time that is reserved for the exit. With a grace time of 8 s and silent engines three instances exited 8.10, 7.83 and 7.79 s after SIGTERM. The phase now counts from the time at which it was due, which is the announced cut-off time less the longest deadline, and the next check is scheduled for the moment at which the phase changes. Limits may still be raised.

entries.feature, 'ends its drain at the time it has announced', failed before (cut-off at 227.09 instead of 227).

--- a/bergamotturn/process/shutdown.py
+++ b/bergamotturn/process/shutdown.py
@@ -11,6 +11,8 @@
 
 __all__ = ('Shutdown',)
 
+#: Interval at which a change of the state is noticed.
+_CHECK_INTERVAL_S: Final = 0.1
 #: Time until the other instances know that this one is leaving; the time that
 #: callers keep a list of instances is added to it.
 _PROPAGATION_S: Final = 2
@@ -87,10 +89,14 @@
         It is defined from the start of the shutdown on.
         """
         if self.phase == ShutdownPhase.leaving:
-            leaving_s = self._entry_answer_s + self._propagation_s
-            return self._phase_started_s + leaving_s + self._longest_deadline_s
+            return self._leaving_ends_s + self._longest_deadline_s
         return self._phase_started_s + self._longest_deadline_s
 
+    @property
+    def _leaving_ends_s(self) -> float:
+        leaving_s = self._entry_answer_s + self._propagation_s
+        return self._phase_started_s + leaving_s
+
     @property
     def is_busy(self) -> bool:
         """Whether a call may still get an answer."""
@@ -125,21 +131,31 @@
 
         :returns: whether the phase changed.
         """
-        in_phase_s = now_s - self._phase_started_s
         if self.phase == ShutdownPhase.leaving:
-            if in_phase_s < self._entry_answer_s + self._propagation_s:
+            if now_s < self._leaving_ends_s:
                 return False
-            self._enter(ShutdownPhase.draining, now_s)
+            # A late check must not move the cut-off time.
+            self._enter(ShutdownPhase.draining, self._leaving_ends_s)
             return True
-        if self.phase != ShutdownPhase.draining or in_phase_s < _MIN_DRAIN_S:
+        if self.phase != ShutdownPhase.draining:
+            return False
+        if now_s < self._phase_started_s + _MIN_DRAIN_S:
             return False
-        if self._must_wait(in_phase_s, now_s):
+        if self._must_wait(now_s):
             return False
         self._enter(ShutdownPhase.ended, now_s)
         return True
 
-    def _must_wait(self, in_phase_s: float, now_s: float) -> bool:
-        if self.is_busy and in_phase_s < self._longest_deadline_s:
+    def next_check_s(self, now_s: float) -> float:
+        """Return the monotonic time at which to call ``advance`` again."""
+        next_check_s = now_s + _CHECK_INTERVAL_S
+        due_s = self.cut_off_s
+        if self.phase == ShutdownPhase.leaving:
+            due_s = self._leaving_ends_s
+        return due_s if now_s < due_s < next_check_s else next_check_s
+
+    def _must_wait(self, now_s: float) -> bool:
+        if self.is_busy and now_s < self.cut_off_s:
             self._last_busy_s = now_s
             return True
         waited_s = now_s - max(self._last_busy_s, self._phase_started_s)
@@ -147,6 +163,6 @@
             bool(self.unwritten_records) and waited_s < self._max_record_wait_s
         )
 
-    def _enter(self, phase: str, now_s: float) -> None:
+    def _enter(self, phase: str, started_s: float) -> None:
         self.phase = phase
-        self._phase_started_s = now_s
+        self._phase_started_s = started_s
--- a/bergamotturn/process/shutdown_task.py
+++ b/bergamotturn/process/shutdown_task.py
@@ -19,7 +19,6 @@
 
 __all__ = ('ShutdownTask',)
 
-_CHECK_INTERVAL_S: Final = 0.1
 #: Time in which the calls that the stop interrupts get their final answers.
 _FINAL_ANSWERS_S: Final = 0.1
 #: Longest time after its deadline at which a listener answers an overdue call.
@@ -88,7 +87,8 @@
 
     @handler('shutdown_tick')
     def _on_tick(self) -> None:
-        if self._shutdown.advance(monotonic()):
+        now_s = monotonic()
+        if self._shutdown.advance(now_s):
             self._publish_phase()
         if self._shutdown.phase == ShutdownPhase.ended:
             self._count_given_up_records()
@@ -99,7 +99,9 @@
             )
             return
         self._timers.call_after(
-            _CHECK_INTERVAL_S, shutdown_tick(), self.channel
+            self._shutdown.next_check_s(now_s) - now_s,
+            shutdown_tick(),
+            self.channel,
         )
 
     @handler('shutdown_ended')
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -17,6 +17,11 @@
     Guards against a stop that cuts off callers that still use the address, and against one that never ends.
     Then it is leaving for entry_answer_s + 2 seconds, then draining, then ended
 
+  Scenario: A planned stop ends its drain at the time it has announced
+    Guards against a process that is killed before it has answered, because each late check made its stop longer.
+    Then a drain that began 0.09 seconds late still ends at the cut-off time
+    And a check is due at the moment of each change of the phase
+
   Scenario: SIGTERM stops the process with exit code 0
     Guards against a process that the signal kills at once, or that never ends.
     Given a process that runs the shutdown task with short limits
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -124,6 +124,38 @@
     assert stops[1].advance(227) and stops[1].phase == 'ended'
 
 
+@then('a drain that began 0.09 seconds late still ends at the cut-off time')
+def late_drain(context):
+    stop = _busy_stop()
+    cut_off_s = stop.cut_off_s
+    assert cut_off_s == 227, cut_off_s
+    assert stop.advance(107.09) and stop.phase == 'draining'
+    assert stop.cut_off_s == cut_off_s, stop.cut_off_s
+    assert not stop.advance(226.99)
+    assert stop.advance(227) and stop.phase == 'ended'
+
+
+@then('a check is due at the moment of each change of the phase')
+def checks_in_time(context):
+    stop = _busy_stop()
+    now_s = 100
+    changes = []
+    while stop.phase != 'ended':
+        next_s = stop.next_check_s(now_s)
+        assert now_s < next_s <= now_s + 0.11, (now_s, next_s)
+        now_s = next_s
+        if stop.advance(now_s):
+            changes.append(now_s)
+    assert changes == [107, 227], changes
+
+
+def _busy_stop():
+    stop = Shutdown(5, 120)
+    stop.update_in_flight(1)
+    stop.request_stop(100)
+    return stop
+
+
 @given('a process that runs the shutdown task with short limits')
 def start_process(context):
     context.process = subprocess.Popen(
