Answer or reset the requests that arrive while an instance ends

Callers whose requests arrived in the last milliseconds of a stop saw their connections end cleanly without an answer. The process stopped its event loop in the turn in which the last phase began, and the library closes all sockets two turns later, while a request takes about four turns to its refusal; until then the listener still accepted connections and read requests.

In the last phase a listener now closes its listening socket and the connections on which no byte of a request has come, with a reset, since a shutdown would send a clean end first. The process waits until the other connections have their answers, 0.1 s at most, and resets what is still open then. A request's object asks the server for its port, so the server keeps its address after it has stopped accepting.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -33,6 +33,8 @@
 
 #: Interval at which a draining listener looks for answers not yet sent.
 _UNSENT_CHECK_INTERVAL_S: Final = 0.1
+#: The same while the process only waits for these.
+_FINAL_CHECK_INTERVAL_S: Final = 0.01
 
 #: Header fields of an answer that the listener sets for its own connection.
 _CONNECTION_HEADERS: Final = frozenset(
@@ -98,6 +100,7 @@
         self._call_numbers = count(1)
         self._open_calls: dict[str, _OpenCall] = {}
         self._is_draining = False
+        self._has_ended = False
 
     @handler('shutdown_phase_changed')
     def _on_shutdown_phase(self, phase: str) -> None:
@@ -111,6 +114,10 @@
             _log_interrupted(
                 self._open_calls.values(), self._server.pending_output()
             )
+            self._has_ended = True
+            self._server.stop_accepting()
+            self._guard.close_idle()
+            self._report_unsent()
         elif phase == ShutdownPhase.draining:
             self._report_unsent()
 
@@ -118,7 +125,11 @@
     def _report_unsent(self) -> None:
         self._report_in_flight()
         self._timers.call_after(
-            _UNSENT_CHECK_INTERVAL_S, _unsent_check(), self.channel
+            _FINAL_CHECK_INTERVAL_S
+            if self._has_ended
+            else _UNSENT_CHECK_INTERVAL_S,
+            _unsent_check(),
+            self.channel,
         )
 
     @handler('reply_full')
@@ -239,7 +250,10 @@
     def _report_in_flight(self) -> None:
         in_flight = len(self._open_calls)
         IN_FLIGHT.set(in_flight)
-        if self._is_draining:
+        if self._has_ended:
+            # Includes requests that were received but are not calls yet.
+            in_flight = max(in_flight, self._server.unfinished)
+        elif self._is_draining:
             # The end of an answer is lost if the process ends before its
             # socket has accepted it.
             in_flight += len(self._server.pending_output())
--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -82,8 +82,18 @@
     is_handshaking: bool = False
     is_lingering: bool = False
 
+    def count_acknowledged(self, sock: socket) -> int:
+        """Return how much output the caller on ``sock`` has acknowledged.
+
+        The kernel buffers megabytes for a slow caller and reports the socket
+        as writable only when a third of the buffer is free. Bytes that the
+        socket accepts would therefore show no progress for a long time.
+        """
+        queued = ioctl(sock.fileno(), TIOCOUTQ, bytes(_INT_FORMAT.size))
+        unsent_bytes = self.pending_bytes + _INT_FORMAT.unpack(queued)[0]
+        return self.written_bytes - unsent_bytes
+
 
-@final
 class GuardedServer(TCPServer):
     """TCP server that limits pending output and closes stalled connections.
 
@@ -192,7 +202,7 @@
             return
         connection.is_watched = True
         connection.last_progress_s = monotonic()
-        connection.acknowledged_bytes = _acknowledged_bytes(sock, connection)
+        connection.acknowledged_bytes = connection.count_acknowledged(sock)
         self._schedule_stall_check(sock)
 
     def _schedule_stall_check(self, sock: socket) -> None:
@@ -209,7 +219,7 @@
             connection.is_watched = False
             return
         now_s = monotonic()
-        acknowledged_bytes = _acknowledged_bytes(sock, connection)
+        acknowledged_bytes = connection.count_acknowledged(sock)
         if acknowledged_bytes != connection.acknowledged_bytes:
             connection.acknowledged_bytes = acknowledged_bytes
             connection.last_progress_s = now_s
@@ -324,18 +334,6 @@
         super()._close(sock)
 
 
-def _acknowledged_bytes(sock: socket, connection: _Connection) -> int:
-    """Return how much output the caller has acknowledged.
-
-    The kernel buffers megabytes for a slow caller and reports the socket as
-    writable only when a third of the buffer is free. Bytes that the socket
-    accepts would therefore show no progress for a long time.
-    """
-    queued = ioctl(sock.fileno(), TIOCOUTQ, bytes(_INT_FORMAT.size))
-    unsent_bytes = connection.pending_bytes + _INT_FORMAT.unpack(queued)[0]
-    return connection.written_bytes - unsent_bytes
-
-
 def _tls_context(tls: TlsSettings) -> ssl.SSLContext:
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
     context.load_cert_chain(tls.certificate, tls.private_key)
--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -23,7 +23,7 @@
 from ..process.timers import Timers
 from ..request.error_body import encode_failure
 from ..version.settings import Limits
-from .guarded_server import GuardedServer
+from .closing_server import ClosingServer
 
 __all__ = (
     'CompleteRequest',
@@ -230,6 +230,11 @@
     is_answering: bool = False
     was_pipelined: bool = False
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no byte of the request has been received."""
+        return self.assembler.is_empty and not self.is_answering
+
 
 @final
 class InputGuard(Component):
@@ -242,7 +247,7 @@
     def __init__(
         self,
         channel: str,
-        server: GuardedServer,
+        server: ClosingServer,
         limits: Limits,
         timers: Timers,
     ) -> None:
@@ -254,6 +259,18 @@
         self._request_states: dict[socket, _RequestState] = {}
         self._numbers = count(1)
         self._held_bytes = 0
+        self._is_closing = False
+
+    def close_idle(self) -> None:
+        """Close the connections on which no byte of a request has come.
+
+        No further request is expected on the others.
+        """
+        self._is_closing = True
+        for sock in self._server.open_sockets():
+            state = self._request_states.get(sock)
+            if state is None or state.is_idle:
+                self._server.reset(sock)
 
     def use_limits(self, limits: Limits) -> None:
         """Enforce ``limits`` from the next request of each connection on."""
@@ -326,6 +343,9 @@
                 ),
             )
             return
+        if self._is_closing:
+            self._server.close(sock)
+            return
         self._expect_request(sock)
 
     @handler('_receive_timed_out')
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -17,7 +17,7 @@
 from ..request.error_body import encode_failure
 from ..version.settings import Limits, TlsSettings
 from .exchange import Address, Header
-from .guarded_server import GuardedServer
+from .closing_server import ClosingServer
 from .input_guard import (
     CompleteRequest,
     InputGuard,
@@ -71,7 +71,7 @@
         super().__init__()
         self._timers = timers
         self._calls: dict[socket, WebCall] = {}
-        self._server = GuardedServer(
+        self._server = ClosingServer(
             address,
             self.channel,
             timers,
@@ -295,7 +295,7 @@
             self._on_caller_gone(call)
 
 
-def _plain_http(server: GuardedServer, channel: str) -> HTTP:
+def _plain_http(server: ClosingServer, channel: str) -> HTTP:
     """Return the HTTP protocol of circuits without parser and error pages."""
     http = HTTP(server, channel=channel)
     for removed in ('read', 'ready', 'exception', 'httperror'):
--- a/bergamotturn/process/shutdown_task.py
+++ b/bergamotturn/process/shutdown_task.py
@@ -19,8 +19,10 @@
 
 __all__ = ('ShutdownTask',)
 
-#: Time in which the calls that the stop interrupts get their final answers.
+#: Maximum time in which the calls that the stop interrupts get their final
+#: answers.
 _FINAL_ANSWERS_S: Final = 0.1
+_FINAL_CHECK_INTERVAL_S: Final = 0.01
 #: Longest time after its deadline at which a listener answers an overdue call.
 _OVERDUE_ANSWER_S: Final = 1.0
 
@@ -29,8 +31,8 @@
     """Check whether the next phase is due."""
 
 
-class shutdown_ended(Event):
-    """Stop the process after all components handled the last phase."""
+class final_answers_tick(Event):
+    """Stop the process if no final answer is missing, or at ``limit_s``."""
 
 
 @final
@@ -92,11 +94,7 @@
             self._publish_phase()
         if self._shutdown.phase == ShutdownPhase.ended:
             self._count_given_up_records()
-            self._timers.call_after(
-                _FINAL_ANSWERS_S if self._shutdown.is_busy else 0,
-                shutdown_ended(),
-                self.channel,
-            )
+            self._await_final_answers(now_s + _FINAL_ANSWERS_S)
             return
         self._timers.call_after(
             self._shutdown.next_check_s(now_s) - now_s,
@@ -104,9 +102,18 @@
             self.channel,
         )
 
-    @handler('shutdown_ended')
-    def _on_ended(self) -> None:
-        self.root.stop()
+    @handler('final_answers_tick')
+    def _on_final_answers_tick(self, limit_s: float) -> None:
+        if self._shutdown.is_busy and monotonic() < limit_s:
+            self._await_final_answers(limit_s)
+        else:
+            self.root.stop()
+
+    def _await_final_answers(self, limit_s: float) -> None:
+        # The listeners handle the last phase before the first of these ticks.
+        self._timers.call_after(
+            _FINAL_CHECK_INTERVAL_S, final_answers_tick(limit_s), self.channel
+        )
 
     def _count_given_up_records(self) -> None:
         given_up = self._shutdown.unwritten_records
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -23,3 +23,15 @@
     When an instance gets SIGTERM while a caller has read only the head of a large answer
     Then the caller still gets the whole answer
     And the instance exits with 0 within its grace time
+
+  Scenario: No request is left without an answer when an instance ends
+    Guards against requests that an instance reads in its last moments and drops when it closes their connections.
+    Given a relay fleet
+    When each of 5 planned stops gets requests on new and on kept connections until its process has ended
+    Then each request got an answer, a reset or no connection
+
+  Scenario: A request that is received in part when an instance ends gets an answer
+    Guards against a request whose last bytes come after the instance has stopped accepting connections and that is dropped.
+    Given a relay fleet
+    When the last part of a request is sent as soon as a stopping instance refuses connections
+    Then the instance refuses the request as one that it did not run
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -2,14 +2,23 @@
 
 import signal
 import threading
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import closing
 from http.client import HTTPConnection
 from time import monotonic, sleep
 
 from behave import given, then, when
 
+from bergamotturn.connection.exchange import Address
 from features.standins.users_platform import LARGE_BYTES, event
 from features.support.relay_fleet import HOST_NAME, RelayFleet
+from features.support.request_senders import (
+    RequestEnd,
+    send_on_kept,
+    send_on_new,
+    send_split,
+)
 
 _GRACE_S = 8.0
 #: As long an answer as the engine's limit of output tokens allows.
@@ -30,6 +39,15 @@
     'Request-Deadline': '10000',
     'X-Api-Key': 'key-w',
 }
+#: Senders on new connections, and as many on kept ones.
+_SENDERS = 4
+#: Connections of each sender on kept ones.
+_KEPT = 50
+#: Time until the kept connections have had an answer.
+_SETUP_S = 2.0
+#: Times after SIGTERM between which requests are sent. An instance without
+#: waiting requests ends in this time.
+_SENDING_S = 3.2, 4.2
 #: Time without a first event after which an engine counts as silent.
 _UNBOUNDED_MS = 20_000
 
@@ -200,3 +218,64 @@
 def whole_answer(context):
     with closing(context.connection):
         assert len(context.answer.read()) == LARGE_BYTES
+
+
+@when(
+    'each of {stops:d} planned stops gets requests on new and on kept '
+    'connections until its process has ended'
+)
+def stops_under_load(context, stops):
+    fleet = context.fleet
+    context.ends = Counter()
+    names = sorted(fleet.instances)
+    for number in range(stops):
+        name = names[number % len(names)]
+        if not fleet.is_running(name):
+            fleet.start_instance(name)
+            fleet.wait_ready(name)
+        context.ends += _stop_under_load(fleet, name, number)
+
+
+def _stop_under_load(fleet, name, number):
+    address = Address.parse(fleet.caller_address(name))
+    stop_s = monotonic() + _SETUP_S
+    from_s, until_s = (stop_s + after_s for after_s in _SENDING_S)
+    ends = Counter()
+    with ProcessPoolExecutor(2 * _SENDERS) as senders:
+        counts = []
+        for sender in range(_SENDERS):
+            kept = address, f'kept-{number}-{sender}', from_s, until_s, _KEPT
+            counts.append(senders.submit(send_on_kept, *kept))
+            new = address, f'new-{number}-{sender}', from_s, until_s
+            counts.append(senders.submit(send_on_new, *new))
+        sleep(max(0, stop_s - monotonic()))
+        fleet.signal(name, signal.SIGTERM)
+        for count in counts:
+            ends.update(count.result())
+    assert fleet.wait_end(name, _GRACE_S) == 0, name
+    assert ends[RequestEnd.no_connection], (name, ends)
+    return ends
+
+
+@then('each request got an answer, a reset or no connection')
+def no_clean_end(context):
+    assert not context.ends[RequestEnd.clean_end], context.ends
+    assert context.ends[RequestEnd.answer], context.ends
+
+
+@when(
+    'the last part of a request is sent as soon as a stopping instance refuses '
+    'connections'
+)
+def split_request(context):
+    address = Address.parse(context.fleet.caller_address(_STOPPED))
+    context.fleet.signal(_STOPPED, signal.SIGTERM)
+    sleep(_SENDING_S[0])
+    context.received = send_split(address, 'split')
+
+
+@then('the instance refuses the request as one that it did not run')
+def refused_unrun(context):
+    status_line = context.received.partition(b'\r\n')[0]
+    assert b' 503 ' in status_line, context.received
+    assert not context.fleet.runs(context.fleet.plain, 'split')
