Ignore SIGHUP until the daemon handles it

planned_stop.feature, 'SIGHUP does not end an instance that is starting', failed before with return code -1.

--- a/bergamotturn/platform/__main__.py
+++ b/bergamotturn/platform/__main__.py
@@ -5,6 +5,7 @@
 restarted instance, which serves no requests until they are done, starts sooner.
 """
 
+import signal
 import sys
 from importlib import import_module
 
@@ -13,6 +14,9 @@
 
 def start() -> None:
     """Run the daemon without setuptools."""
+    # The default action ends the process; the daemon handles the signal once it
+    # runs, and reads its settings after this.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # None makes the import raise ImportError, which circuits handles.
     sys.modules['pkg_resources'] = None
     import_module('.daemon', __package__).main()
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -35,3 +35,7 @@
     Given a relay fleet
     When the last part of a request is sent as soon as a stopping instance refuses connections
     Then the instance refuses the request as one that it did not run
+
+  Scenario: SIGHUP does not end an instance that is starting
+    Guards against requests that are lost because a reload meets a process before it handles the signal.
+    Then a process that gets SIGHUP before the daemon is imported goes on
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -1,6 +1,8 @@
 """Steps for a planned stop of an instance under load."""
 
 import signal
+import subprocess
+import sys
 import threading
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
@@ -48,6 +50,19 @@
 #: Times after SIGTERM between which requests are sent. An instance without
 #: waiting requests ends in this time.
 _SENDING_S = 3.2, 4.2
+#: Starts the daemon's program up to the import of the daemon itself.
+_START_CODE = """
+import os
+import signal
+from bergamotturn.platform import __main__ as program
+
+def import_module(*_):
+    os.kill(os.getpid(), signal.SIGHUP)
+    raise SystemExit(0)
+
+program.import_module = import_module
+program.start()
+"""
 #: Time without a first event after which an engine counts as silent.
 _UNBOUNDED_MS = 20_000
 
@@ -281,3 +296,11 @@
     status_line = context.received.partition(b'\r\n')[0]
     assert b' 503 ' in status_line, context.received
     assert not context.fleet.runs(context.fleet.plain, 'split')
+
+
+@then('a process that gets SIGHUP before the daemon is imported goes on')
+def survives_early_reload(context):
+    process = subprocess.run(
+        (sys.executable, '-c', _START_CODE), check=False, timeout=20
+    )
+    assert process.returncode == 0, process.returncode
