Tell instances of quarantines that they missed, and contradict wrong ones

A reviewer showed with scripts that an instance which missed the messages on a quarantine was never told: members were told once, also while they were dead, and evidence against a quarantined part got no reply. A wrong quarantine of an instance that was cut off was ignored by those that knew better, and nobody told it. Now a live member is told when it returns, evidence is answered with the quarantine, and an instance with later answers calls the part sound. Notes of peers are bounded: a huge time raised in the handler, and an empty part refused all requests. Complete plain answers count as successes, and ends of quarantines are dropped from the router.

quarantine.feature: four new scenarios failed before.

--- a/bergamotturn/process/quarantine_task.py
+++ b/bergamotturn/process/quarantine_task.py
@@ -18,6 +18,7 @@
 from ..connection.peer_link import PEERS
 from ..connection.peer_messages import (
     Envelope,
+    MemberState,
     PartsQuarantined,
     PartsSound,
     PartSuspicion,
@@ -27,7 +28,7 @@
 )
 from .endpoints.health import Fault
 from .endpoints.part_quarantine import PartEvidence, PartQuarantine
-from .endpoints.quarantined_part import QuarantinedPart
+from .endpoints.quarantined_part import MAX_QUARANTINE_S, QuarantinedPart
 from .events import MemberView
 from .metrics import PARTS_QUARANTINED
 from .quarantine_events import (
@@ -42,6 +43,8 @@
 
 _MS: Final = 1000
 _SECONDS_DIGITS: Final = 3
+#: More than a part can have had in years.
+_MAX_RELAPSES: Final = 1_000_000
 #: Longest random wait before an instance objects to a suspicion. Others need
 #: not object any more once one has.
 _MAX_OBJECTION_WAIT_S: Final = 0.2
@@ -72,8 +75,10 @@
         self._quarantine = PartQuarantine()
         self._decision_s = inf
         self._decision_timer = 0
-        #: Boot id of each instance that knows the parts in quarantine.
+        #: Boot id of each live instance that was told of all quarantines.
         self._informed: dict[str, str] = {}
+        #: Parts that this instance will soon call sound.
+        self._objections: set[str] = set()
 
     @handler('endpoint_failed')
     def _on_endpoint_failed(self, endpoint_id: str, reason: str) -> None:
@@ -105,15 +110,13 @@
     def _on_peer_message(self, envelope: Envelope) -> None:
         message = envelope.message
         if isinstance(message, PartSuspicion):
-            evidence = PartEvidence(
-                message.endpoint, message.parts, message.has_head
-            )
-            self._record_evidence(evidence, told_by=envelope.sender)
+            self._on_suspicion(message, envelope.sender)
         elif isinstance(message, PartsSound):
-            self._quarantine.clear(monotonic(), message.parts)
-            self._publish_released(message.parts, told_by=envelope.sender)
+            self._on_parts_sound(message.parts, envelope.sender)
         elif isinstance(message, PartsQuarantined):
-            self._adopt(_parts_of(message.notes), told_by=envelope.sender)
+            parts = _parts_of(message.notes)
+            self._adopt(parts, told_by=envelope.sender)
+            self._object_to(_disbelieved(self._quarantine, parts))
 
     @handler('quarantine_read', channel='*')
     def _on_quarantine_read(self, parts: tuple[QuarantinedPart, ...]) -> None:
@@ -123,15 +126,13 @@
     def _on_members_changed(self, view: MemberView) -> None:
         parts = self._quarantine.quarantined(monotonic())
         PARTS_QUARANTINED.set(len(parts))
-        if not parts:
-            self._informed.clear()
-            return
-        for member in view.members:
-            if self._informed.get(member.instance) == member.boot_id:
-                continue
-            self._informed[member.instance] = member.boot_id
+        live = _live_boot_ids(view)
+        if parts:
             message = PartsQuarantined(notes=_notes_of(parts))
-            self.fire(send_message(member.instance, message), PEERS)
+            for instance, boot_id in live.items():
+                if self._informed.get(instance) != boot_id:
+                    self.fire(send_message(instance, message), PEERS)
+        self._informed = live
 
     @handler('_decision_due')
     def _on_decision_due(self) -> None:
@@ -146,10 +147,41 @@
 
     @handler('_objection_due')
     def _on_objection_due(self, parts: tuple[str, ...]) -> None:
-        still_suspected = tuple(filter(self._quarantine.has_evidence, parts))
-        if still_suspected:
-            self._quarantine.clear(monotonic(), still_suspected)
-            self._tell_sound(still_suspected)
+        # Another instance may have objected meanwhile.
+        unsaid = tuple(part for part in parts if part in self._objections)
+        self._objections.difference_update(unsaid)
+        if unsaid:
+            self._quarantine.clear(monotonic(), unsaid)
+            self._tell_sound(unsaid)
+
+    def _on_suspicion(self, suspicion: PartSuspicion, sender: str) -> None:
+        blocking = self._quarantine.blocking(monotonic(), suspicion.parts)
+        if blocking is not None:
+            # The sender was cut off when the part was quarantined.
+            message = PartsQuarantined(notes=_notes_of((blocking,)))
+            self.fire(send_message(sender, message), PEERS)
+        evidence = PartEvidence(
+            suspicion.endpoint, suspicion.parts, suspicion.has_head
+        )
+        self._record_evidence(evidence, told_by=sender)
+
+    def _on_parts_sound(self, parts: tuple[str, ...], sender: str) -> None:
+        self._objections.difference_update(parts)
+        dropped = tuple(filter(self._quarantine.has_evidence, parts))
+        self._quarantine.clear(monotonic(), parts)
+        if dropped:
+            self._publish_released(dropped, told_by=sender)
+
+    def _object_to(self, parts: tuple[str, ...]) -> None:
+        """Call ``parts`` sound soon, unless another instance does."""
+        if not parts:
+            return
+        self._objections.update(parts)
+        self._timers.call_after(
+            self._random.uniform(0, _MAX_OBJECTION_WAIT_S),
+            _objection_due(parts),
+            self.channel,
+        )
 
     def _record_evidence(
         self, evidence: PartEvidence, told_by: str | None
@@ -163,13 +195,7 @@
             has_head=evidence.has_head,
             told_by=told_by,
         )
-        sound = self._quarantine.objections(now_s, evidence.parts)
-        if sound:
-            self._timers.call_after(
-                self._random.uniform(0, _MAX_OBJECTION_WAIT_S),
-                _objection_due(sound),
-                self.channel,
-            )
+        self._object_to(self._quarantine.objections(now_s, evidence.parts))
         self._schedule_decision(now_s)
 
     def _tell_sound(self, parts: tuple[str, ...]) -> None:
@@ -235,8 +261,33 @@
 def _parts_of(
     notes: Iterable[QuarantineNote],
 ) -> tuple[QuarantinedPart, ...]:
+    """Return the parts that a peer named, without malformed ones."""
     now_s = monotonic()
     return tuple(
         QuarantinedPart(note.part, now_s + note.for_ms / _MS, note.relapses)
         for note in notes
+        if note.part
+        and 0 <= note.for_ms <= MAX_QUARANTINE_S * _MS
+        and 0 <= note.relapses <= _MAX_RELAPSES
     )
+
+
+def _disbelieved(
+    quarantine: PartQuarantine, parts: Iterable[QuarantinedPart]
+) -> tuple[str, ...]:
+    """Return the parts that were not adopted because of later answers."""
+    now_s = monotonic()
+    return tuple(
+        each.part
+        for each in parts
+        if each.until_s > now_s
+        and quarantine.blocking(now_s, (each.part,)) is None
+    )
+
+
+def _live_boot_ids(view: MemberView) -> dict[str, str]:
+    return {
+        member.instance: member.boot_id
+        for member in view.members
+        if member.state < MemberState.dead
+    }
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -56,11 +56,18 @@
             for name, service in index.services.items()
         }
 
-    def quarantine(self, parts: Iterable[QuarantinedPart]) -> None:
+    def quarantine(
+        self, now_s: float, parts: Iterable[QuarantinedPart]
+    ) -> None:
         """Refuse prompts with one of ``parts`` until its quarantine ends."""
-        self._quarantined_until_s.update(
-            (each.part, each.until_s) for each in parts
-        )
+        self._quarantined_until_s = {
+            part: until_s
+            for part, until_s in self._quarantined_until_s.items()
+            if until_s > now_s
+        }
+        for each in parts:
+            known_s = self._quarantined_until_s.get(each.part, now_s)
+            self._quarantined_until_s[each.part] = max(known_s, each.until_s)
 
     def release(self, parts: Iterable[str]) -> None:
         """Place prompts with ``parts`` again."""
@@ -74,8 +81,11 @@
         if not self._quarantined_until_s:
             return None
         until_s = max(
-            self._quarantined_until_s.get(part, now_s)
-            for part in (*call.shared_parts, '')
+            (
+                self._quarantined_until_s.get(part, now_s)
+                for part in call.shared_parts
+            ),
+            default=now_s,
         )
         if until_s <= now_s:
             return None
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -105,8 +105,8 @@
     def _on_parts_quarantined(
         self, parts: tuple[QuarantinedPart, ...], is_own: bool
     ) -> None:
-        self._router.quarantine(parts)
         now_s = monotonic()
+        self._router.quarantine(now_s, parts)
         for pending in tuple(self._pending.values()):
             refusal = self._router.quarantine_refusal(now_s, pending.flow.call)
             if refusal is not None:
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -118,7 +118,9 @@
         is_success = head.kind is HeadKind.success
         if is_success and self.call.route.is_stream:
             return self._on_stream_end(now_s)
-        reports = self._report_success() if is_success else []
+        reports = []
+        if is_success:
+            reports = [*self._report_success(), *self._note_decoding()]
         if self._is_head_forwarded:
             return [*reports, *self._end(ReplyEnd())]
         answer = ReplyFull(head.status, head.headers, bytes(self._body))
@@ -167,7 +169,7 @@
 
     def on_quarantine(self, refusal: Refusal) -> Sequence[RelayAction]:
         """End the request, whose prompt crashes engines, before it begins."""
-        if self._attempt_event_count:
+        if self._attempt_event_count or self._is_head_forwarded:
             return []
         if self._is_sent:
             return self._fail(ErrorKind.endpoint_lost, refusal.reason)
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -51,3 +51,37 @@
     Then within 0.6 seconds none has a in quarantine
     When attempts with the shared part a break off at three engines, and an answer with a comes after the quarantine
     Then within 0.6 seconds none has a in quarantine
+
+  Scenario: An instance that was cut off is told of a quarantine
+    Guards against two more engines that crash at each instance that missed the messages on a part.
+    Given three instances that exchange messages
+    And c2 is cut off from the others
+    When attempts with the shared parts a and p break off at three engines at a0
+    Then within 0.6 seconds a0 and b1 have p in quarantine, and c2 has not
+    When c2 is reached again, and was not missed
+    And one more attempt with the shared parts a and p breaks off at c2
+    Then within 0.2 seconds all three have p in quarantine and none has a
+
+  Scenario: An instance that seemed dead is told of a quarantine on its return
+    Guards against an instance that is told once, while it cannot be reached, and never again.
+    Given three instances that exchange messages
+    And c2 is cut off from the others and seems dead
+    When attempts with the shared parts a and p break off at three engines at a0
+    Then within 0.6 seconds a0 and b1 have p in quarantine, and c2 has not
+    When c2 is reached again, and seems alive
+    Then within 0.2 seconds all three have p in quarantine and none has a
+
+  Scenario: A quarantine against later answers is contradicted
+    Guards against one instance that refuses sound requests for a minute because the others do not answer its decision.
+    Given three instances that exchange messages
+    And c2 is cut off from the others
+    When attempts with the shared part a break off at three engines at c2
+    Then within 0.6 seconds c2 alone has a in quarantine
+    When an answer with a begins at b1, and c2 is reached again and tells its quarantine
+    Then within 0.6 seconds none has a in quarantine
+
+  Scenario: Malformed notes on quarantines are ignored
+    Guards against a message that ends a process or refuses all requests.
+    Given three instances that exchange messages
+    When a peer sends notes without a part, with a part of 200 characters, and with times out of range
+    Then within 0.1 seconds all three have only the one valid part in quarantine
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -12,6 +12,8 @@
     Envelope,
     MemberState,
     MemberUpdate,
+    PartsQuarantined,
+    QuarantineNote,
     peer_message,
 )
 from bergamotturn.errors import ErrorKind
@@ -51,7 +53,7 @@
 @given('a relay whose router has part p in quarantine for 60 seconds')
 def router_with_quarantine(context):
     context.router = PlacementRouter(None, None, None, Random(1))
-    context.router.quarantine((QuarantinedPart('p', 160.0),))
+    context.router.quarantine(100, (QuarantinedPart('p', 160.0),))
 
 
 @then(
@@ -219,6 +221,99 @@
     assert fleet.quarantined()[-1] == {'p'}, fleet.quarantined()
 
 
+@given('c2 is cut off from the others')
+def cut_off(context):
+    context.fleet.cut.add('c2')
+
+
+@given('c2 is cut off from the others and seems dead')
+def cut_off_and_dead(context):
+    context.fleet.cut.add('c2')
+    context.fleet.publish_members({'c2': MemberState.dead})
+
+
+@when('attempts with the shared parts a and p break off at three engines at a0')
+def crashes_at_one(context):
+    for number in range(3):
+        context.fleet.crash('a0', f'e-{number}', _PARTS)
+
+
+@when('attempts with the shared part a break off at three engines at c2')
+def crashes_at_cut_off(context):
+    for number in range(3):
+        context.fleet.crash('c2', f'e-{number}', ('a',))
+
+
+@then(
+    'within {seconds:g} seconds a0 and b1 have p in quarantine, and c2 has not'
+)
+def two_quarantine(context, seconds):
+    context.fleet.run(seconds)
+    assert context.fleet.quarantined() == [{'p'}, {'p'}, set()]
+
+
+@when('c2 is reached again, and was not missed')
+def reached_again(context):
+    context.fleet.cut.clear()
+
+
+@when('c2 is reached again, and seems alive')
+def alive_again(context):
+    context.fleet.publish_members({'c2': MemberState.dead})
+    context.fleet.cut.clear()
+    context.fleet.publish_members({})
+
+
+@when('one more attempt with the shared parts a and p breaks off at c2')
+def crash_at_returned(context):
+    context.fleet.crash('c2', 'e-9', _PARTS)
+
+
+@then('within {seconds:g} seconds c2 alone has a in quarantine')
+def one_quarantines(context, seconds):
+    context.fleet.run(seconds)
+    assert context.fleet.quarantined() == [set(), set(), {'a'}]
+
+
+@when(
+    'an answer with a begins at b1, and c2 is reached again and tells its '
+    'quarantine'
+)
+def contradicted(context):
+    fleet = context.fleet
+    fleet.answer('b1', ('a',))
+    fleet.cut.clear()
+    note = QuarantineNote('a', 59_000, 0)
+    fleet.deliver('c2', PartsQuarantined(notes=(note,)))
+
+
+@when(
+    'a peer sends notes without a part, with a part of 200 characters, and '
+    'with times out of range'
+)
+def malformed_notes(context):
+    notes = (
+        QuarantineNote('', 60_000, 0),
+        QuarantineNote('x' * 200, 60_000, 0),
+        QuarantineNote('y', 10**18, 0),
+        QuarantineNote('y', -(10**18), 0),
+        QuarantineNote('y', 60_000, -1),
+        QuarantineNote('y', 60_000, 10**18),
+        QuarantineNote('valid', 60_000, 1),
+    )
+    context.fleet.deliver('d3', PartsQuarantined(notes=notes))
+
+
+@then(
+    'within {seconds:g} seconds all three have only the one valid part in '
+    'quarantine'
+)
+def only_valid(context, seconds):
+    context.fleet.run(seconds)
+    fleet = context.fleet
+    assert fleet.all_have({'valid'}), fleet.quarantined()
+
+
 class _Instance(Component):
     """One instance's quarantine task, with messages passed to the fleet."""
 
@@ -255,6 +350,7 @@
     def __init__(self, *names):
         self._lock = RLock()
         self._instances = {}
+        self.cut = set()
         for name in names:
             self.add(name)
 
@@ -264,7 +360,13 @@
     def add(self, name):
         self._instances[name] = _Instance(name, self)
         self.run(0.05)
-        members = tuple(map(_member, self._instances))
+        self.publish_members({})
+
+    def publish_members(self, states):
+        members = tuple(
+            _member(name, states.get(name, MemberState.alive))
+            for name in self._instances
+        )
         for instance in self._instances.values():
             instance.fire(members_changed(MemberView(members)), '*')
         self.run(0.05)
@@ -272,7 +374,8 @@
     def deliver(self, sender, message, receiver=None):
         envelope = Envelope(sender, 'boot', message)
         for name, instance in self._instances.items():
-            if name != sender and receiver in {None, name}:
+            is_cut = bool(self.cut & {name, sender})
+            if name != sender and receiver in {None, name} and not is_cut:
                 instance.fire(peer_message(envelope), 'quarantine')
 
     def crash(self, name, endpoint, parts):
@@ -301,14 +404,14 @@
         return [instance.parts for instance in self._instances.values()]
 
 
-def _member(name):
+def _member(name, state):
     address = Address('127.0.0.1', 1)
     return MemberUpdate(
         instance=name,
         boot_id=f'boot-{name}',
         data_centre=name[0],
         incarnation=0,
-        state=MemberState.alive,
+        state=state,
         caller_address=address,
         peer_address=address,
         operator_address=address,
