Use the grace time of the newest settings in a planned stop

An instance whose drain_grace_s was changed by SIGHUP still stopped by the value of its start, so that a shortened grace time ended before its requests had their final answers. The limits of the phases were computed once, when the daemon was built. A component of the platform now applies the settings in force to the phases until the shutdown begins. A signal to stop is handled as an event of its own, so that settings whose reload was requested just before come first.

planned_stop.feature, 'grace time of the newest settings', failed before (still running 4 s after SIGTERM) and passes.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -34,13 +34,13 @@
 from ..process.registration_task import INSTANCES_TABLE, RegistrationTask
 from ..process.relay_tasks.relay_task import RelayTask
 from ..process.settings_task import SettingsTask
-from ..process.shutdown import Shutdown
 from ..process.shutdown_task import ShutdownTask
 from ..process.timers import Timers
 from ..version.serving_settings import ServingSettings, load_serving_settings
 from .caller_format import PlatformCallerFormat
 from .engine_format import PlatformEndpointFormat
 from .entry_listeners import DirectoryListener, ReadyListener
+from .grace_time import GraceTime
 from .table_format import PlatformTable
 from .table_row_reader import ENDPOINTS_TABLE, OPERATORS_TABLE, TableRowReader
 
@@ -69,13 +69,6 @@
 _UNACKNOWLEDGED_S: Final = 1.0
 #: Callers keep an answer of the directory for this long at most.
 _MAX_DIRECTORY_KEEP_S: Final = 2.0
-#: Time until the other instances, and the callers that then ask them, know
-#: that an instance is leaving.
-_PROPAGATION_S: Final = 0.5
-#: Maximum part of the grace time in which new requests are accepted.
-_MAX_LEAVING_SHARE: Final = 1 / 3
-#: Part of the grace time reserved for the exit of the process.
-_EXIT_RESERVE_S: Final = 0.5
 
 
 def build_daemon(
@@ -93,10 +86,7 @@
     SocketPoller().register(root)
     own_member = first_update(settings, boot_id)
     keep_s = min(_MAX_DIRECTORY_KEEP_S, settings.directory_keep_s)
-    leaving_s = min(
-        keep_s + _PROPAGATION_S, _MAX_LEAVING_SHARE * settings.drain_grace_s
-    )
-    drain_s = settings.drain_grace_s - leaving_s - _EXIT_RESERVE_S
+    grace_time = GraceTime(settings, keep_s)
     components = (
         timers,
         LogFlusher(log_lines, timers),
@@ -130,11 +120,8 @@
             keep_s,
         ),
         ReadyListener(Address.parse(settings.ready), timers),
-        ShutdownTask(
-            settings.instance,
-            timers,
-            Shutdown(leaving_s, drain_s, propagation_s=0),
-        ),
+        grace_time,
+        ShutdownTask(settings.instance, timers, grace_time.shutdown),
     )
     for component in components:
         component.register(root)
--- a/bergamotturn/process/shutdown.py
+++ b/bergamotturn/process/shutdown.py
@@ -82,6 +82,14 @@
             self._longest_deadline_s, longest_deadline_s
         )
 
+    def use_limits(
+        self, entry_answer_s: float, longest_deadline_s: float
+    ) -> None:
+        """Replace the limits; no effect once the shutdown has begun."""
+        if self.phase == ShutdownPhase.serving:
+            self._entry_answer_s = entry_answer_s
+            self._longest_deadline_s = longest_deadline_s
+
     @property
     def cut_off_s(self) -> float:
         """Monotonic time at which requests in flight are interrupted.
--- a/bergamotturn/process/shutdown_task.py
+++ b/bergamotturn/process/shutdown_task.py
@@ -12,6 +12,7 @@
     ShutdownPhase,
     cut_off_scheduled,
     shutdown_phase_changed,
+    stop_requested,
 )
 from .metrics import RECORDS_GIVEN_UP
 from .shutdown import Shutdown
@@ -66,7 +67,8 @@
     @handler('signal', channel='*')
     def _on_signal(self, number: int, _: object) -> None:
         if number in {SIGTERM, SIGINT}:
-            self._on_stop_requested()
+            # Settings that were read just before are in force first.
+            self.fire(stop_requested(), '*')
 
     @handler('in_flight_changed', channel='*')
     def _on_in_flight_changed(self, in_flight_requests: int) -> None:
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -35,3 +35,11 @@
     Given a relay fleet
     When the last part of a request is sent as soon as a stopping instance refuses connections
     Then the instance refuses the request as one that it did not run
+
+  Scenario: A planned stop uses the grace time of the newest settings
+    Guards against a process that is killed with requests in flight because the grace time was shortened after its start.
+    Given a relay fleet whose engines accept requests and send nothing
+    When the settings of an instance change to a grace time of 4 seconds
+    And an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
+    Then each of them gets a complete failure that does not say that it was not run
+    And the instance exits with 0 within 4 seconds
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -101,6 +101,13 @@
     return max(versions, default=0)
 
 
+@when(
+    'the settings of an instance change to a grace time of {grace_s:g} seconds'
+)
+def change_grace(context, grace_s):
+    context.fleet.change_settings(_STOPPED, drain_grace_s=grace_s)
+
+
 @when('an instance gets SIGTERM and new requests come until it has ended')
 def requests_during_stop(context):
     fleet = context.fleet
@@ -186,7 +193,12 @@
 
 @then('the instance exits with 0 within its grace time')
 def ends_in_time(context):
-    left_s = context.stopped_s + _GRACE_S - monotonic()
+    ends_within(context, _GRACE_S)
+
+
+@then('the instance exits with 0 within {grace_s:g} seconds')
+def ends_within(context, grace_s):
+    left_s = context.stopped_s + grace_s - monotonic()
     assert context.fleet.wait_end(_STOPPED, max(left_s, 0.01)) == 0
 
 
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -181,6 +181,20 @@
             name, 'bergamotturn.platform', '--settings', str(path)
         )
 
+    def change_settings(self, name: str, **changes: float) -> None:
+        """Change settings of a running instance and wait until it uses them."""
+        path = self.folder / f'{name}.toml'
+        lines = [f'{setting} = {new}' for setting, new in changes.items()]
+        path.write_text('\n'.join((*lines, self._settings(name))))
+        self.signal(name, signal.SIGHUP)
+        self.wait_until(
+            lambda: any(
+                line['message_type'] == 'settings_read' and line['is_new']
+                for line in self.log(name)
+            ),
+            f'{name} uses its new settings',
+        )
+
     def wait_ready(self, name: str, timeout_s: float = _READY_S) -> None:
         """Wait until an instance reports that it is ready."""
         self.wait_until(lambda: self.is_ready(name), f'{name} ready', timeout_s)
