Keep short grace times in a planned stop

With a grace time of 1 s, or little more, an instance was still draining when the platform kills it, because the drain lasted 1 s at least, whatever the grace time left. The minimum now ends at the cut-off time at the latest, and a grace time shorter than the time reserved for the exit leaves no negative drain.

planned_stop.feature, 'keeps a short grace time', failed before with 1 s (still running) and passed with 2 s; both pass now.

--- a/bergamotturn/platform/grace_time.py
+++ b/bergamotturn/platform/grace_time.py
@@ -44,5 +44,5 @@
             self._keep_s + _PROPAGATION_S, _MAX_LEAVING_SHARE * grace_s
         )
         self.shutdown.use_limits(
-            leaving_s, grace_s - leaving_s - _EXIT_RESERVE_S
+            leaving_s, max(0, grace_s - leaving_s - _EXIT_RESERVE_S)
         )
--- a/bergamotturn/process/shutdown.py
+++ b/bergamotturn/process/shutdown.py
@@ -105,6 +105,10 @@
         leaving_s = self._entry_answer_s + self._propagation_s
         return self._phase_started_s + leaving_s
 
+    @property
+    def _min_drain_ends_s(self) -> float:
+        return min(self._phase_started_s + _MIN_DRAIN_S, self.cut_off_s)
+
     @property
     def is_busy(self) -> bool:
         """Whether a call may still get an answer."""
@@ -147,7 +151,7 @@
             return True
         if self.phase != ShutdownPhase.draining:
             return False
-        if now_s < self._phase_started_s + _MIN_DRAIN_S:
+        if now_s < self._min_drain_ends_s:
             return False
         if self._must_wait(now_s):
             return False
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -43,3 +43,16 @@
     And an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
     Then each of them gets a complete failure that does not say that it was not run
     And the instance exits with 0 within 4 seconds
+
+  Scenario Outline: A planned stop keeps a short grace time
+    Guards against a process that is killed before its requests have their final answers because a phase has a fixed minimum.
+    Given a relay fleet whose engines accept requests and send nothing
+    When the settings of an instance change to a grace time of <grace> seconds
+    And an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
+    Then each of them gets a complete failure that does not say that it was not run
+    And the instance exits with 0 within <grace> seconds
+
+    Examples:
+      | grace |
+      | 1     |
+      | 2     |
