--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -26,6 +26,7 @@
 from ..connection.stores import Stores
 from ..process.change_log import ChangeLog
 from ..process.entry_choice import EntryChoice
+from ..process.grace_time import GraceTime
 from ..process.log_lines import LogFlusher, LogLines
 from ..process.mirror.follower_choice import FollowerChoice
 from ..process.mirror.mirror_task import MIRROR, MirrorTask
@@ -39,7 +40,6 @@
 from ..process.registration_task import INSTANCES_TABLE, RegistrationTask
 from ..process.relay_tasks.relay_task import RelayTask
 from ..process.settings_task import SettingsTask
-from ..process.shutdown import Shutdown
 from ..process.shutdown_task import ShutdownTask
 from ..process.timers import Timers
 from ..version.serving_settings import ServingSettings, load_serving_settings
@@ -74,13 +74,6 @@
 _UNACKNOWLEDGED_S: Final = 1.0
 #: Callers keep an answer of the directory for this long at most.
 _MAX_DIRECTORY_KEEP_S: Final = 2.0
-#: Time until the other instances, and the callers that then ask them, know
-#: that an instance is leaving.
-_PROPAGATION_S: Final = 0.5
-#: Maximum part of the grace time in which new requests are accepted.
-_MAX_LEAVING_SHARE: Final = 1 / 3
-#: Part of the grace time reserved for the exit of the process.
-_EXIT_RESERVE_S: Final = 0.5
 
 
 def build_daemon(
@@ -98,10 +91,7 @@
     SocketPoller().register(root)
     own_member = first_update(settings, boot_id)
     keep_s = min(_MAX_DIRECTORY_KEEP_S, settings.directory_keep_s)
-    leaving_s = min(
-        keep_s + _PROPAGATION_S, _MAX_LEAVING_SHARE * settings.drain_grace_s
-    )
-    drain_s = settings.drain_grace_s - leaving_s - _EXIT_RESERVE_S
+    grace_time = GraceTime(settings, keep_s)
     components = (
         timers,
         LogFlusher(log_lines, timers),
@@ -137,11 +127,8 @@
             keep_s,
         ),
         ReadyListener(Address.parse(settings.ready), timers),
-        ShutdownTask(
-            settings.instance,
-            timers,
-            Shutdown(leaving_s, drain_s, propagation_s=0),
-        ),
+        grace_time,
+        ShutdownTask(settings.instance, timers, grace_time.shutdown),
     )
     for component in components:
         component.register(root)
--- a/bergamotturn/process/shutdown.py
+++ b/bergamotturn/process/shutdown.py
@@ -82,6 +82,14 @@
             self._longest_deadline_s, longest_deadline_s
         )
 
+    def use_limits(
+        self, entry_answer_s: float, longest_deadline_s: float
+    ) -> None:
+        """Replace the limits; no effect once the shutdown has begun."""
+        if self.phase == ShutdownPhase.serving:
+            self._entry_answer_s = entry_answer_s
+            self._longest_deadline_s = longest_deadline_s
+
     @property
     def cut_off_s(self) -> float:
         """Monotonic time at which requests in flight are interrupted.
@@ -97,6 +105,10 @@
         leaving_s = self._entry_answer_s + self._propagation_s
         return self._phase_started_s + leaving_s
 
+    @property
+    def _min_drain_ends_s(self) -> float:
+        return min(self._phase_started_s + _MIN_DRAIN_S, self.cut_off_s)
+
     @property
     def is_busy(self) -> bool:
         """Whether a call may still get an answer."""
@@ -139,7 +151,7 @@
             return True
         if self.phase != ShutdownPhase.draining:
             return False
-        if now_s < self._phase_started_s + _MIN_DRAIN_S:
+        if now_s < self._min_drain_ends_s:
             return False
         if self._must_wait(now_s):
             return False
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -39,3 +39,24 @@
   Scenario: SIGHUP does not end an instance that is starting
     Guards against requests that are lost because a reload meets a process before it handles the signal.
     Then a process that gets SIGHUP before the daemon is imported goes on
+
+  Scenario: A planned stop uses the grace time of the newest settings
+    Guards against a process that is killed with requests in flight because the grace time was shortened after its start.
+    Given a relay fleet whose engines accept requests and send nothing
+    When the settings of an instance change to a grace time of 4 seconds
+    And an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
+    Then each of them gets a complete failure that does not say that it was not run
+    And the instance exits with 0 within 4 seconds
+
+  Scenario Outline: A planned stop keeps a short grace time
+    Guards against a process that is killed before its requests have their final answers because a phase has a fixed minimum.
+    Given a relay fleet whose engines accept requests and send nothing
+    When the settings of an instance change to a grace time of <grace> seconds
+    And an instance gets SIGTERM while a stream, a lookup and a charge wait for their answers
+    Then each of them gets a complete failure that does not say that it was not run
+    And the instance exits with 0 within <grace> seconds
+
+    Examples:
+      | grace |
+      | 1     |
+      | 2     |
