Reset the connection of an answer without chunks that breaks off

A caller of HTTP/1.0, whose answer ends with its connection, took a stream that broke off halfway for complete: the connection was closed cleanly, which only an answer in chunks survives. It is reset now.

relay_path.feature, 'knows no chunks', failed before.

--- a/bergamotturn/connection/closing_server.py
+++ b/bergamotturn/connection/closing_server.py
@@ -49,12 +49,19 @@
         self._bind = (self.host, self.port)
         self._close(self._sock)
 
-    def reset(self, sock: socket) -> None:
-        """Close ``sock`` with a reset unless output is still on its way."""
+    def reset(self, sock: socket, *, drops_output: bool = False) -> None:
+        """Close ``sock`` with a reset.
+
+        :param drops_output: whether to reset also while output is on its way;
+            otherwise the connection is then closed cleanly after it.
+        """
         connection = self._connections.get(sock)
         if connection is None or connection.is_lingering:
             return
-        if connection.count_acknowledged(sock) < connection.written_bytes:
+        unsent_bytes = connection.written_bytes - (
+            connection.count_acknowledged(sock)
+        )
+        if unsent_bytes and not drops_output:
             self.close(sock)
             return
         self._poller.discard(sock)
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -170,7 +170,11 @@
             return
         call.is_complete = True
         self._calls.pop(call.sock, None)
-        self._server.close(call.sock)
+        if call.response.chunked:
+            self._server.close(call.sock)
+        else:
+            # A clean end would complete an answer without chunks.
+            self._server.reset(call.sock, drops_output=True)
 
     def _set_head(
         self, call: WebCall, status: int, headers: tuple[Header, ...]
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -24,6 +24,12 @@
     And a stream that breaks off is resumed at another engine
     And an answer to another request is not passed to the caller
 
+  Scenario: A caller that knows no chunks sees that a stream broke off
+    Guards against an answer that ends with its connection and looks complete although it broke off halfway.
+    Given a relay fleet
+    When a caller with HTTP/1.0 asks for a stream that breaks off at every engine
+    Then its connection is reset after the first events
+
   Scenario: Changes by the operator take effect within two seconds
     Guards against an instance that applies a change late, so that revoked keys, moved routes, leaving endpoints or
     evacuated data centres stay in use.
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -165,6 +165,38 @@
         assert answer.body.startswith(b'done by'), answer
 
 
+@when(
+    'a caller with HTTP/1.0 asks for a stream that breaks off at every engine'
+)
+def old_caller(context):
+    fleet = context.fleet
+    for port in fleet.engines:
+        fleet.fault(port, fault='cut')
+    context.received = b''
+    context.was_reset = False
+    port = fleet.instances['a0'][0]
+    with socket.create_connection(('127.0.0.1', port), timeout=10) as sock:
+        head = (
+            f'POST /draft/x HTTP/1.0\r\nHost: {HOST_NAME}\r\n'
+            'Request-Id: old\r\nX-Api-Key: key-w\r\n'
+            'Token-Count: 1000,100\r\nContent-Length: 0\r\n\r\n'
+        )
+        sock.sendall(head.encode())
+        try:
+            while part := sock.recv(1000):
+                context.received += part
+        except ConnectionResetError:
+            context.was_reset = True
+
+
+@then('its connection is reset after the first events')
+def reset_after_events(context):
+    assert context.received.startswith(b'HTTP/1.0 200'), context.received
+    assert b'event 1' in context.received, context.received
+    assert b'chunked' not in context.received, context.received
+    assert context.was_reset, context.received
+
+
 @then('a revoked key is refused everywhere within 2 seconds')
 def revoked(context):
     fleet = context.fleet
