Report quarantines that a relapse extends while they are in force

An instance that learned of another one's relapse shortly before its own quarantine of the part ended extended its table and did not report it, so that the router let the part through at the earlier end, while the table ignored the evidence of the crashes that followed. Adopt now returns such a quarantine.

The new scenario failed before and passes now; all others of part_quarantine.feature that are not known to be red pass.

--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -99,17 +99,18 @@
     def merge(self, now_s: float, new: QuarantinedPart) -> bool:
         """Use a quarantine of another instance if it ends later.
 
-        :returns: whether the part is in quarantine only since then.
+        :returns: whether the part is in quarantine only since then, or again
+            after a relapse.
         """
         known = self.by_part.get(new.part)
         if known and new.until_s < known.until_s + _SAME_END_S:
             return False
-        was_in_force = self.in_force(now_s, new.part) is not None
+        in_force = self.in_force(now_s, new.part)
+        is_new = in_force is None or new.relapses > in_force.relapses
         relapses = max(new.relapses, known.relapses) if known else new.relapses
         until_s = min(new.until_s, now_s + MAX_QUARANTINE_S)
         self.put(QuarantinedPart(new.part, until_s, relapses))
-        is_in_force = self.in_force(now_s, new.part) is not None
-        return is_in_force and not was_in_force
+        return is_new and self.in_force(now_s, new.part) is not None
 
 
 @final
@@ -247,7 +248,7 @@
         One that ended puts the part on probation. One that was decided before
         the last known success with its part is ignored.
 
-        :returns: those that were not in force before.
+        :returns: those that were not in force before or had fewer relapses.
         """
         adopted = []
         for new in parts:
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -235,6 +235,17 @@
     And requests with "first deadly" are refused 99 seconds later
     And requests with "first deadly" are not refused 2 seconds later
 
+  Scenario: A relapse that another instance saw first is reported while the earlier quarantine is in force
+    Guards against requests that are let through at the earlier end, with evidence that no longer counts.
+    Given an instance without evidence
+    When a quarantine of "deadly" that ends in 60 seconds arrives
+    And 59.9 seconds go by
+    And a quarantine of "deadly" after 1 relapse that ends in 120 seconds arrives
+    Then it is new
+    And requests with "first deadly" are refused 119 seconds later
+    When the same quarantine arrives again
+    Then it is not new
+
   Scenario: Instances that repeat each other's quarantines do not extend them
     Guards against a quarantine that never ends because each message adds its delay to it.
     Given an instance without evidence
--- a/features/steps/part_quarantine_steps.py
+++ b/features/steps/part_quarantine_steps.py
@@ -135,6 +135,16 @@
     sent_again(context)
 
 
+@when(
+    'a quarantine of "{part}" after {relapses:d} relapse that ends in '
+    '{seconds:g} seconds arrives'
+)
+def renewed_arrives(context, part, relapses, seconds):
+    until_s = context.now_s + seconds
+    context.sent = QuarantinedPart(part, until_s, relapses)
+    sent_again(context)
+
+
 @when('a quarantine of "{part}" that ended {seconds:g} seconds ago arrives')
 def ended_arrives(context, part, seconds):
     quarantine_arrives(context, part, -seconds)
