Let weak evidence and known successes never skip the decision delay

Requests that waited at ten endpoints of a region that was stopped at once were enough to quarantine their common first part before anyone could object. Only endpoints that crashed after an answer began make a decision certain, and a success that the instance knows of objects to evidence within the next 3 s, with and without the delay. A deeper part hides a shallower one only while it is itself to be quarantined.

--- a/bergamotturn/process/endpoints/part_evidence.py
+++ b/bergamotturn/process/endpoints/part_evidence.py
@@ -19,8 +19,8 @@
 _WEAK_POINTS: Final = 1
 _MIN_ENDPOINTS: Final = 3
 _MIN_POINTS: Final = 6
+#: Endpoints with crashes after the head of an answer that need no delay.
 _CERTAIN_ENDPOINTS: Final = 5
-_CERTAIN_POINTS: Final = 10
 #: Reports on an endpoint within this time are of the same crash.
 _SAME_CRASH_S: Final = 2.0
 _EXPIRY_S: Final = 300.0
@@ -126,14 +126,15 @@
     """A part with evidence.
 
     :ivar depth: largest position within a prompt.
+    :ivar last_s: time of the newest report.
     """
 
-    __slots__ = ('_crashes', '_last_s', 'depth')
+    __slots__ = ('_crashes', 'depth', 'last_s')
 
     def __init__(self) -> None:
         """Start without evidence."""
         self._crashes: list[_Crash] = []
-        self._last_s = float('-inf')
+        self.last_s = float('-inf')
         self.depth = 0
 
     @property
@@ -144,13 +145,24 @@
     @property
     def rank(self) -> tuple[int, float]:
         """Return a key that sorts parts by their evidence."""
-        return self.points, self._last_s
+        return self.points, self.last_s
 
     @property
     def endpoints(self) -> set[str]:
         """Return the endpoints of confirmed crashes."""
         return {crash.endpoint for crash in self._crashes if crash.points}
 
+    @property
+    def strong_endpoints(self) -> int:
+        """Return the number of endpoints that crashed after an answer began."""
+        return len(
+            {
+                crash.endpoint
+                for crash in self._crashes
+                if crash.points >= _STRONG_POINTS
+            }
+        )
+
     @property
     def has_reports(self) -> bool:
         """Return whether any evidence is left."""
@@ -159,7 +171,7 @@
     def add(self, report: CrashReport, depth: int) -> None:
         """Add a report."""
         self.drop_old(report.time_s)
-        self._last_s = report.time_s
+        self.last_s = report.time_s
         self.depth = max(self.depth, depth)
         for crash in self._crashes:
             if crash.includes(report):
@@ -171,7 +183,7 @@
 
     def drop_old(self, now_s: float) -> None:
         """Drop crashes that are long ago or were not confirmed in time."""
-        if now_s - self._last_s >= _EXPIRY_S:
+        if now_s - self.last_s >= _EXPIRY_S:
             self._crashes.clear()
         self._crashes = [
             crash
@@ -228,6 +240,10 @@
         """Return the position of a part within its prompts."""
         return self._suspects[part].depth
 
+    def last_s(self, part: str) -> float:
+        """Return the time of the newest evidence against a part."""
+        return self._suspects[part].last_s
+
     def add(self, report: CrashReport) -> None:
         """Add a report to each of its parts."""
         for depth, part in enumerate(report.parts):
@@ -278,17 +294,11 @@
 
     def is_certain(self, part: str) -> bool:
         """Return whether no objection needs to be awaited."""
-        return self._suspects[part].has_evidence_of(
-            _CERTAIN_ENDPOINTS, _CERTAIN_POINTS
-        )
+        return self._suspects[part].strong_endpoints >= _CERTAIN_ENDPOINTS
 
-    def has_deeper_deadly(self, part: str, probation: Collection[str]) -> bool:
-        """Return whether a deeper part is to be quarantined first."""
-        suspect = self._suspects[part]
-        return any(
-            self.is_deadly(deeper, probation)
-            for deeper in suspect.deeper_parts(part)
-        )
+    def deeper_parts(self, part: str) -> set[str]:
+        """Return the parts that follow ``part`` in requests that crashed."""
+        return self._suspects[part].deeper_parts(part)
 
     def _evict(self) -> None:
         """Drop the parts with the least and oldest evidence."""
--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -233,7 +233,8 @@
         for part in due:
             if part not in self._due_s:
                 continue
-            if self._suspects.has_deeper_deadly(part, self._table.by_part):
+            deeper_parts = self._suspects.deeper_parts(part)
+            if not deeper_parts.isdisjoint(self._due_s):
                 self._due_s[part] = now_s + _DECISION_DELAY_S
                 continue
             decided.append(self._table.renew(now_s, part))
@@ -297,7 +298,13 @@
     def _schedule(self, now_s: float, parts: Iterable[str]) -> None:
         """Set or cancel the decisions on ``parts`` after a change."""
         for part in parts:
-            if self._suspects.is_deadly(part, self._table.by_part):
+            is_deadly = self._suspects.is_deadly(part, self._table.by_part)
+            if is_deadly and not _has_success_since(
+                self._suspects.last_s(part) - _OBJECTION_S,
+                part,
+                self._own_successes,
+                self._peer_successes,
+            ):
                 is_certain = self._suspects.is_certain(part)
                 due_s = now_s if is_certain else now_s + _DECISION_DELAY_S
                 self._due_s[part] = min(due_s, self._due_s.get(part, inf))
@@ -325,7 +332,14 @@
 def _is_outdated(new: QuarantinedPart, *successes: _Successes) -> bool:
     """Return whether a success refutes a quarantine."""
     since_s = new.began_s - _OBJECTION_S
-    return any(known.has_since(since_s, new.part) for known in successes)
+    return _has_success_since(since_s, new.part, *successes)
+
+
+def _has_success_since(
+    since_s: float, part: str, *successes: _Successes
+) -> bool:
+    """Return whether any instance's success with a part is known."""
+    return any(known.has_since(since_s, part) for known in successes)
 
 
 def _tracked(parts: Iterable[str]) -> tuple[str, ...]:
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -84,6 +84,36 @@
     When requests with "first deadly" crash "e-1 e-2 e-3 e-4 e-5"
     Then "deadly" is quarantined 0 seconds later
 
+  Scenario: Crashes before the answer never go without the delay
+    Guards against a quarantine of a common first part when many endpoints are stopped at once.
+    Given an instance without evidence
+    When requests with "first" break off before their answers at "e-1 e-2 e-3 e-4 e-5 e-6 e-7 e-8 e-9 e-10"
+    And requests with "first" crash "e-11 e-12 e-13 e-14"
+    Then nothing is quarantined 0.29 seconds later
+    And "first" is quarantined 0.02 seconds later
+
+  Scenario Outline: A known success objects to evidence that soon follows
+    Guards against a quarantine of a sound part when many endpoints crash at once, before anyone can object.
+    Given an instance without evidence
+    When <success>
+    And 2.9 seconds go by
+    And requests with "first" crash "e-1 e-2 e-3 e-4 e-5"
+    Then nothing is quarantined 5 seconds later
+    When a request with "first" crashes "e-6"
+    Then "first" is quarantined 0 seconds later
+
+    Examples:
+      | success                                      |
+      | a request with "first" succeeds              |
+      | another instance reports that "first" is sound |
+
+  Scenario: A part without successes is found behind a deeper one with a recent success
+    Guards against a deadly first part that a sound part after it hides.
+    Given an instance without evidence
+    When a request with "sound" succeeds
+    And requests with "deadly sound" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+
   Scenario: Connections that broke off alone are no evidence before the answer
     Guards against a quarantine because of connections that were cut while their endpoints went on.
     Given an instance without evidence
