Quarantine a part on probation without delay

A relapse waited 0.3 s for objections although any success would have ended the probation, so that more requests crashed engines meanwhile. One report of an answer that had begun now decides at once.

--- a/bergamotturn/process/endpoints/part_evidence.py
+++ b/bergamotturn/process/endpoints/part_evidence.py
@@ -200,10 +200,6 @@
         self._crashes = [crash for crash in self._crashes if crash.reports]
         return dropped > 0
 
-    def has_strong_report(self) -> bool:
-        """Return whether any report is of an answer that had begun."""
-        return any(crash.points >= _STRONG_POINTS for crash in self._crashes)
-
     def has_evidence_of(self, endpoints: int, points: int) -> bool:
         """Return whether there is at least so much evidence."""
         if self.points < points:
@@ -288,13 +284,17 @@
         suspect = self._suspects.get(part)
         if suspect is None:
             return False
-        if part in probation and suspect.has_strong_report():
+        if part in probation and suspect.strong_endpoints:
             return True
         return suspect.has_evidence_of(_MIN_ENDPOINTS, _MIN_POINTS)
 
-    def is_certain(self, part: str) -> bool:
-        """Return whether no objection needs to be awaited."""
-        return self._suspects[part].strong_endpoints >= _CERTAIN_ENDPOINTS
+    def is_certain(self, part: str, probation: Collection[str]) -> bool:
+        """Return whether no objection needs to be awaited.
+
+        :param probation: parts for which less evidence suffices.
+        """
+        needed = 1 if part in probation else _CERTAIN_ENDPOINTS
+        return self._suspects[part].strong_endpoints >= needed
 
     def deeper_parts(self, part: str) -> set[str]:
         """Return the parts that follow ``part`` in requests that crashed."""
--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -305,7 +305,9 @@
                 self._own_successes,
                 self._peer_successes,
             ):
-                is_certain = self._suspects.is_certain(part)
+                is_certain = self._suspects.is_certain(
+                    part, self._table.by_part
+                )
                 due_s = now_s if is_certain else now_s + _DECISION_DELAY_S
                 self._due_s[part] = min(due_s, self._due_s.get(part, inf))
             else:
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -230,6 +230,17 @@
     And requests with "first deadly" are refused 119 seconds later
     And requests with "first deadly" are not refused 2 seconds later
 
+  Scenario: On probation a crash after the head of an answer needs no delay
+    Guards against more crashes by a part that is known to be deadly.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    When 61 seconds go by
+    And a request with "first deadly" breaks off before its answer at "e-4"
+    Then nothing is quarantined 5 seconds later
+    When a request with "first deadly" crashes "e-5"
+    Then "deadly" is quarantined 0 seconds later
+
   Scenario: A success ends the probation
     Guards against a quarantine after a single crash of a part that has long been sound.
     Given an instance without evidence
