Ask for more evidence against a part that succeeded lately

Two crashes by each of two deadly parts that follow the same first part were enough to quarantine that first part. If different parts follow a part in its evidence and a success with it in the last 60 s is known, crashes of five endpoints after the head of an answer are needed now. A first part without such a success is still found by three.

One of the three new scenarios failed before, the others pin what must not change; all of part_quarantine.feature that are not known to be red pass.

--- a/bergamotturn/process/endpoints/part_evidence.py
+++ b/bergamotturn/process/endpoints/part_evidence.py
@@ -206,6 +206,15 @@
             return False
         return len(self.endpoints) >= endpoints
 
+    def is_split(self, part: str) -> bool:
+        """Return whether different parts follow ``part`` in its evidence."""
+        followers = {
+            report.deeper_parts(part)
+            for crash in self._crashes
+            for report in crash.counted
+        }
+        return len(followers) > 1
+
     def deeper_parts(self, part: str) -> set[str]:
         """Return the parts that follow ``part`` in requests that crashed."""
         deeper: set[str] = set()
@@ -276,16 +285,22 @@
             suspect.drop_old(now_s)
         self._drop_empty()
 
-    def is_deadly(self, part: str, probation: Collection[str]) -> bool:
+    def is_deadly(
+        self, part: str, probation: Collection[str], *, has_succeeded: bool
+    ) -> bool:
         """Return whether the evidence suffices for a quarantine.
 
         :param probation: parts for which less evidence suffices.
+        :param has_succeeded: whether a request with the part succeeded lately.
+            Different parts that follow it may then be the cause.
         """
         suspect = self._suspects.get(part)
         if suspect is None:
             return False
         if part in probation and suspect.strong_endpoints:
             return True
+        if has_succeeded and suspect.is_split(part):
+            return suspect.strong_endpoints >= _CERTAIN_ENDPOINTS
         return suspect.has_evidence_of(_MIN_ENDPOINTS, _MIN_POINTS)
 
     def is_certain(self, part: str, probation: Collection[str]) -> bool:
--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -26,6 +26,9 @@
 _DECISION_DELAY_S: Final = 0.3
 #: A success is an objection to evidence that follows within this time.
 _OBJECTION_S: Final = 3.0
+#: A part with a success within this time needs more evidence if different
+#: parts follow it.
+_LATELY_S: Final = 60.0
 #: Instances decide on the same evidence at slightly different times.
 _SAME_END_S: Final = 1.0
 #: Time within which evidence is confirmed.
@@ -298,12 +301,16 @@
     def _schedule(self, now_s: float, parts: Iterable[str]) -> None:
         """Set or cancel the decisions on ``parts`` after a change."""
         for part in parts:
-            is_deadly = self._suspects.is_deadly(part, self._table.by_part)
-            if is_deadly and not _has_success_since(
-                self._suspects.last_s(part) - _OBJECTION_S,
+            successes = (self._own_successes, self._peer_successes)
+            is_deadly = self._suspects.is_deadly(
                 part,
-                self._own_successes,
-                self._peer_successes,
+                self._table.by_part,
+                has_succeeded=_has_success_since(
+                    now_s - _LATELY_S, part, *successes
+                ),
+            )
+            if is_deadly and not _has_success_since(
+                self._suspects.last_s(part) - _OBJECTION_S, part, *successes
             ):
                 is_certain = self._suspects.is_certain(
                     part, self._table.by_part
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -209,6 +209,39 @@
     And requests with "first" are not refused
     And nothing is held against "first other"
 
+  Scenario: A first part that succeeded lately is not quarantined because several deadly parts follow it
+    Guards against refusing all requests with a first part because of two crashes by each of two parts after it.
+    Given an instance without evidence
+    When a request with "first sound" succeeds
+    And 59 seconds go by
+    And requests with "first deadly-1" crash "e-1 e-2"
+    And requests with "first deadly-2" crash "e-3 e-4"
+    Then nothing is quarantined 0.5 seconds later
+    When a request with "first deadly-1" crashes "e-5"
+    Then "deadly-1" is quarantined 0.31 seconds later
+    When a request with "first deadly-2" crashes "e-6"
+    Then "deadly-2" is quarantined 0.31 seconds later
+    And nothing is held against "first"
+
+  Scenario: A first part that succeeded long ago is quarantined whatever follows it
+    Guards against endless crashes by a first part that became deadly.
+    Given an instance without evidence
+    When a request with "deadly" succeeds
+    And 61 seconds go by
+    And requests with "deadly a" crash "e-1 e-2"
+    And a request with "deadly b" crashes "e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: A first part that succeeded lately is quarantined after five crashes
+    Guards against endless crashes by a first part that became deadly.
+    Given an instance without evidence
+    When a request with "deadly" succeeds
+    And 5 seconds go by
+    And requests with "deadly a" crash "e-1 e-2"
+    And requests with "deadly b" crash "e-3 e-4"
+    And a request with "deadly c" crashes "e-5"
+    Then "deadly" is quarantined 0 seconds later
+
   Scenario: Evidence with a quarantined part does not count against other parts
     Guards against a quarantine of the parts of requests that were running when the deadly part was quarantined.
     Given an instance without evidence
