--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -26,6 +26,9 @@
 _DECISION_DELAY_S: Final = 0.3
 #: A success is an objection to evidence that follows within this time.
 _OBJECTION_S: Final = 3.0
+#: A part with a success within this time needs more evidence if different
+#: parts follow it.
+_LATELY_S: Final = 60.0
 #: Instances decide on the same evidence at slightly different times.
 _SAME_END_S: Final = 1.0
 #: Time within which evidence is confirmed.
@@ -99,17 +102,18 @@
     def merge(self, now_s: float, new: QuarantinedPart) -> bool:
         """Use a quarantine of another instance if it ends later.
 
-        :returns: whether the part is in quarantine only since then.
+        :returns: whether the part is in quarantine only since then, or again
+            after a relapse.
         """
         known = self.by_part.get(new.part)
         if known and new.until_s < known.until_s + _SAME_END_S:
             return False
-        was_in_force = self.in_force(now_s, new.part) is not None
+        in_force = self.in_force(now_s, new.part)
+        is_new = in_force is None or new.relapses > in_force.relapses
         relapses = max(new.relapses, known.relapses) if known else new.relapses
         until_s = min(new.until_s, now_s + MAX_QUARANTINE_S)
         self.put(QuarantinedPart(new.part, until_s, relapses))
-        is_in_force = self.in_force(now_s, new.part) is not None
-        return is_in_force and not was_in_force
+        return is_new and self.in_force(now_s, new.part) is not None
 
 
 @final
@@ -232,7 +236,8 @@
         for part in due:
             if part not in self._due_s:
                 continue
-            if self._suspects.has_deeper_deadly(part, self._table.by_part):
+            deeper_parts = self._suspects.deeper_parts(part)
+            if not deeper_parts.isdisjoint(self._due_s):
                 self._due_s[part] = now_s + _DECISION_DELAY_S
                 continue
             decided.append(self._table.renew(now_s, part))
@@ -247,7 +252,7 @@
         One that ended puts the part on probation. One that was decided before
         the last known success with its part is ignored.
 
-        :returns: those that were not in force before.
+        :returns: those that were not in force before or had fewer relapses.
         """
         adopted = []
         for new in parts:
@@ -296,8 +301,20 @@
     def _schedule(self, now_s: float, parts: Iterable[str]) -> None:
         """Set or cancel the decisions on ``parts`` after a change."""
         for part in parts:
-            if self._suspects.is_deadly(part, self._table.by_part):
-                is_certain = self._suspects.is_certain(part)
+            successes = (self._own_successes, self._peer_successes)
+            is_deadly = self._suspects.is_deadly(
+                part,
+                self._table.by_part,
+                has_succeeded=_has_success_since(
+                    now_s - _LATELY_S, part, *successes
+                ),
+            )
+            if is_deadly and not _has_success_since(
+                self._suspects.last_s(part) - _OBJECTION_S, part, *successes
+            ):
+                is_certain = self._suspects.is_certain(
+                    part, self._table.by_part
+                )
                 due_s = now_s if is_certain else now_s + _DECISION_DELAY_S
                 self._due_s[part] = min(due_s, self._due_s.get(part, inf))
             else:
@@ -324,7 +341,14 @@
 def _is_outdated(new: QuarantinedPart, *successes: _Successes) -> bool:
     """Return whether a success refutes a quarantine."""
     since_s = new.began_s - _OBJECTION_S
-    return any(known.has_since(since_s, new.part) for known in successes)
+    return _has_success_since(since_s, new.part, *successes)
+
+
+def _has_success_since(
+    since_s: float, part: str, *successes: _Successes
+) -> bool:
+    """Return whether any instance's success with a part is known."""
+    return any(known.has_since(since_s, part) for known in successes)
 
 
 def _tracked(parts: Iterable[str]) -> tuple[str, ...]:
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -84,6 +84,36 @@
     When requests with "first deadly" crash "e-1 e-2 e-3 e-4 e-5"
     Then "deadly" is quarantined 0 seconds later
 
+  Scenario: Crashes before the answer never go without the delay
+    Guards against a quarantine of a common first part when many endpoints are stopped at once.
+    Given an instance without evidence
+    When requests with "first" break off before their answers at "e-1 e-2 e-3 e-4 e-5 e-6 e-7 e-8 e-9 e-10"
+    And requests with "first" crash "e-11 e-12 e-13 e-14"
+    Then nothing is quarantined 0.29 seconds later
+    And "first" is quarantined 0.02 seconds later
+
+  Scenario Outline: A known success objects to evidence that soon follows
+    Guards against a quarantine of a sound part when many endpoints crash at once, before anyone can object.
+    Given an instance without evidence
+    When <success>
+    And 2.9 seconds go by
+    And requests with "first" crash "e-1 e-2 e-3 e-4 e-5"
+    Then nothing is quarantined 5 seconds later
+    When a request with "first" crashes "e-6"
+    Then "first" is quarantined 0 seconds later
+
+    Examples:
+      | success                                      |
+      | a request with "first" succeeds              |
+      | another instance reports that "first" is sound |
+
+  Scenario: A part without successes is found behind a deeper one with a recent success
+    Guards against a deadly first part that a sound part after it hides.
+    Given an instance without evidence
+    When a request with "sound" succeeds
+    And requests with "deadly sound" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+
   Scenario: Connections that broke off alone are no evidence before the answer
     Guards against a quarantine because of connections that were cut while their endpoints went on.
     Given an instance without evidence
@@ -179,6 +209,39 @@
     And requests with "first" are not refused
     And nothing is held against "first other"
 
+  Scenario: A first part that succeeded lately is not quarantined because several deadly parts follow it
+    Guards against refusing all requests with a first part because of two crashes by each of two parts after it.
+    Given an instance without evidence
+    When a request with "first sound" succeeds
+    And 59 seconds go by
+    And requests with "first deadly-1" crash "e-1 e-2"
+    And requests with "first deadly-2" crash "e-3 e-4"
+    Then nothing is quarantined 0.5 seconds later
+    When a request with "first deadly-1" crashes "e-5"
+    Then "deadly-1" is quarantined 0.31 seconds later
+    When a request with "first deadly-2" crashes "e-6"
+    Then "deadly-2" is quarantined 0.31 seconds later
+    And nothing is held against "first"
+
+  Scenario: A first part that succeeded long ago is quarantined whatever follows it
+    Guards against endless crashes by a first part that became deadly.
+    Given an instance without evidence
+    When a request with "deadly" succeeds
+    And 61 seconds go by
+    And requests with "deadly a" crash "e-1 e-2"
+    And a request with "deadly b" crashes "e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario: A first part that succeeded lately is quarantined after five crashes
+    Guards against endless crashes by a first part that became deadly.
+    Given an instance without evidence
+    When a request with "deadly" succeeds
+    And 5 seconds go by
+    And requests with "deadly a" crash "e-1 e-2"
+    And requests with "deadly b" crash "e-3 e-4"
+    And a request with "deadly c" crashes "e-5"
+    Then "deadly" is quarantined 0 seconds later
+
   Scenario: Evidence with a quarantined part does not count against other parts
     Guards against a quarantine of the parts of requests that were running when the deadly part was quarantined.
     Given an instance without evidence
@@ -200,6 +263,17 @@
     And requests with "first deadly" are refused 119 seconds later
     And requests with "first deadly" are not refused 2 seconds later
 
+  Scenario: On probation a crash after the head of an answer needs no delay
+    Guards against more crashes by a part that is known to be deadly.
+    Given an instance without evidence
+    When requests with "first deadly" crash "e-1 e-2 e-3"
+    Then "deadly" is quarantined 0.31 seconds later
+    When 61 seconds go by
+    And a request with "first deadly" breaks off before its answer at "e-4"
+    Then nothing is quarantined 5 seconds later
+    When a request with "first deadly" crashes "e-5"
+    Then "deadly" is quarantined 0 seconds later
+
   Scenario: A success ends the probation
     Guards against a quarantine after a single crash of a part that has long been sound.
     Given an instance without evidence
@@ -235,6 +309,17 @@
     And requests with "first deadly" are refused 99 seconds later
     And requests with "first deadly" are not refused 2 seconds later
 
+  Scenario: A relapse that another instance saw first is reported while the earlier quarantine is in force
+    Guards against requests that are let through at the earlier end, with evidence that no longer counts.
+    Given an instance without evidence
+    When a quarantine of "deadly" that ends in 60 seconds arrives
+    And 59.9 seconds go by
+    And a quarantine of "deadly" after 1 relapse that ends in 120 seconds arrives
+    Then it is new
+    And requests with "first deadly" are refused 119 seconds later
+    When the same quarantine arrives again
+    Then it is not new
+
   Scenario: Instances that repeat each other's quarantines do not extend them
     Guards against a quarantine that never ends because each message adds its delay to it.
     Given an instance without evidence
