--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -28,7 +28,7 @@
 _OBJECTION_S: Final = 3.0
 #: A part with a success within this time needs more evidence if different
 #: parts follow it.
-_LATELY_S: Final = 60.0
+_RECENT_SUCCESS_S: Final = 60.0
 #: Instances decide on the same evidence at slightly different times.
 _SAME_END_S: Final = 1.0
 #: Time within which evidence is confirmed.
@@ -304,7 +304,7 @@
                 part,
                 self._table.by_part,
                 has_succeeded=_has_success_since(
-                    now_s - _LATELY_S, part, *successes
+                    now_s - _RECENT_SUCCESS_S, part, *successes
                 ),
             )
             if is_deadly and not _has_success_since(
--- a/bergamotturn/process/relay_tasks/answer_durations.py
+++ b/bergamotturn/process/relay_tasks/answer_durations.py
@@ -46,10 +46,14 @@
     def bound_s(
         self, now_s: float, call: RelayCall, service: ServedService | None
     ) -> float:
-        """Return a time in which the answer to ``call`` should be complete."""
-        possible_s = longest_answer_s(call, service, now_s)
-        expected_s = self.longest_s(call.route.name)
-        return possible_s if expected_s is None else min(possible_s, expected_s)
+        """Return a time in which the answer to ``call`` should be complete.
+
+        It is the bound from the limits of the request and the engine's
+        profile, or the longest duration seen lately if that is shorter.
+        """
+        profile_s = longest_answer_s(call, service, now_s)
+        observed_s = self.longest_s(call.route.name)
+        return profile_s if observed_s is None else min(profile_s, observed_s)
 
     def longest_s(self, route: str) -> float | None:
         """Return the longest duration to expect, None if it is unknown."""
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -168,7 +168,7 @@
         return self._fail(ErrorKind.draining, 'stopping')
 
     def on_quarantine(self, refusal: Refusal) -> Sequence[RelayAction]:
-        """End the request, whose prompt crashes engines, before it begins."""
+        """End a request with a quarantined part whose answer has not begun."""
         if self._attempt_event_count or self._is_head_forwarded:
             return []
         if self._is_sent:
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -63,6 +63,8 @@
 program.import_module = import_module
 program.start()
 """
+#: A stream, a lookup and a charge; each path is also the id of its request.
+_WAITING_PATHS = '/draft/', '/look/', '/charge/'
 #: Time without a first event after which an engine counts as silent.
 _UNBOUNDED_MS = 20_000
 
@@ -151,13 +153,13 @@
     context.outcomes = {}
     callers = [
         threading.Thread(target=_send, args=(context, path, f'{path}x'))
-        for path in ('/draft/', '/look/', '/charge/')
+        for path in _WAITING_PATHS
     ]
     for caller in callers:
         caller.start()
     ports = (*fleet.engines, *fleet.plain)
     fleet.wait_until(
-        lambda: all(fleet.runs(ports, path) for path in context.sent),
+        lambda: all(fleet.runs(ports, path) for path in _WAITING_PATHS),
         'the requests run',
     )
     context.stopped_s = monotonic()
@@ -167,7 +169,6 @@
 
 
 def _send(context, request, path):
-    context.sent = {*getattr(context, 'sent', ()), request}
     context.outcomes[request] = context.fleet.send_request(
         _STOPPED, path, request=request, **_LONGEST_HEADERS
     )
