Log for how long a call to the store had waited when it ended

store_lost and store_regained get pending_s. A call that was given up after its own timeout is thereby told from one that the store refused at once.

--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -110,10 +110,11 @@
         now_s = monotonic()
         for watch in self._watches.values():
             if watch.waits_for(outcome):
+                pending_s = watch.pending_s(now_s)
                 self._carry_out(
                     watch, watch.on_outcome(now_s, outcome), 'store'
                 )
-                self._log_store_state(watch, outcome)
+                self._log_store_state(watch, outcome, pending_s)
                 self._report_unreachable(watch)
         self._set_timer()
 
@@ -252,7 +253,7 @@
         self.fire(message, PEERS)
 
     def _log_store_state(
-        self, watch: TableWatch, outcome: StoreOutcome
+        self, watch: TableWatch, outcome: StoreOutcome, pending_s: float
     ) -> None:
         """Log when the store starts or stops answering for a table."""
         prefix = watch.settings.prefix
@@ -265,6 +266,7 @@
             outcome=outcome.status.value,
             version=watch.copy.version,
             silent_s=watch.silent_s(monotonic()),
+            pending_s=pending_s,
         )
 
 
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -117,6 +117,8 @@
         self._is_shared = False
         self._random = random
         self._pending_operation: RowFollow | RowScan | None = None
+        #: Monotonic time at which the last call to the store was started.
+        self._started_s = float('-inf')
         self._scanned_rows: list[Row] = []
         self._scan_version = 0
         self._retry_wait_s = _MIN_RETRY_WAIT_S
@@ -156,6 +158,10 @@
             return None
         return round(now_s - self.last_answer_s, _SECONDS_DIGITS)
 
+    def pending_s(self, now_s: float) -> float:
+        """Return the time since the last call to the store was started."""
+        return round(now_s - self._started_s, _SECONDS_DIGITS)
+
     def request_scan(self) -> None:
         """Read all rows as soon as the pending call has ended."""
         self._is_scan_needed = True
@@ -172,7 +178,7 @@
         self._next_call_s = None
         if self._is_scan_needed:
             self._scanned_rows = []
-            return self._scan('')
+            return self._scan(now_s, '')
         if not self.settings.wait_s:
             self._is_scan_needed = True
             self._next_call_s = now_s + self.settings.reread_s
@@ -181,6 +187,7 @@
         if self._is_shared:
             wait_s, grace_s = _SHARED_WAIT_S, _SHARED_GRACE_S
         return self._start(
+            now_s,
             RowFollow(
                 operation_id=next_operation_id(),
                 owner=self.settings.owner,
@@ -188,7 +195,7 @@
                 prefix=self.settings.prefix,
                 since_version=self.copy.version,
                 wait_s=wait_s,
-            )
+            ),
         )
 
     def waits_for(self, outcome: StoreOutcome) -> bool:
@@ -240,7 +247,7 @@
             self._scan_version = outcome.table_version
         self._scanned_rows.extend(outcome.rows)
         if outcome.has_more and outcome.rows:
-            return self._scan(outcome.rows[-1].row_key)
+            return self._scan(now_s, outcome.rows[-1].row_key)
         self._is_scan_needed = False
         self.is_complete = True
         change = self.copy.replace(self._scan_version, self._scanned_rows)
@@ -261,19 +268,23 @@
         self._last_change_s = now_s
         self._next_call_s = now_s + batch_wait_s
 
-    def _scan(self, after: str) -> list[WatchAction]:
+    def _scan(self, now_s: float, after: str) -> list[WatchAction]:
         return self._start(
+            now_s,
             RowScan(
                 operation_id=next_operation_id(),
                 owner=self.settings.owner,
                 timeout_s=_SCAN_TIMEOUT_S,
                 prefix=self.settings.prefix,
                 after=after,
-            )
+            ),
         )
 
-    def _start(self, operation: RowFollow | RowScan) -> list[WatchAction]:
+    def _start(
+        self, now_s: float, operation: RowFollow | RowScan
+    ) -> list[WatchAction]:
         self._pending_operation = operation
+        self._started_s = now_s
         return [StartStoreOperation(operation)]
 
 
