Show that an answer with a removal and a new row reads as a removal

The fake table of the scenarios answered with the newest change of each row only; it now answers with all changes in order, as the platform's store does.

--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -46,6 +46,14 @@
       | {"service": "s", "zone": "a", "state": "ready"}                                            |
       | garbage                                                                                    |
 
+  @known_red
+  Scenario: Entries that expired and came back within one answer of the store count
+    Guards against an instance without endpoints after an outage of the store, and against requests to a data centre that
+    operators took out, back and out again.
+    Given two engines and an evacuated data centre
+    When the rows of both are removed and written again within one answer
+    Then the engines are known and the data centre is out of service
+
   Scenario: A caller's request is parsed and forwarded
     Guards against forwarding the caller's API key, a workspace that the caller claims, or connection headers.
     Given a caller's request with all headers
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -9,6 +9,7 @@
 
 from bergamotturn.connection.exchange import Header
 from bergamotturn.connection.input_guard import CompleteRequest
+from bergamotturn.connection.peer_messages import OrderState
 from bergamotturn.connection.store_events import Row
 from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.platform.caller_format import PlatformCallerFormat
@@ -16,8 +17,10 @@
 from bergamotturn.platform.engine_format import PlatformEndpointFormat
 from bergamotturn.platform.table_row_reader import TableRowReader
 from bergamotturn.process.events import table_changed
-from bergamotturn.process.mirror.table_copy import TableChange
+from bergamotturn.process.mirror.table_copy import TableChange, TableCopy
 from bergamotturn.process.placement.plan import Plan, PrefillHelper
+from bergamotturn.process.relay_tasks.endpoint_registry import endpoints_target
+from bergamotturn.process.service_orders import ServiceOrders
 from bergamotturn.request.relay.actions import Attempt
 from bergamotturn.request.relay.call import HeadKind
 from bergamotturn.request.relay.call_builder import build_relay_call
@@ -110,6 +113,12 @@
     def __init__(self):
         super().__init__()
         self.entries = {}
+        self.orders = ServiceOrders()
+
+    @handler('orders_read', channel='*')
+    def _on_orders(self, orders):
+        for order in orders:
+            self.orders.merge(order)
 
     @handler('endpoints_changed', channel='*')
     def _on_endpoints(self, entries, removed):
@@ -165,6 +174,56 @@
     turn(context.recorder, RLock())
 
 
+@given('two engines and an evacuated data centre')
+def engines_and_evacuation(context):
+    context.recorder = _EndpointRecorder()
+    TableRowReader().register(context.recorder)
+    context.copies = {'servers/': TableCopy(), 'op/': TableCopy()}
+    _change_rows(context, 2, _listed_rows(1))
+
+
+@when('the rows of both are removed and written again within one answer')
+def rows_back(context):
+    removed = [
+        Row(row.row_key, 3, b'', is_removed=True) for row in _listed_rows(1)
+    ]
+    _change_rows(context, 4, (*removed, *_listed_rows(4)))
+
+
+@then('the engines are known and the data centre is out of service')
+def engines_known(context):
+    assert set(context.recorder.entries) == {'i-1', 'i-2'}
+    order = context.recorder.orders.get(endpoints_target('a'))
+    assert order.state == OrderState.out_of_service, order
+
+
+def _listed_rows(version):
+    engines = [
+        Row(
+            f'servers/i-{number}',
+            version,
+            json.dumps(
+                {
+                    'service': 's',
+                    'address': f'10.0.0.{number}:80',
+                    'zone': 'a',
+                    'state': 'ready',
+                }
+            ).encode(),
+        )
+        for number in (1, 2)
+    ]
+    return (*engines, Row('op/evacuate/a', version, b'{}'))
+
+
+def _change_rows(context, version, rows):
+    for prefix, copy in context.copies.items():
+        own = [row for row in rows if row.row_key.startswith(prefix)]
+        change = copy.merge(version, own)
+        context.recorder.fire(table_changed(prefix, change), '*')
+    turn(context.recorder, RLock())
+
+
 @given("a caller's request with all headers")
 def full_request(context):
     context.request = _request(
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -73,12 +73,12 @@
             )
         if operation.since_version < self.oldest_version:
             return _outcome(operation, StoreStatus.history_lost)
-        newest = {
-            row.row_key: row
+        changes = [
+            row
             for row in self.changes
             if row.row_version > operation.since_version
-        }
-        return self._found(operation, newest.values(), has_more=False)
+        ]
+        return self._found(operation, changes, has_more=False)
 
     def _found(self, operation, rows, has_more):
         return StoreOutcome(
@@ -127,6 +127,7 @@
         self.now_s = 0.0
         self.operations = []
         self.messages = []
+        self.changes = []
         self.calls = 0
 
     def carry_out(self, actions):
@@ -144,6 +145,7 @@
                 self.messages.append(action)
             else:
                 assert isinstance(action, TableChange)
+                self.changes.append(action)
 
     def pass_time(self, by_s):
         self.now_s += by_s
@@ -251,6 +253,30 @@
     assert set(harness.values()) == {'t/0', 't/2'}
 
 
+@when(
+    'one answer has a row removed and written again, and another one written '
+    'and removed'
+)
+def changed_twice(context):
+    store = context.store
+    store.put('t/1', b'')
+    store.put('t/2', b'new')
+    store.put('t/1', b'back')
+    store.put('t/2', b'')
+    context.harness.changes.clear()
+    context.harness.answer(store)
+
+
+@then('the change has each row once, as it is at the end')
+def net_change(context):
+    (change,) = context.harness.changes
+    changed = {row.row_key: row.value for row in change.rows}
+    assert changed == {'t/1': b'back'}, changed
+    assert change.removed_keys == ('t/2',), change.removed_keys
+    # Copies of other instances may have either state in between.
+    assert len(change.answer) == 4, change.answer
+
+
 @given(
     'two instances that both read the table of instances before either has '
     'written its row'
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -23,6 +23,14 @@
     When the store has lost its history and a row was removed
     Then all rows are read and the copy drops the removed row
 
+  @known_red
+  Scenario: A row that is removed and written again in one answer is no removed row
+    Guards against endpoints that are all dropped because their entries expired and came back while an instance had no
+    answer of the store.
+    Given a copy of a table with 3 rows
+    When one answer has a row removed and written again, and another one written and removed
+    Then the change has each row once, as it is at the end
+
   Scenario: Instances that start together find each other
     Guards against members that never learn of each other because all of them read the table of instances before any had written
     its row.
