Read and log what engines say of the requests that they take

answer_began shows a rate limit, a leaving engine and a time to wait, as far as the answer is the engine's own to this request. Figures that are no decimal numbers below a million, and headers that come twice, are listed as unreadable. Nothing acts on them yet.

--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -1,6 +1,8 @@
 """Wire format of requests and reservation calls to the platform's engines."""
 
+import re
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Final, final
 
 import msgspec
@@ -15,6 +17,7 @@
 from ..request.relay.actions import Attempt
 from ..request.relay.call import (
     EndpointAnswerHead,
+    EndpointNotice,
     HeadKind,
     LoadReport,
     RelayCall,
@@ -30,6 +33,13 @@
 _FAULTY_ADDRESS: Final = 'at-server'
 #: Numbers of running requests, waiting requests and slots.
 _LOAD_REPORT: Final = 'server-load'
+#: Requests a second that the engine takes from all instances together.
+_RATE_LIMIT: Final = 'server-limit'
+_LEAVING: Final = 'server-leaving'
+_RETRY_AFTER: Final = 'retry-after'
+_LEAVING_VALUES: Final = MappingProxyType({'1': True, '0': False})
+#: A decimal number below a million.
+_DECIMAL: Final = re.compile(r'[0-9]{1,6}(?:\.[0-9]{0,32})?|\.[0-9]{1,32}')
 _MS_PER_S: Final = 1000.0
 #: Highest priority number that engines accept; 0 is the most urgent.
 _MAX_PRIORITY: Final = 9
@@ -125,8 +135,9 @@
     ) -> EndpointAnswerHead:
         """Return the parsed head of an answer."""
         fields = {header.name: header.value for header in headers}
+        kind = _head_kind(call, status, fields)
         return EndpointAnswerHead(
-            kind=_head_kind(call, status, fields),
+            kind=kind,
             status=status,
             headers=tuple(
                 header
@@ -135,6 +146,11 @@
             ),
             load=_load_report(fields.get(_LOAD_REPORT, '')),
             faulty_address=fields.get(_FAULTY_ADDRESS, ''),
+            notice=(
+                _notice(status, headers)
+                if _is_from_endpoint(call, kind, fields)
+                else None
+            ),
             is_close_delimited=_LENGTH_FIELDS.isdisjoint(fields),
         )
 
@@ -233,6 +249,53 @@
     return HeadKind.failure
 
 
+def _is_from_endpoint(
+    call: RelayCall, kind: HeadKind, fields: dict[str, str]
+) -> bool:
+    """Return whether the answer is the endpoint's own, to this request."""
+    if kind in {HeadKind.moved, HeadKind.unrecognised}:
+        return False
+    return fields.get(_CALL_ID) == call.call_id
+
+
+def _notice(status: int, headers: tuple[Header, ...]) -> EndpointNotice:
+    rate_limit_per_s = _decimal(_value(headers, _RATE_LIMIT))
+    is_leaving = _LEAVING_VALUES.get(_value(headers, _LEAVING) or '0')
+    hold_s: float | None = 0
+    if status == HTTPStatus.SERVICE_UNAVAILABLE:
+        hold_s = _decimal(_value(headers, _RETRY_AFTER) or '0')
+    parsed = {
+        _RATE_LIMIT: rate_limit_per_s,
+        _LEAVING: is_leaving,
+        _RETRY_AFTER: hold_s,
+    }
+    present = {header.name for header in headers}
+    return EndpointNotice(
+        rate_limit_per_s=rate_limit_per_s,
+        is_leaving=bool(is_leaving),
+        hold_s=hold_s or 0,
+        unreadable=tuple(
+            name
+            for name, parsed_value in parsed.items()
+            if parsed_value is None and name in present
+        ),
+    )
+
+
+def _value(headers: tuple[Header, ...], name: str) -> str | None:
+    """Return the value of a header; an unreadable one if it comes twice."""
+    values = [header.value.strip() for header in headers if header.name == name]
+    if not values:
+        return None
+    return values[0] if len(values) == 1 else ','.join(values)
+
+
+def _decimal(text: str | None) -> float | None:
+    if text is None or not _DECIMAL.fullmatch(text):
+        return None
+    return float(text)
+
+
 def _load_report(text: str) -> LoadReport | None:
     parts = [part.strip() for part in text.split(',')]
     if len(parts) != len(LoadReport.__struct_fields__):
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -10,7 +10,7 @@
 from ...connection.exchange import Exchange, ExchangePart, Header
 from ...errors import ErrorKind, Failure
 from ...request.calls import reply_failed
-from ...request.relay.call import RelayCall
+from ...request.relay.call import EndpointNotice, RelayCall
 from ...request.relay.flow import RelayFlow
 from ..endpoints.entry import EndpointEntry
 from ..endpoints.health import Fault
@@ -158,6 +158,7 @@
             after_s=round(monotonic() - pending.sent_s, SECONDS_DIGITS),
             load=head.load,
             faulty=head.faulty_address or None,
+            notice=None if head.notice == EndpointNotice() else head.notice,
         )
         self._perform_all(pending, pending.flow.on_head(monotonic(), head))
 
--- a/bergamotturn/request/relay/call.py
+++ b/bergamotturn/request/relay/call.py
@@ -8,7 +8,13 @@
 from ...connection.exchange import Header
 from ...version.serving import Route
 
-__all__ = ('EndpointAnswerHead', 'HeadKind', 'LoadReport', 'RelayCall')
+__all__ = (
+    'EndpointAnswerHead',
+    'EndpointNotice',
+    'HeadKind',
+    'LoadReport',
+    'RelayCall',
+)
 
 
 @final
@@ -78,6 +84,24 @@
     slots: int
 
 
+@final
+class EndpointNotice(msgspec.Struct, frozen=True):
+    """What an endpoint says in an answer about the requests that it takes.
+
+    :param rate_limit_per_s: requests a second that it takes from all instances
+        together; None if it names no limit.
+    :param is_leaving: whether it is about to stop and takes no new work.
+    :param hold_s: time for which it takes no request from this instance.
+    :param unreadable: names of the fields that could not be parsed. Nothing is
+        known of what they say.
+    """
+
+    rate_limit_per_s: float | None = None
+    is_leaving: bool = False
+    hold_s: float = 0
+    unreadable: tuple[str, ...] = ()
+
+
 @final
 class EndpointAnswerHead(msgspec.Struct, frozen=True):
     """Head of an endpoint's answer.
@@ -86,6 +110,8 @@
     :param load: load report that came with the answer, if any.
     :param faulty_address: address (``host:port``) of another endpoint that the
         answer names as the one that failed, or an empty string.
+    :param notice: what the endpoint says of itself; None if the answer may be
+        another endpoint's, or one to an earlier request.
     :param is_close_delimited: whether the answer ends with its connection, so
         that an endpoint that crashes seems to end it.
     """
@@ -95,4 +121,5 @@
     headers: tuple[Header, ...] = ()
     load: LoadReport | None = None
     faulty_address: str = ''
+    notice: EndpointNotice | None = None
     is_close_delimited: bool = False
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -118,3 +118,26 @@
   Scenario: Prefill helpers and reservations are listed in the request
     Guards against a prompt that one engine prefills alone although the plan has prefill helpers.
     Then a plan with prefill helpers lists the runner first, then helpers with and without a reservation
+
+  Scenario Outline: What an engine says of the requests that it takes is read from its own answers only
+    Guards against figures that are no numbers, and against the words of an engine that has taken over the address.
+    Then an answer <status> of <whom> with "<headers>" says: limit <limit>, leaving <leaving>, hold <hold>, unreadable <unreadable>
+
+    Examples:
+      | status | whom           | headers                                   | limit  | leaving | hold | unreadable     |
+      | 200    | the engine     | x: y                                      | none   | no      | 0    | none           |
+      | 200    | the engine     | server-limit: 1.2                         | 1.2    | no      | 0    | none           |
+      | 200    | the engine     | server-limit: 1.3333333333333333          | 1.3333 | no      | 0    | none           |
+      | 503    | the engine     | server-limit: 0; retry-after: 2           | 0      | no      | 2    | none           |
+      | 200    | the engine     | server-leaving: 1                         | none   | yes     | 0    | none           |
+      | 200    | the engine     | retry-after: 2                            | none   | no      | 0    | none           |
+      | 200    | the engine     | server-limit: -1                          | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-limit:                             | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-limit: nan                         | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-limit: 1e999                       | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-limit: 99999999999                 | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-limit: 1; server-limit: 1          | none   | no      | 0    | server-limit   |
+      | 200    | the engine     | server-leaving: soon                      | none   | no      | 0    | server-leaving |
+      | 503    | the engine     | retry-after: Wed, 21 Oct 2026 07:28:00 GMT | none  | no      | 0    | retry-after    |
+      | 421    | another engine | server-limit: 1                           | nobody | no      | 0    | none           |
+      | 200    | another call   | server-limit: 1                           | nobody | no      | 0    | none           |
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -457,3 +457,25 @@
         relay_call(route()), 200, (Header(field, '1'),)
     )
     assert head.is_close_delimited is (kind == 'ends'), head
+
+
+@then('an answer {status:d} of {whom} with "{fields}" says: {words}')
+def says(context, status, whom, fields, words):
+    call = relay_call(route())
+    call_id = 'earlier' if whom == 'another call' else call.call_id
+    headers = [Header('request-id', call_id), Header('server-stamp', '1')]
+    for field in fields.split('; '):
+        name, _, text = field.partition(':')
+        headers.append(Header(name, text.strip()))
+    head = PlatformEndpointFormat().read_head(call, status, tuple(headers))
+    expected = dict(word.split() for word in words.split(', '))
+    if expected['limit'] == 'nobody':
+        assert head.notice is None, head.notice
+        return
+    unreadable = expected['unreadable']
+    assert head.notice.is_leaving is (expected['leaving'] == 'yes')
+    assert head.notice.hold_s == float(expected['hold'])
+    assert ','.join(head.notice.unreadable) == unreadable.replace('none', '')
+    limit_per_s = head.notice.rate_limit_per_s
+    shown = 'none' if limit_per_s is None else f'{limit_per_s:.5g}'
+    assert shown == expected['limit'], head.notice
