Show that a rate limit which endpoints name is exceeded

Answers of the stand-ins can have header fields of a test, and a rejection echoes the request id as engines do.

--- /dev/null
+++ b/features/endpoint_notices.feature
@@ -0,0 +1,26 @@
+@fleet
+Feature: Endpoints that say which requests they take
+  Guards against work for an endpoint in need that it has asked not to get. The fleet is three instances, the store and
+  five endpoints as processes.
+
+  # The bound is that of the users' rule: from contactMs after the limit was first named, one and a half times the limit and
+  # 5 requests in any 4 seconds.
+  @known_red
+  Scenario: An engine that names a rate limit, beside others
+    Guards against instances that ignore an endpoint's rate limit, or each keep to it alone: on norrstrom-paminn
+    (second1) nine instances sent 13 requests in 4 seconds to an engine that takes 1.2 a second.
+    Given a relay fleet
+    When the busiest engine names a limit of 1.2 requests a second
+    And 20 streams a second are sent through all instances for 9 seconds
+    Then this engine gets in no 4 seconds more than its limit allows
+    And every stream is answered
+
+  @known_red
+  Scenario: All endpoints of a service name a rate limit, and one instance has all of the traffic
+    Guards against an instance that may use only its own part of a limit, and against requests that are held or fail
+    where no endpoint takes more.
+    Given a relay fleet
+    When all plain endpoints name a limit of 2 requests a second
+    And 10 lookups a second are sent through one instance for 9 seconds
+    Then each plain endpoint gets in no 4 seconds more than its limit allows
+    And at least 20 lookups are answered, and the others refused within 0.5 seconds with a time to wait
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -97,6 +97,7 @@
     :param every: only calls whose number it divides are affected.
     :param count: maximum number of affected calls.
     :param parts: prompt parts that a fault depends on.
+    :param headers: header fields that all answers get, affected or not.
     :param calls: calls counted so far.
     """
 
@@ -106,6 +107,7 @@
     every: int = 1
     count: int = 1_000_000
     parts: list[str] = field(default_factory=list)
+    headers: dict[str, str] = field(default_factory=dict)
     calls: int = 0
     set_s: float = field(default_factory=monotonic)
 
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -16,6 +16,8 @@
 - ``unframed``: the answer has neither a length nor chunks and ends with its
   connection. ``unframed_cut`` closes it inside the third event of a stream,
   ``unframed_reset`` resets it after the last byte.
+
+All answers have the header fields in ``headers`` of the fault.
 """
 
 import asyncio
@@ -280,7 +282,12 @@
             return web.Response(status=421, headers={'Instance-Id': self._id})
         fault = self.fault.for_next_call()
         if fault == 'full':
-            return web.Response(status=503, headers={'Not-Executed': '1'})
+            answer = web.Response(
+                status=503, headers=self._answer_headers(request)
+            )
+            answer.headers.pop('Server-Stamp')
+            answer.headers['Not-Executed'] = '1'
+            return answer
         await request.read()
         self._runs[headers['Request-Id']] += 1
         fields = {name.lower(): text for name, text in headers.items()}
@@ -409,6 +416,7 @@
             'Server-Stamp': f'stamp-{self._id}',
             'Server-Load': '1,0,8',
             'Request-Id': request.headers['Request-Id'],
+            **self.fault.headers,
         }
 
 
