Send nothing more to an engine that says in its answers that it leaves

Found while looking for the cause of the exceeded rate limit elsewhere: an engine's own word, carried by an answer, that no code read. Instances sent an engine requests until its entry said that it drains, which some engines' entries never do.

An answer of the engine itself that says so excludes it at that instance for as long as this start lives. An engine that starts again under its id gets requests again.

--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Final, final
 
+from ...request.relay.call import EndpointNotice
 from ...version.serving import ServedService
 from ..placement.plan import PlacementCandidate, rank_of
 from .address_owners import AddressOwners
@@ -59,10 +60,13 @@
 
     :param rank: hash of its id.
     :param own_requests: recent requests that this instance sent to it.
+    :param is_leaving: whether it said in an answer that it is about to stop;
+        its entry may not say so, or later.
     """
 
     entry: EndpointEntry
     rank: int
+    is_leaving: bool = False
     health: EndpointHealth = field(default_factory=EndpointHealth)
     own_requests: RecentCount = field(
         default_factory=lambda: RecentCount(RATE_WINDOW_S)
@@ -113,6 +117,7 @@
             self._addresses.remove(known.entry)
             if entry.born_unix_ms > known.entry.born_unix_ms:
                 known.health = EndpointHealth()
+                known.is_leaving = False
                 self.rate_limits.forget(entry.endpoint_id)
             known.entry = entry
         self._addresses.add(entry)
@@ -169,6 +174,18 @@
             if known.entry.service == service
         )
 
+    def note_notice(self, endpoint_id: str, notice: EndpointNotice) -> bool:
+        """Record what an endpoint said of the requests that it takes.
+
+        :returns: whether it said for the first time that it is leaving.
+        """
+        known = self._known.get(endpoint_id)
+        if known is None:
+            return False
+        was_leaving = known.is_leaving
+        known.is_leaving = was_leaving or notice.is_leaving
+        return known.is_leaving and not was_leaving
+
     def wait_s(self, now_s: float, service: str) -> float:
         """Return the time after which an endpoint may take a request again.
 
@@ -255,7 +272,7 @@
         excluded: Exclusions,
     ) -> bool:
         entry = known.entry
-        if entry.is_leaving:
+        if entry.is_leaving or known.is_leaving:
             excluded.leaving += 1
             return False
         if entry.data_centre in self._out_of_service:
--- a/features/endpoint_notices.feature
+++ b/features/endpoint_notices.feature
@@ -42,3 +42,15 @@
     And this engine got at least 10 streams in the last 3 seconds
     And each instance has logged the unreadable limit at most once
     And no log of an instance has an error of the program itself
+
+  # The bound is that of the users' rule: drainMs after the instance has passed on the first such answer.
+  Scenario: An engine says in its answers that it leaves, and its entry does not
+    Guards against requests to an engine that has said that it is about to stop.
+    Given a relay fleet
+    When the busiest engine says in its answers that it leaves
+    And 20 streams a second are sent through all instances for 5 seconds
+    Then this engine gets no request 2 seconds after its first such answer through each instance
+    And every stream is answered
+    When this engine has started again under its id and says nothing
+    And 20 streams a second are sent through all instances for 3 seconds
+    Then it gets streams again through each instance
--- a/features/steps/endpoint_notices_steps.py
+++ b/features/steps/endpoint_notices_steps.py
@@ -26,6 +26,144 @@
     _name_limit(context, [context.limited], text)
 
 
+@when('the busiest engine says in its answers that it leaves')
+def engine_leaves(context):
+    _choose_busiest(context)
+    context.fleet.fault(context.limited, headers={'Server-Leaving': '1'})
+
+
+@then(
+    'this engine gets no request {limit_s:g} seconds after its first such '
+    'answer through each instance'
+)
+def no_request_after(context, limit_s):
+    for name, sent in _sent_to(context, f'i-{context.limited}').items():
+        first_s = min(
+            line['timestamp']
+            for line in context.fleet.log(name)
+            if line['message_type'] == 'answer_began'
+            and (line['notice'] or {}).get('is_leaving')
+        )
+        late = [sent_s for sent_s in sent if sent_s > first_s + limit_s]
+        assert not late, (name, late)
+
+
+@when('this engine has started again under its id and says nothing')
+def started_again(context):
+    fleet = context.fleet
+    fleet.fault(context.limited)
+    context.born_unix_ms = 2000
+    fleet.put_entry(context.limited, born=context.born_unix_ms)
+    fleet.wait_until(
+        lambda: all(
+            any(
+                line['message_type'] == 'endpoint_changed'
+                and line['born_unix_ms'] == context.born_unix_ms
+                for line in fleet.log(name)
+            )
+            for name in fleet.instances
+        ),
+        'the next start is listed',
+    )
+    context.sent_before = _sent_to(context, f'i-{context.limited}')
+
+
+@then('it gets streams again through each instance')
+def next_start_used(context):
+    for name, sent in _sent_to(context, f'i-{context.limited}').items():
+        assert len(sent) > len(context.sent_before[name]), name
+
+
+def _sent_to(context, endpoint):
+    """Return the times of requests to an endpoint, by instance."""
+    return {
+        name: [
+            line['timestamp']
+            for line in context.fleet.log(name)
+            if line['message_type'] == 'request_sent'
+            and line['endpoint'] == endpoint
+        ]
+        for name in context.fleet.instances
+    }
+
+
+@when(
+    'the busiest engine rejects requests and asks for a pause of {pause_s:g} '
+    'seconds'
+)
+def engine_full(context, pause_s):
+    _choose_busiest(context)
+    _reject(context, [context.limited], pause_s)
+
+
+@when(
+    'all plain endpoints reject requests and ask for a pause of {pause_s:g} '
+    'seconds'
+)
+def plain_full(context, pause_s):
+    _reject(context, context.fleet.plain, pause_s)
+
+
+def _reject(context, ports, pause_s):
+    context.pause_s = pause_s
+    for port in ports:
+        fields = {'Retry-After': f'{pause_s:g}'}
+        context.fleet.fault(port, fault='full', headers=fields)
+
+
+@then(
+    'it gets at most {most:d} requests of each instance from {after_s:g} '
+    'seconds after a rejection to the end of the pause'
+)
+def pause_kept(context, most, after_s):
+    _check_pause(context, context.limited, most, after_s)
+
+
+@then(
+    'each plain endpoint gets at most {most:d} requests from {after_s:g} '
+    'seconds after a rejection to the end of the pause'
+)
+def pauses_kept(context, most, after_s):
+    for port in context.fleet.plain:
+        _check_pause(context, port, most, after_s)
+
+
+def _check_pause(context, port, most, after_s):
+    for name, sent in _sent_to(context, f'i-{port}').items():
+        for rejected_s in _rejected(context, name, f'i-{port}'):
+            early = [
+                sent_s
+                for sent_s in sent
+                if rejected_s + after_s < sent_s < rejected_s + context.pause_s
+            ]
+            assert len(early) <= most, (name, len(early))
+
+
+def _rejected(context, name, endpoint):
+    """Return when requests of an instance to an endpoint were rejected."""
+    endpoints = {}
+    rejected_s = []
+    for line in context.fleet.log(name):
+        if line['message_type'] == 'request_sent':
+            endpoints[line['request']] = line['endpoint']
+        elif line['message_type'] == 'answer_began' and line['status'] == 503:
+            if endpoints[line['request']] == endpoint:
+                rejected_s.append(line['timestamp'])
+    return rejected_s
+
+
+@then(
+    'all are refused within {limit_s:g} seconds, the last one with a wait '
+    'between {least_s:g} and {most_s:g} seconds'
+)
+def all_refused(context, limit_s, least_s, most_s):
+    for answer, after_s in context.answers:
+        assert answer.status == 503, answer
+        assert after_s < limit_s, after_s
+    wait_s = float(context.answers[-1][0].headers['retry-after'])
+    assert least_s <= wait_s <= most_s, wait_s
+
+
 @when('this engine names no limit any more')
 def limit_ends(context):
     context.fleet.fault(context.limited)
