Leave an engine alone for as long as it asked to when it rejected a request

Found while looking for the cause of the exceeded rate limit elsewhere: an engine that turns a request away says for how long it wants none from that instance, and no code read it.

The instance that was told sends it nothing until that time is over, 300 s at most, or until its next start. Where all endpoints of a service pause, requests are refused at once with the shortest time that is left. Before: two new scenarios of endpoint_notices.feature failed (9 and 14 requests of one instance to an engine within its pause, two allowed); after: they pass.

--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -261,20 +261,20 @@
 def _notice(status: int, headers: tuple[Header, ...]) -> EndpointNotice:
     rate_limit_per_s = _decimal(_value(headers, _RATE_LIMIT))
     is_leaving = _LEAVING_VALUES.get(_value(headers, _LEAVING) or '0')
-    hold_s: float | None = 0
+    pause_s: float | None = 0
     if status == HTTPStatus.SERVICE_UNAVAILABLE:
-        hold_s = _decimal(_value(headers, _RETRY_AFTER) or '0')
+        pause_s = _decimal(_value(headers, _RETRY_AFTER) or '0')
     parsed = {
         _RATE_LIMIT: rate_limit_per_s,
         _LEAVING: is_leaving,
-        _RETRY_AFTER: hold_s,
+        _RETRY_AFTER: pause_s,
     }
     present = {header.name for header in headers}
     return EndpointNotice(
         has_rate_limit=_RATE_LIMIT in present,
         rate_limit_per_s=rate_limit_per_s,
         is_leaving=bool(is_leaving),
-        hold_s=hold_s or 0,
+        pause_s=pause_s or 0,
         unreadable=tuple(
             name
             for name, parsed_value in parsed.items()
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -23,6 +23,8 @@
 #: When less than this share of a service's endpoints is left, ejected ones are
 #: used after all, since isolated failures may hit half of them.
 _MIN_HEALTHY_SHARE: Final = 0.34
+#: Longest pause that an endpoint may ask for.
+_MAX_PAUSE_S: Final = 300.0
 #: Number of unreachable endpoints of a data centre at which the others there
 #: count as unreachable too: more than separate crashes cause, and few enough
 #: to detect early that a data centre is cut off.
@@ -42,6 +44,7 @@
     cut_off: int = 0
     cold: int = 0
     limited: int = 0
+    paused: int = 0
     alone: int = 0
 
     def as_fields(self) -> dict[str, int]:
@@ -62,11 +65,14 @@
     :param own_requests: recent requests that this instance sent to it.
     :param is_leaving: whether it said in an answer that it is about to stop;
         its entry may not say so, or later.
+    :param paused_until_s: monotonic time until which it takes no request from
+        this instance, as it said when it rejected one.
     """
 
     entry: EndpointEntry
     rank: int
     is_leaving: bool = False
+    paused_until_s: float = float('-inf')
     health: EndpointHealth = field(default_factory=EndpointHealth)
     own_requests: RecentCount = field(
         default_factory=lambda: RecentCount(RATE_WINDOW_S)
@@ -118,6 +124,7 @@
             if entry.born_unix_ms > known.entry.born_unix_ms:
                 known.health = EndpointHealth()
                 known.is_leaving = False
+                known.paused_until_s = float('-inf')
                 self.rate_limits.forget(entry.endpoint_id)
             known.entry = entry
         self._addresses.add(entry)
@@ -174,7 +181,9 @@
             if known.entry.service == service
         )
 
-    def note_notice(self, endpoint_id: str, notice: EndpointNotice) -> bool:
+    def note_notice(
+        self, now_s: float, endpoint_id: str, notice: EndpointNotice
+    ) -> bool:
         """Record what an endpoint said of the requests that it takes.
 
         :returns: whether it said for the first time that it is leaving.
@@ -182,6 +191,9 @@
         known = self._known.get(endpoint_id)
         if known is None:
             return False
+        if notice.pause_s:
+            paused_until_s = now_s + min(notice.pause_s, _MAX_PAUSE_S)
+            known.paused_until_s = max(known.paused_until_s, paused_until_s)
         was_leaving = known.is_leaving
         known.is_leaving = was_leaving or notice.is_leaving
         return known.is_leaving and not was_leaving
@@ -192,11 +204,14 @@
         Counted are endpoints that take none now because of what they said.
         """
         waits_s = (
-            self.rate_limits.wait_s(now_s, known.entry.endpoint_id)
+            max(
+                known.paused_until_s - now_s,
+                self.rate_limits.wait_s(now_s, known.entry.endpoint_id),
+            )
             for known in self._known.values()
             if known.entry.service == service
         )
-        return min((wait_s for wait_s in waits_s if wait_s), default=0)
+        return min((wait_s for wait_s in waits_s if wait_s > 0), default=0)
 
     def candidates(
         self,
@@ -275,6 +290,9 @@
         if entry.is_leaving or known.is_leaving:
             excluded.leaving += 1
             return False
+        if now_s < known.paused_until_s:
+            excluded.paused += 1
+            return False
         if entry.data_centre in self._out_of_service:
             excluded.out += 1
             return False
--- a/bergamotturn/process/relay_tasks/notice_registry.py
+++ b/bergamotturn/process/relay_tasks/notice_registry.py
@@ -93,9 +93,9 @@
             return
         if notice.unreadable:
             self._log_unreadable(entry, notice)
-        if self._table.note_notice(entry.endpoint_id, notice):
-            log_message('endpoint_leaving', endpoint=entry.endpoint_id)
         now_s = monotonic()
+        if self._table.note_notice(now_s, entry.endpoint_id, notice):
+            log_message('endpoint_leaving', endpoint=entry.endpoint_id)
         limit_per_s = notice.rate_limit_per_s
         if limit_per_s is not None:
             self._post(
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -32,7 +32,8 @@
 _DEFAULT_SHORT_PREFILL_S: Final = 0.2
 #: A new endpoint is listed, and an ejected one is back, within about a second.
 _NO_ENDPOINT_RETRY_S: Final = 1.0
-#: Minimum wait that callers are asked for while all endpoints have a limit.
+#: Minimum wait that callers are asked for while all endpoints have a limit or
+#: have asked for a pause.
 _MIN_LIMITED_RETRY_S: Final = 0.2
 #: Time after which a request that waits for a permit is placed again. A permit
 #: takes a round trip to another instance.
@@ -158,12 +159,12 @@
         self, now_s: float, service: ServedService, excluded: Exclusions
     ) -> Refusal:
         inputs = excluded.as_fields()
-        if excluded.limited:
+        if excluded.limited or excluded.paused:
             wait_s = self._table.wait_s(now_s, service.name)
             return Refusal(
                 kind=ErrorKind.overloaded,
                 retry_after_s=max(wait_s, _MIN_LIMITED_RETRY_S),
-                reason='rate_limited',
+                reason='rate_limited' if excluded.limited else 'paused',
                 inputs=inputs,
             )
         return Refusal(
--- a/bergamotturn/request/relay/call.py
+++ b/bergamotturn/request/relay/call.py
@@ -92,7 +92,7 @@
     :param rate_limit_per_s: requests a second that it takes from all instances
         together; None if it names no limit that could be parsed.
     :param is_leaving: whether it is about to stop and takes no new work.
-    :param hold_s: time for which it takes no request from this instance.
+    :param pause_s: time for which it takes no request from this instance.
     :param unreadable: names of the fields that could not be parsed. Nothing is
         known of what they say.
     """
@@ -100,7 +100,7 @@
     has_rate_limit: bool = False
     rate_limit_per_s: float | None = None
     is_leaving: bool = False
-    hold_s: float = 0
+    pause_s: float = 0
     unreadable: tuple[str, ...] = ()
 
 
--- a/features/endpoint_notices.feature
+++ b/features/endpoint_notices.feature
@@ -54,3 +54,20 @@
     When this engine has started again under its id and says nothing
     And 20 streams a second are sent through all instances for 3 seconds
     Then it gets streams again through each instance
+
+  # The bound is that of the users' rule: two requests of an instance from half a second after the rejection on.
+  Scenario: An engine that is full asks for a pause
+    Guards against requests to an engine that has told an instance how long it wants none.
+    Given a relay fleet
+    When the busiest engine rejects requests and asks for a pause of 3 seconds
+    And 20 streams a second are sent through all instances for 6 seconds
+    Then it gets at most 2 requests of each instance from 0.5 seconds after a rejection to the end of the pause
+    And every stream is answered
+
+  Scenario: All endpoints of a service ask for a pause
+    Guards against callers that come back too early, and against requests that are held while no endpoint takes them.
+    Given a relay fleet
+    When all plain endpoints reject requests and ask for a pause of 3 seconds
+    And 10 lookups a second are sent through one instance for 2 seconds
+    Then all are refused within 0.5 seconds, the last one with a wait between 0.5 and 3 seconds
+    And each plain endpoint gets at most 2 requests from 0.5 seconds after a rejection to the end of the pause
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -121,10 +121,10 @@
 
   Scenario Outline: What an engine says of the requests that it takes is read from its own answers only
     Guards against figures that are no numbers, and against the words of an engine that has taken over the address.
-    Then an answer <status> of <whom> with "<headers>" says: limit <limit>, leaving <leaving>, hold <hold>, unreadable <unreadable>
+    Then an answer <status> of <whom> with "<headers>" says: limit <limit>, leaving <leaving>, pause <pause>, unreadable <unreadable>
 
     Examples:
-      | status | whom           | headers                                   | limit  | leaving | hold | unreadable     |
+      | status | whom           | headers                                   | limit  | leaving | pause | unreadable     |
       | 200    | the engine     | x: y                                      | none   | no      | 0    | none           |
       | 200    | the engine     | server-limit: 1.2                         | 1.2    | no      | 0    | none           |
       | 200    | the engine     | server-limit: 1.3333333333333333          | 1.3333 | no      | 0    | none           |
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -474,7 +474,7 @@
         return
     unreadable = expected['unreadable']
     assert head.notice.is_leaving is (expected['leaving'] == 'yes')
-    assert head.notice.hold_s == float(expected['hold'])
+    assert head.notice.pause_s == float(expected['pause'])
     assert ','.join(head.notice.unreadable) == unreadable.replace('none', '')
     limit_per_s = head.notice.rate_limit_per_s
     shown = 'none' if limit_per_s is None else f'{limit_per_s:.5g}'
