Break a stream off when the engine that should resume it answers an error

Cause: a failure answer was passed on to the caller whenever the request could not be retried, also after the head and events of another engine's stream. The body went into the stream, and its end ended the stream. The attempt now ends the request with endpoint_lost, so that the caller's connection breaks off.

Before: both examples of the new scenario of relay_flow.feature failed, with the error's text behind event 2; after: they pass.

--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -225,6 +225,9 @@
         if is_server_error and self._may_run_again(now_s, self._possible_runs):
             self._unattributed_failures.append(self._attempt)
             return self._retry(now_s, 'failed')
+        if self._is_head_forwarded:
+            # The caller is in the middle of another endpoint's answer.
+            return self._fail(ErrorKind.endpoint_lost, 'failed')
         return []
 
     def _on_attempt_failed(
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -26,6 +26,20 @@
     When its engine's answer breaks off in the middle of event 3
     Then the caller's connection is closed
 
+  Scenario Outline: The engine that should resume a stream answers with an error
+    Guards against an error's text in the middle of a stream, and against a stream that ends as complete without its last
+    events.
+    Given a resumable stream that has received 2 events
+    When its engine's answer breaks off in the middle of event 3
+    And the next engine answers <status> with a text
+    Then the caller got the events up to event 2 only
+    And it has ended once, with endpoint_lost
+
+    Examples:
+      | status |
+      | 500    |
+      | 400    |
+
   Scenario Outline: A stream that ends with its connection is complete only after an event
     Guards against an answer without a length or chunks whose engine crashed, passed on as a complete and empty one.
     Given a stream whose answer ends with its connection
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -112,6 +112,20 @@
     context.run.receive_events(*range(1, count + 1))
 
 
+@when('the next engine answers {status:d} with a text')
+def answers_with_error(context, status):
+    run = context.run
+    run.receive_head(EndpointAnswerHead(HeadKind.failure, status))
+    run.record(run.flow.on_data(run.now_s, b'{"error": "no"}'))
+    run.record(run.flow.on_end(run.now_s))
+
+
+@then('the caller got the events up to event {last:d} only')
+def got_events(context, last):
+    data = b''.join(action.data for action in context.run.actions_of(ReplyData))
+    assert data == b''.join(map(event, range(1, last + 1))), data
+
+
 @given('a non-resumable stream that has received {count:d} events')
 def non_resumable_stream(context, count):
     context.run = _RelayRun(route(may_resume=False))
@@ -331,6 +345,13 @@
     assert failure.failure.kind is ErrorKind(kind), failure
 
 
+@then('it has ended once, with {kind}')
+def ended_once(context, kind):
+    (final,) = context.run.actions_of(_FINAL_ACTIONS)
+    assert isinstance(final, ReplyFailure), final
+    assert final.failure.kind is ErrorKind(kind), final
+
+
 @then('the event is forwarded and no endpoint is reported as failed')
 def event_forwarded(context):
     run = context.run
