Take no answer without an id for that to a later request on a connection

From other operators' reports: an engine wrote an earlier refusal once more on a kept connection, and callers were told that a request had not run which had, or it ran at a second engine.

Here an answer that names another request was skipped already. One without any id was taken for the answer to the current request, so that a repeated refusal without an id did the same harm. On a connection that carried a request before, such an answer now fails the exchange, as one that may have run. On a new connection no other request can be meant. The stand-in echoes it when another engine has its address.

Before: the second example of the new scenario of http_client.feature failed, with the status 503 for the second request; after: both pass.

--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -49,7 +49,7 @@
     exchange_head,
 )
 from .polled_component import PolledComponent
-from .stale_answer import StaleAnswer, is_stale
+from .stale_answer import StaleAnswer, has_echo, is_stale
 
 __all__ = ('HttpClient',)
 
@@ -355,6 +355,17 @@
                     connection, transfer, transfer.head_bytes
                 )
                 return
+            if (
+                step.head
+                and connection.reused
+                and not has_echo(exchange.correlation_header, step.head.headers)
+            ):
+                self._fail(
+                    connection,
+                    ErrorKind.endpoint_failed,
+                    'answer without an id on a connection with earlier ones',
+                )
+                return
         self._report(connection, transfer, step)
 
     def _skip_stale_answer(
--- a/bergamotturn/connection/stale_answer.py
+++ b/bergamotturn/connection/stale_answer.py
@@ -13,7 +13,7 @@
 from ..errors import ErrorKind, Failure
 from .exchange import Header
 
-__all__ = ('StaleAnswer', 'is_stale')
+__all__ = ('StaleAnswer', 'has_echo', 'is_stale')
 
 _MAX_HEAD_BYTES: Final = 16_384
 #: Largest stale answer that is skipped. A longer one costs more than a new
@@ -69,7 +69,8 @@
 def is_stale(echo: Header | None, headers: tuple[Header, ...]) -> bool:
     """Return whether the answer's echo header differs from ``echo``.
 
-    An answer without this header may be the expected one.
+    An answer without this header may be the expected one, if no other request
+    was sent on the connection before.
     """
     if echo is None:
         return False
@@ -77,3 +78,8 @@
         header.name == echo.name and header.value != echo.value
         for header in headers
     )
+
+
+def has_echo(echo: Header, headers: tuple[Header, ...]) -> bool:
+    """Return whether the answer has the header of ``echo`` at all."""
+    return any(header.name == echo.name for header in headers)
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -124,6 +124,18 @@
       | POST   | 2     | fails as "endpoint_lost" sent |
       | GET    | 3     | is answered                   |
 
+  Scenario Outline: A peer writes an earlier refusal once more on a kept connection
+    Guards against a caller that is told "not run" of a request that ran, or whose request runs at a second endpoint, since
+    a refusal of the request before it was taken for its answer.
+    Given an earlier refusal <echo>, which its peer writes once more before the next answer
+    When the requests "first" and "second" are sent to this peer one after the other
+    Then the status <status> is reported for the first and the second <outcome>
+
+    Examples:
+      | echo          | status | outcome                    |
+      | with its id   | 503    | gets the status 200        |
+      | without an id | 503    | fails as "endpoint_failed" |
+
   Scenario: More idle connections than are kept
     Guards against a number of open sockets that grows without limit.
     Given a peer with answers once 12 requests have arrived
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -279,7 +279,13 @@
             }
         )
         if headers.get('Expect-Instance', self._id) != self._id:
-            return web.Response(status=421, headers={'Instance-Id': self._id})
+            return web.Response(
+                status=421,
+                headers={
+                    'Instance-Id': self._id,
+                    'Request-Id': headers['Request-Id'],
+                },
+            )
         fault = self.fault.for_next_call()
         if fault == 'full':
             answer = web.Response(
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -15,11 +15,13 @@
 from bergamotturn.connection.exchange import (
     Address,
     Exchange,
+    Header,
     cancel_exchange,
     next_exchange_id,
     start_exchange,
 )
 from bergamotturn.connection.http_client import HttpClient
+from bergamotturn.errors import ErrorKind
 from bergamotturn.process.timers import Timers
 
 #: Far above any expected time; exceeded only if something hangs.
@@ -406,3 +408,67 @@
         except Empty:
             return
         assert name == 'exchange_data', name
+
+
+@given(
+    'an earlier refusal {echo}, which its peer writes once more before the '
+    'next answer'
+)
+def refusal_twice(context, echo):
+    fields = b'Request-Id: first\r\n' if echo == 'with its id' else b''
+    refusal = b''.join(
+        (
+            b'HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n',
+            fields,
+            b'Content-Length: 0\r\n\r\n',
+        )
+    )
+    _start_peer(context, partial(_refuse_twice, refusal))
+
+
+def _refuse_twice(refusal, peer, sock, number):
+    peer.read_request(sock, number)
+    sock.sendall(refusal)
+    peer.read_request(sock, number)
+    sock.sendall(
+        b''.join(
+            (
+                refusal,
+                b'HTTP/1.1 200 OK\r\nRequest-Id: second\r\n',
+                b'Content-Length: 5\r\n\r\nwhole',
+            )
+        )
+    )
+
+
+@when(
+    'the requests "{first}" and "{second}" are sent to this peer one after the '
+    'other'
+)
+def send_both(context, first, second):
+    context.reports = []
+    for call_id in (first, second):
+        echo = Header('request-id', call_id)
+        exchange = _send(context, 'POST', correlation_header=echo)
+        context.reports.append(_wait_for_outcome(context, exchange))
+
+
+@then(
+    'the status {status:d} is reported for the first and the second {outcome}'
+)
+def second_outcome(context, status, outcome):
+    first, second = context.reports
+    assert _status(first) == status, first
+    assert len({number for number, _ in context.peer.requests}) == 1
+    if outcome == 'gets the status 200':
+        assert _status(second) == 200, second
+        assert _content(second) == b'whole', second
+        return
+    last, rest = second[-1]
+    assert last == 'exchange_failed', second
+    assert rest[0].kind is ErrorKind.endpoint_failed, rest
+    assert not any(name == 'exchange_head' for name, _ in second), second
+
+
+def _status(reports):
+    return next(rest[0] for name, rest in reports if name == 'exchange_head')
