Exclude by a test that an answer cut inside its head reaches a caller

It cannot happen here: at each place of a head, with a length, chunks, neither or an empty body, the parser reports no head and the exchange is lost. No code is changed.

--- a/features/answer_parser.feature
+++ b/features/answer_parser.feature
@@ -94,3 +94,8 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\na: b | c      |
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b                | c      |
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n                     | 0      |
+
+  Scenario: An answer that stops at any place of its head
+    Guards against a caller that gets a success with an empty or short body, framed as whole, of an engine that stopped in
+    the middle of its answer's head and closed.
+    Then an answer cut at each place of its head is lost and reports no head, whatever its framing
--- a/features/steps/answer_parser_steps.py
+++ b/features/steps/answer_parser_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from bergamotturn.connection.answer_parser import AnswerParser
+from bergamotturn.errors import ErrorKind
 
 _COMPLETE = 'complete'
 
@@ -357,3 +358,31 @@
     assert context.step.failure, context.sent_bytes
     assert context.step.failure.kind.value == 'endpoint_failed', context.step
     assert context.sent_bytes < limit, context.sent_bytes
+
+
+@then(
+    'an answer cut at each place of its head is lost and reports no head, '
+    'whatever its framing'
+)
+def cut_in_head(context):
+    start = b'HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: a\r\n'
+    framings = (
+        b'Content-Length: 10\r\n\r\n',
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'\r\n',
+        b'Content-Length: 0\r\n\r\n',
+    )
+    for framing in framings:
+        head = start + framing
+        for length in range(1, len(head)):
+            _check_cut(head[:length])
+
+
+def _check_cut(part):
+    parser = AnswerParser('POST')
+    step = parser.feed(part)
+    assert step.head is None, part
+    assert not step.is_complete, part
+    end = parser.close()
+    assert not end.is_complete, part
+    assert end.failure.kind is ErrorKind.endpoint_lost, (part, end)
