--- a/features/steps/answer_parser_steps.py
+++ b/features/steps/answer_parser_steps.py
@@ -374,8 +374,9 @@
     )
     for framing in framings:
         head = start + framing
-        for length in range(1, len(head)):
-            _check_cut(head[:length])
+        longest_cut = len(head) - 1
+        for length in range(longest_cut):
+            _check_cut(head[: length + 1])
 
 
 def _check_cut(part):
