--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -147,10 +147,12 @@
         """Return whether a follower forwards the changes to this instance."""
         if self._is_following or self._is_scan_needed:
             return False
-        return self.settings.is_forwarded and bool(self.settings.wait_s)
+        return self.settings.is_forwarded
 
     def set_following(self, *, is_following: bool) -> list[WatchAction]:
         """Follow the store, or leave that to other instances."""
+        if not self.settings.wait_s:
+            return []
         was_following = self._is_following
         self._is_following = is_following
         if was_following or not is_following:
