Report content that is nested too deeply as invalid

Cause: msgspec raises RecursionError, which is no DecodeError, for such content. It left the reader of the endpoints' table and with it all other rows of the same answer were dropped; the copy of the table counted them as received, so that they weren't read again.

Change: decoding.py reports all invalid content as DecodeError, and each decoder of bytes from another process uses it: the same error could leave the handling of peer messages, configurations, store answers, records and engines' reports.

--- a/bergamotturn/connection/engine_adapter.py
+++ b/bergamotturn/connection/engine_adapter.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..decoding import decode
 from ..request.answer import BrokenChunk, Chunk, EndChunk, TokenChunk
 from .exchange import Address, Exchange, Header, next_exchange_id
 from .peer_messages import EndpointIncarnation
@@ -157,8 +158,8 @@
 
     def _decode(self, content: bytes) -> Chunk:
         try:
-            event = _EVENT_DECODER.decode(content)
-        except (msgspec.DecodeError, UnicodeDecodeError):
+            event = decode(_EVENT_DECODER, content)
+        except msgspec.DecodeError:
             return self._mark_broken('an event of the stream is not valid')
         if event.finish_reason is not None:
             return EndChunk(
--- a/bergamotturn/connection/engine_control.py
+++ b/bergamotturn/connection/engine_control.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from .exchange import Address, Exchange, Header, next_exchange_id
 from .peer_messages import EndpointIncarnation
 
@@ -172,7 +173,7 @@
 def parse_status(body: bytes) -> EngineStatus | None:
     """Return the status in ``body``, or ``None`` if it is malformed."""
     try:
-        status = msgspec.json.decode(body, type=_StatusBody)
+        status = decode_json(body, _StatusBody)
     except msgspec.DecodeError:
         return None
     incarnation = EndpointIncarnation(status.start_id, status.cold_count)
@@ -187,7 +188,7 @@
         ``asked_s - age_s``.
     """
     try:
-        load = msgspec.json.decode(body, type=_LoadBody)
+        load = decode_json(body, _LoadBody)
     except msgspec.DecodeError:
         return None
     return EngineLoad(asked_s - max(0, load.age_s), load.streams)
--- a/bergamotturn/connection/instance_list.py
+++ b/bergamotturn/connection/instance_list.py
@@ -11,6 +11,7 @@
 from circuits import Component, Event, handler
 from expression import Error, Ok, Result
 
+from ..decoding import decode
 from ..errors import ErrorKind, Failure
 from ..process.timers import Timers
 from .exchange import (
@@ -121,7 +122,7 @@
             return _failure(f'the instance list is malformed: {error}')
 
     def _parse(self, body: bytes) -> InstanceList:
-        answer = self._decoder.decode(body)
+        answer = decode(self._decoder, body)
         members = tuple(_member(listed) for listed in answer.instances)
         leaving = sorted(
             endpoint.name
--- a/bergamotturn/connection/operator_listener.py
+++ b/bergamotturn/connection/operator_listener.py
@@ -13,6 +13,7 @@
 from expression import Result
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from ..decoding import decode_json
 from ..errors import ErrorKind, Failure
 from ..process.burn import BurnRow
 from ..process.burn_task import burn_report_requested
@@ -208,8 +209,8 @@
         self, call: WebCall, body_type: type[msgspec.Struct]
     ) -> msgspec.Struct | None:
         try:
-            return msgspec.json.decode(call.request.body, type=body_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode_json(call.request.body, body_type)
+        except msgspec.DecodeError as error:
             failure = Failure(ErrorKind.bad_request, str(error))
         self._answer_failure(call, failure)
         return None
--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -11,6 +11,7 @@
 import msgspec
 from circuits import Event
 
+from ..decoding import decode
 from .exchange import Address
 from .store_events import Row
 
@@ -755,4 +756,4 @@
 
     :raises msgspec.DecodeError: when ``data`` is not a valid envelope.
     """
-    return _DECODER.decode(data)
+    return decode(_DECODER, data)
--- a/bergamotturn/connection/table_store.py
+++ b/bergamotturn/connection/table_store.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from .exchange import Address, Exchange, Header, next_exchange_id
 from .store_events import (
     Row,
@@ -145,10 +146,10 @@
     if status != HTTPStatus.OK:
         return _status_outcome(operation, StoreStatus.unknown)
     if isinstance(operation, RowRead):
-        row_body = msgspec.json.decode(body, type=_RowBody)
+        row_body = decode_json(body, _RowBody)
         rows = (Row(operation.row_key, row_body.row_version, row_body.value),)
     else:
-        scan = msgspec.json.decode(body, type=_ScanBody)
+        scan = decode_json(body, _ScanBody)
         rows = tuple(
             Row(row_body.row_key, row_body.row_version, row_body.value)
             for row_body in scan.rows
@@ -164,7 +165,7 @@
     operation: RowWrite, status: int, body: bytes
 ) -> StoreOutcome:
     if status == HTTPStatus.CONFLICT:
-        row_body = msgspec.json.decode(body, type=_RowBody)
+        row_body = decode_json(body, _RowBody)
         row = Row(operation.row_key, row_body.row_version, row_body.value)
         return StoreOutcome(
             operation_id=operation.operation_id,
@@ -173,7 +174,7 @@
         )
     if status != HTTPStatus.OK:
         return _status_outcome(operation, StoreStatus.unknown)
-    written = msgspec.json.decode(body, type=_WrittenBody)
+    written = decode_json(body, _WrittenBody)
     return StoreOutcome(
         operation_id=operation.operation_id,
         status=StoreStatus.written,
--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..decoding import decode
 from ..errors import ErrorKind, Failure
 from ..version.serving import (
     CallerLimits,
@@ -132,7 +133,7 @@
 ) -> Result[ServingConfiguration, Failure]:
     """Return the configuration in ``content``, or why it is invalid."""
     try:
-        parsed = _DECODER.decode(content)
+        parsed = decode(_DECODER, content)
     except msgspec.DecodeError as error:
         return Error(Failure(ErrorKind.configuration_invalid, str(error)))
     return Ok(
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -28,6 +28,7 @@
     StoreStatus,
 )
 from ..connection.table_store import TableOperation
+from ..decoding import decode_json
 
 __all__ = ('PlatformTable',)
 
@@ -134,7 +135,7 @@
         if status not in _STATUSES_WITH_ROWS:
             return _empty_outcome(operation, StoreStatus.unknown)
         try:
-            parsed = msgspec.json.decode(body, type=_RowsBody)
+            parsed = decode_json(body, _RowsBody)
         except msgspec.DecodeError:
             return _empty_outcome(operation, StoreStatus.unknown)
         if isinstance(operation, RowWrite):
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -11,6 +11,7 @@
 from ..connection.exchange import Address
 from ..connection.peer_messages import OrderState, OrderUpdate
 from ..connection.store_events import Row
+from ..decoding import decode
 from ..process.endpoints.entry import EndpointEntry
 from ..process.events import (
     endpoints_changed,
@@ -175,7 +176,7 @@
 
 def _parse_endpoint(row: Row) -> _EndpointJson | None:
     try:
-        parsed = _ENDPOINT_DECODER.decode(row.value)
+        parsed = decode(_ENDPOINT_DECODER, row.value)
     except msgspec.DecodeError:
         return None
     return parsed if _ADDRESS.fullmatch(parsed.address) else None
--- a/bergamotturn/process/burn.py
+++ b/bergamotturn/process/burn.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ..decoding import decode_json
+
 __all__ = (
     'OBJECTIVES',
     'WINDOWS_S',
@@ -192,6 +194,6 @@
 def decode_counts(data: bytes) -> BurnCounts:
     """Return the counts in ``data``.
 
-    :raises msgspec.ValidationError: when ``data`` does not match the type.
+    :raises msgspec.DecodeError: when ``data`` does not match the type.
     """
-    return msgspec.json.decode(data, type=BurnCounts)
+    return decode_json(data, BurnCounts)
--- a/bergamotturn/process/lease.py
+++ b/bergamotturn/process/lease.py
@@ -11,10 +11,9 @@
 from math import inf
 from typing import Final, final
 
-import msgspec
-
 from ..connection.peer_messages import PromiseAsk, PromiseGiven
 from ..connection.store_events import Row, StoreOutcome, StoreStatus
+from ..decoding import decode_json
 from .lease_actions import (
     LEASE_S,
     OPERATION_PERIOD_S,
@@ -351,7 +350,7 @@
 
 
 def _decode(row: Row) -> LeaseRow:
-    return msgspec.json.decode(row.value, type=LeaseRow)
+    return decode_json(row.value, LeaseRow)
 
 
 def _version(row: Row | None) -> int:
--- a/bergamotturn/process/order_rows.py
+++ b/bergamotturn/process/order_rows.py
@@ -19,6 +19,7 @@
     StoreStatus,
     next_operation_id,
 )
+from ..decoding import decode
 from .service_orders import ServiceOrders, outranks
 
 __all__ = ('OrderRows',)
@@ -100,7 +101,7 @@
             return None
         self._versions[row.row_key] = row.row_version
         try:
-            order = _DECODER.decode(row.value)
+            order = decode(_DECODER, row.value)
         except msgspec.DecodeError:
             return None
         return order if row.row_key == _PREFIX + order.target else None
--- a/bergamotturn/process/quarantine_row.py
+++ b/bergamotturn/process/quarantine_row.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from ..decoding import decode_json
 from .endpoints.quarantined_part import (
     MAX_QUARANTINE_S,
     QuarantinedPart,
@@ -287,7 +288,7 @@
 
     :raises msgspec.DecodeError: if it is invalid.
     """
-    entries = msgspec.json.decode(content, type=list[_Entry])
+    entries = decode_json(content, list[_Entry])
     return tuple(
         QuarantinedPart(
             entry.part,
--- a/bergamotturn/process/registration_task.py
+++ b/bergamotturn/process/registration_task.py
@@ -21,6 +21,7 @@
     next_operation_id,
     store_operation,
 )
+from ..decoding import decode_json
 from .events import members_listed
 from .mirror.mirror_task import MIRROR, read_table
 from .mirror.table_copy import TableChange
@@ -132,7 +133,7 @@
 
 def _decode(content: bytes) -> _Registration | None:
     try:
-        return msgspec.json.decode(content, type=_Registration)
+        return decode_json(content, _Registration)
     except msgspec.DecodeError as error:
         log_message('registration_unreadable', reason=str(error))
         return None
--- a/bergamotturn/request/call_record.py
+++ b/bergamotturn/request/call_record.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from ..connection.exchange import Header
+from ..decoding import decode
 
 __all__ = (
     'CallRecord',
@@ -110,7 +111,7 @@
 def decode_record(value: bytes) -> CallRecord | None:
     """Return the record in ``value``, or None if it cannot be decoded."""
     try:
-        return _RECORD_DECODER.decode(value)
+        return decode(_RECORD_DECODER, value)
     except msgspec.DecodeError:
         return None
 
@@ -123,6 +124,6 @@
 def decode_result(value: bytes) -> KeptResult | None:
     """Return the result in ``value``, or None if it cannot be decoded."""
     try:
-        return _RESULT_DECODER.decode(value)
+        return decode(_RESULT_DECODER, value)
     except msgspec.DecodeError:
         return None
--- a/bergamotturn/request/chat.py
+++ b/bergamotturn/request/chat.py
@@ -5,6 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from ..decoding import decode
 from ..errors import ErrorKind, Failure
 from .answer import EndChunk
 from .error_body import encode_failure
@@ -196,13 +197,9 @@
 def parse_chat(body: bytes) -> Result[ChatRequest, Failure]:
     """Return the request in ``body``, or the failure to decode it."""
     try:
-        return Ok(_DECODER.decode(body))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Ok(decode(_DECODER, body))
+    except msgspec.DecodeError as error:
         return Error(Failure(ErrorKind.bad_request, str(error)))
-    except RecursionError:
-        return Error(
-            Failure(ErrorKind.bad_request, 'The JSON is nested too deeply.')
-        )
 
 
 def error_event(failure: Failure) -> bytes:
--- a/bergamotturn/version/configuration.py
+++ b/bergamotturn/version/configuration.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from ..connection.exchange import Address
+from ..decoding import decode
 
 __all__ = (
     'Configuration',
@@ -167,4 +168,4 @@
     :raises msgspec.DecodeError: when ``content`` is not JSON or, as a
         :exc:`msgspec.ValidationError`, does not fit the types.
     """
-    return _DECODER.decode(content)
+    return decode(_DECODER, content)
--- a/bergamotturn/version/merge.py
+++ b/bergamotturn/version/merge.py
@@ -153,7 +153,7 @@
     except OSError as error:
         reason = error.strerror or 'cannot be read'
         return Error(Finding(str(path), '', reason))
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
         return Error(Finding(str(path), '', f'is not valid TOML: {error}'))
     return Ok(Document(str(path), tables))
 
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -121,6 +121,6 @@
         return Ok(msgspec.toml.decode(path.read_bytes(), type=ServingSettings))
     except OSError as error:
         reason = error.strerror or 'cannot be read'
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
         reason = str(error)
     return Error(Failure(ErrorKind.configuration_invalid, f'{path}: {reason}'))
--- a/bergamotturn/version/settings.py
+++ b/bergamotturn/version/settings.py
@@ -102,6 +102,6 @@
         return Ok(msgspec.toml.decode(path.read_bytes(), type=Settings))
     except OSError as error:
         reason = error.strerror or 'cannot be read'
-    except (msgspec.DecodeError, ValueError) as error:
+    except (msgspec.DecodeError, RecursionError, ValueError) as error:
         reason = str(error)
     return Error(Failure(ErrorKind.configuration_invalid, f'{path}: {reason}'))
--- a/bergamotturn/version/version_row.py
+++ b/bergamotturn/version/version_row.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..decoding import decode
+
 __all__ = (
     'VERSION_ROW_KEY',
     'AcceptedVersion',
@@ -75,7 +77,7 @@
 def decode_version_row(value: bytes) -> VersionRow | None:
     """Return the row in ``value``, or ``None`` if it is malformed or empty."""
     try:
-        row = _DECODER.decode(value)
+        row = decode(_DECODER, value)
     except msgspec.DecodeError:
         return None
     return row if row.versions else None
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -18,6 +18,18 @@
       | {"version": 3, "routes": [{}]}       |
       | not JSON                             |
 
+  Scenario Outline: Content that is nested too deeply is refused
+    Guards against a RecursionError that ends the handling of all other content of the same answer or message.
+    Then a <content> that is nested too deeply is refused
+
+    Examples:
+      | content              |
+      | configuration row    |
+      | answer of the store  |
+      | message of a peer    |
+      | row of quarantines   |
+      | registration         |
+
   Scenario Outline: The route with the longest matching prefix on the host gets the request
     Guards against a request that goes to a route with a shorter prefix or of another host.
     Given routes with the prefixes / and /a/ and /a/b/ on one host and /a/ on another
@@ -46,6 +58,11 @@
       | {"service": "s", "zone": "a", "state": "ready"}                                            |
       | garbage                                                                                    |
 
+  Scenario: An entry that is nested too deeply hides no other entry
+    Guards against an instance that starts without any endpoint because one entry of another writer is nested too deeply.
+    Given an entry with 2048 opening brackets and a valid one
+    Then only the valid entry is known
+
   Scenario: Entries that expired and came back within one answer of the store count
     Guards against an instance without endpoints after an outage of the store, and against requests to a data centre that
     operators took out, back and out again.
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -1,24 +1,33 @@
 """Steps for the wire formats of the users' platform."""
 
 import json
+from http import HTTPStatus
 from random import Random
 from threading import RLock
 
+import msgspec
 from behave import given, then, when
 from circuits import Component, handler
 
-from bergamotturn.connection.exchange import Header
+from bergamotturn.connection.exchange import Address, Header
 from bergamotturn.connection.input_guard import CompleteRequest
-from bergamotturn.connection.peer_messages import OrderState
-from bergamotturn.connection.store_events import Row
+from bergamotturn.connection.peer_messages import (
+    OrderState,
+    decode_envelope,
+)
+from bergamotturn.connection.store_events import Row, RowScan, StoreStatus
+from bergamotturn.decoding import decode_json
 from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.platform.caller_format import PlatformCallerFormat
 from bergamotturn.platform.configuration_format import read_configuration
 from bergamotturn.platform.engine_format import PlatformEndpointFormat
+from bergamotturn.platform.table_format import PlatformTable
 from bergamotturn.platform.table_row_reader import TableRowReader
+from bergamotturn.process.endpoints.entry import EndpointEntry
 from bergamotturn.process.events import table_changed
 from bergamotturn.process.mirror.table_copy import TableChange, TableCopy
 from bergamotturn.process.placement.plan import Plan, PrefillHelper
+from bergamotturn.process.quarantine_row import decode_parts
 from bergamotturn.process.relay_tasks.endpoint_registry import endpoints_target
 from bergamotturn.process.service_orders import ServiceOrders
 from bergamotturn.request.relay.actions import Attempt
@@ -38,6 +47,9 @@
     route,
 )
 
+#: More than the recursion limit.
+_TOO_DEEP = 4096
+
 _CONFIGURATION = {
     'version': 7,
     'routes': [
@@ -151,6 +163,42 @@
     )
 
 
+@given('an entry with {count:d} opening brackets and a valid one')
+def nested_entry(context, count):
+    brackets = '[' * count
+    two_entries(context, f'{{"service": "s", "note": {brackets}')
+
+
+@then('a {content} that is nested too deeply is refused')
+def nested_content(context, content):
+    nested = b'{"note":%b' % (b'[' * _TOO_DEEP)
+    if content == 'configuration row':
+        assert read_configuration(nested).is_error()
+    elif content == 'answer of the store':
+        table = PlatformTable(Address('10.0.0.9', 80))
+        scan = RowScan(
+            operation_id=1, owner='test', timeout_s=1, prefix='servers/'
+        )
+        outcome = table.outcome(scan, HTTPStatus.OK, nested)
+        assert outcome.status is StoreStatus.unknown
+    elif content == 'message of a peer':
+        _expect_decode_error(
+            decode_envelope, b'\x81\xa1x%b' % (b'\x91' * _TOO_DEEP)
+        )
+    elif content == 'row of quarantines':
+        _expect_decode_error(decode_parts, b'[' * _TOO_DEEP, 0, 0)
+    else:
+        _expect_decode_error(decode_json, nested, EndpointEntry)
+
+
+def _expect_decode_error(decode, *arguments):
+    try:
+        decode(*arguments)
+    except msgspec.DecodeError:
+        return
+    raise AssertionError('the content was decoded')
+
+
 @given('an invalid entry {content} and a valid one')
 def two_entries(context, content):
     good = {
