Leave it to the sender whether an exchange may be repeated

Cause: the HTTP client repeated exchanges by their method (GET, HEAD).

Change: an exchange says whether it may be repeated; only reads of stores, instance lists, engine reports and resumed streams do. The scenario of the client that expected the repeat of any GET expects it of repeatable ones, and that GET and HEAD otherwise arrive once.

The scenarios failed before: http_client examples 2 and 3; relay_path, a charge by GET was answered 200 after two runs. Both pass now.

--- a/bergamotturn/connection/engine_adapter.py
+++ b/bergamotturn/connection/engine_adapter.py
@@ -227,6 +227,7 @@
             path=f'{_stream_path(stream_id)}?offset={offset}',
             silence_timeout_s=self._silence_s,
             read_pause_s=_READ_PAUSE_S,
+            is_repeatable=True,
             is_batched=True,
         )
 
--- a/bergamotturn/connection/engine_control.py
+++ b/bergamotturn/connection/engine_control.py
@@ -284,4 +284,5 @@
         connect_timeout_s=1,
         silence_timeout_s=_TIMEOUT_S,
         total_timeout_s=_TIMEOUT_S,
+        is_repeatable=method == 'GET',
     )
--- a/bergamotturn/connection/exchange.py
+++ b/bergamotturn/connection/exchange.py
@@ -94,6 +94,9 @@
         address, if not the client's usual one.
     :param correlation_header: a request field that the answer echoes; an answer
         with another value belongs to an earlier request and is skipped.
+    :param is_repeatable: whether the client may send the request once more if
+        a reused connection is lost before an answer. The peer may have carried
+        it out by then, so this does not follow from the method alone.
     :param is_batched: whether body bytes are reported together with those of
         other batched exchanges, as :class:`exchange_data_batch`.
     """
@@ -114,6 +117,7 @@
     reuse_idle_s: float = inf
     idle_connections: int | None = None
     correlation_header: Header | None = None
+    is_repeatable: bool = False
     is_batched: bool = False
 
 
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -71,8 +71,6 @@
 _KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=([0-9]+)')
 
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
-#: Methods that may be retried after a reused connection was lost.
-_RETRYABLE_METHODS: Final = frozenset(('GET', 'HEAD'))
 
 
 class _connect_timeout(Event):
@@ -639,7 +637,7 @@
         return False
     if exchange.same_connection_as is not None:
         return False
-    return not transfer.sent or exchange.method in _RETRYABLE_METHODS
+    return exchange.is_repeatable or not transfer.sent
 
 
 def _is_reusable(connection: PeerConnection, transfer: Transfer) -> bool:
--- a/bergamotturn/connection/instance_list.py
+++ b/bergamotturn/connection/instance_list.py
@@ -110,6 +110,7 @@
             path='/instances',
             silence_timeout_s=_TIMEOUT_S,
             total_timeout_s=_TIMEOUT_S,
+            is_repeatable=True,
         )
 
     def read(self, status: int, body: bytes) -> Result[InstanceList, Failure]:
--- a/bergamotturn/connection/object_store.py
+++ b/bergamotturn/connection/object_store.py
@@ -57,6 +57,7 @@
             connect_timeout_s=operation.timeout_s,
             silence_timeout_s=operation.timeout_s,
             total_timeout_s=operation.timeout_s,
+            is_repeatable=isinstance(operation, ObjectRead),
         )
 
     def outcome(
--- a/bergamotturn/connection/table_store.py
+++ b/bergamotturn/connection/table_store.py
@@ -96,6 +96,7 @@
             connect_timeout_s=operation.timeout_s,
             silence_timeout_s=operation.timeout_s,
             total_timeout_s=operation.timeout_s,
+            is_repeatable=not is_write,
         )
 
     def outcome(
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -119,6 +119,7 @@
             connect_timeout_s=min(1, operation.timeout_s),
             silence_timeout_s=operation.timeout_s,
             total_timeout_s=operation.timeout_s,
+            is_repeatable=not is_write,
         )
 
     def outcome(
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -113,16 +113,18 @@
     Then the exchange fails as "endpoint_unavailable" with nothing sent
 
   Scenario Outline: A kept connection that closes when the next request arrives
-    Guards against a retry of a request that must not run twice.
+    Guards against a retry of a request that must not run twice, whatever its method.
     Given a peer that closes a kept connection when the next request arrives
     When a "GET" is sent to the peer
-    And a "<method>" is sent to the peer
+    And a "<method>" is sent to the peer that <kind> repeated
     Then the peer received <times> requests in total and the last <outcome>
 
     Examples:
-      | method | times | outcome                       |
-      | POST   | 2     | fails as "endpoint_lost" sent |
-      | GET    | 3     | is answered                   |
+      | method | kind       | times | outcome                       |
+      | POST   | mustn't be | 2     | fails as "endpoint_lost" sent |
+      | GET    | mustn't be | 2     | fails as "endpoint_lost" sent |
+      | HEAD   | mustn't be | 2     | fails as "endpoint_lost" sent |
+      | GET    | may be     | 3     | is answered                   |
 
   Scenario Outline: A peer writes an earlier refusal once more on a kept connection
     Guards against a caller that is told "not run" of a request that ran, or whose request runs at a second endpoint, since
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -20,6 +20,7 @@
     Given a relay fleet
     Then a lookup whose endpoint resets is answered by the other one
     And a charge whose endpoint resets ends as 502 and ran once
+    And a charge by GET ran once if its endpoint resets a reused connection
     And a charge that all endpoints reject gets 503 and never ran
     And a stream that breaks off is resumed at another engine
     And an answer to another request is not passed to the caller
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -293,6 +293,13 @@
     _start_peer(context, partial(_stop_answering, threading.Barrier(count)))
 
 
+@when('a "{method}" is sent to the peer that {kind} repeated')
+def send_repeatable(context, method, kind):
+    options = {'is_repeatable': True} if kind == 'may be' else {}
+    exchange = _send(context, method, **options)
+    context.reports = _wait_for_outcome(context, exchange)
+
+
 @when('a "{method}" is sent to the peer')
 @when('a "{method}" is sent to the peer with {option} = {number:g}')
 def send_one(context, method, option='', number=0):
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -111,13 +111,25 @@
         fleet.fault(fleet.plain[number % 2], fault='')
 
 
+@then('a charge by GET ran once if its endpoint resets a reused connection')
+def reset_charge_ran_once(context):
+    for port in context.fleet.plain:
+        context.fleet.fault(port, fault='')
+    for _ in range(2 * len(context.fleet.plain)):
+        answer = context.fleet.send_request('b1', '/charge/1', method='GET')
+        assert answer.status == 200, answer
+    charge_ran_once(context, method='GET')
+
+
 @then('a charge whose endpoint resets ends as 502 and ran once')
-def charge_ran_once(context):
+def charge_ran_once(context, method='POST'):
     fleet = context.fleet
     for port in fleet.plain:
         fleet.fault(port, fault='reset', count=1)
     request = fleet.next_id()
-    answer = fleet.send_request('b1', '/charge/1', request=request)
+    answer = fleet.send_request(
+        'b1', '/charge/1', request=request, method=method
+    )
     assert answer.status == 502, answer
     assert fleet.runs(fleet.plain, request) == 1
 
