Forward the events that come before a fault in the same read

Cause: the flow counted the events of a read as passed on while it collected them, and dropped them when a later one of the same read was out of order or too long. The next attempt resumed after the dropped ones.

Change: events up to the fault are forwarded, then the fault is handled. A stream with an event that has data but no id isn't resumed any more, since its position is unknown: that event came twice.

--- a/bergamotturn/request/relay/event_stream.py
+++ b/bergamotturn/request/relay/event_stream.py
@@ -1,4 +1,4 @@
-"""Splits a stream of server-sent events into events.
+"""Splits a stream of server-sent events into events, and checks their order.
 
 Only complete events are forwarded, so that a stream that breaks in the middle
 of an event can be resumed at another endpoint after the last complete one.
@@ -11,7 +11,7 @@
 
 import msgspec
 
-__all__ = ('EventStream', 'StreamEvent')
+__all__ = ('EventStream', 'StreamEvent', 'StreamPosition')
 
 #: Largest event that is buffered. An event of a hundred tokens has a few
 #: kilobytes; each stream may hold this much memory.
@@ -77,6 +77,55 @@
         return events
 
 
+@final
+class StreamPosition:
+    """Position of a caller in its stream, over all attempts.
+
+    :ivar last_number: sequence number of the last event, ``None`` before an
+        event with a number.
+    :ivar is_known: whether ``last_number`` tells where the stream is to be
+        resumed. It does not after an event with data but without a number.
+    """
+
+    __slots__ = ('is_known', 'last_number')
+
+    def __init__(self, last_number: int | None) -> None:
+        """Start after event ``last_number``."""
+        self.last_number = last_number
+        self.is_known = True
+
+    def read(
+        self, stream: EventStream, data: bytes
+    ) -> tuple[list[StreamEvent], str]:
+        """Return the events that ``data`` completes, up to a fault.
+
+        :returns: events that follow the position, which moves on by them, and
+            what is wrong with the bytes after them, or an empty string.
+        """
+        events = []
+        for event in stream.feed(data):
+            disorder = self._find_disorder(event.number)
+            if disorder:
+                return events, disorder
+            if event.number is not None:
+                self.last_number = event.number
+            elif event.is_progress:
+                self.is_known = False
+            events.append(event)
+        if stream.is_event_too_long:
+            return events, 'an event exceeds the size limit'
+        return events, ''
+
+    def _find_disorder(self, number: int | None) -> str:
+        """Return how event ``number`` does not follow the position."""
+        last_number = self.last_number
+        if number is None or last_number is None or number == last_number + 1:
+            return ''
+        if number <= last_number:
+            return f'duplicate event {number}'
+        return f'gap before event {number}'
+
+
 def _parse_event(event: bytes) -> StreamEvent:
     found = _ID_FIELD.search(event)
     if found is not None:
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -250,39 +250,35 @@
             return False
         if self._is_head_forwarded and not route.is_stream:
             return False
+        if not self._position.is_known:
+            return False
         return self._router.may_retry(now_s, self.call)
 
     def _on_stream_data(
         self, now_s: float, data: bytes
     ) -> Sequence[RelayAction]:
-        forwarded = []
-        has_progress = False
-        for event in self._stream.feed(data):
-            has_progress |= event.is_progress
-            disorder = _find_disorder(event.number, self._last_event_number)
-            if disorder:
-                return self._on_attempt_failed(now_s, Fault.garbled, disorder)
-            if event.number is not None:
-                self._last_event_number = event.number
-            self.event_count += event.is_progress
-            self._attempt_event_count += event.is_progress
-            forwarded.append(event.data)
-        if self._stream.is_event_too_long:
-            return self._on_attempt_failed(
-                now_s, Fault.garbled, 'an event exceeds the size limit'
-            )
-        if not forwarded:
-            return []
-        replies = [*self._forward_head(), *_reply_data(forwarded)]
-        if not has_progress:
+        events, fault_detail = self._position.read(self._stream, data)
+        replies: list[RelayAction] = []
+        if events:
+            content = b''.join(event.data for event in events)
+            replies = [*self._forward_head(), ReplyData(content)]
+        progress = sum(event.is_progress for event in events)
+        if progress:
+            self.event_count += progress
+            self._attempt_event_count += progress
+            gap_limit_s = _event_gap_limit_s(self.call.route)
+            self.wake_s = min(self.call.deadline_s, now_s + gap_limit_s)
+            replies = [
+                *self._note_prefilled(),
+                *self._note_decoding(DECODING_EVENTS),
+                *replies,
+            ]
+        if not fault_detail:
             return replies
-        self.wake_s = min(
-            self.call.deadline_s, now_s + _event_gap_limit_s(self.call.route)
-        )
+        # The next attempt begins after the events that came before the fault.
         return [
-            *self._note_prefilled(),
-            *self._note_decoding(DECODING_EVENTS),
             *replies,
+            *self._on_attempt_failed(now_s, Fault.garbled, fault_detail),
         ]
 
     def _forward_head(self) -> list[RelayAction]:
@@ -316,16 +312,3 @@
     if not gap_s:
         return _DEFAULT_EVENT_GAP_LIMIT_S
     return max(_MIN_EVENT_GAP_LIMIT_S, _EVENT_GAP_FACTOR * gap_s)
-
-
-def _find_disorder(number: int | None, last_number: int | None) -> str:
-    """Return how event ``number`` does not follow the one before it."""
-    if number is None or last_number is None or number == last_number + 1:
-        return ''
-    if number <= last_number:
-        return f'duplicate event {number}'
-    return f'gap before event {number}'
-
-
-def _reply_data(parts: Sequence[bytes]) -> list[RelayAction]:
-    return [ReplyData(b''.join(parts))] if parts else []
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -22,7 +22,7 @@
     SendPrefillDone,
 )
 from .call import EndpointAnswerHead, RelayCall
-from .event_stream import EventStream
+from .event_stream import EventStream, StreamPosition
 
 __all__ = ('RelayState', 'RequestRouter')
 
@@ -89,7 +89,7 @@
         self._head: EndpointAnswerHead | None = None
         self._body = bytearray()
         self._stream = EventStream()
-        self._last_event_number = call.resume_after
+        self._position = StreamPosition(call.resume_after)
         self._is_prefilled = False
         self._is_head_forwarded = False
         self._attempt_event_count = 0
@@ -111,7 +111,7 @@
         self._attempt = Attempt(
             self.attempt_count,
             decision,
-            self._last_event_number if has_events else call.resume_after,
+            self._position.last_number if has_events else call.resume_after,
             is_retry=self._has_reached_endpoint,
         )
         self._is_sent = False
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -20,6 +20,30 @@
     When the engine sends event 4
     Then it is sent to another engine and resumes after event 2
 
+  Scenario Outline: Events before a fault that one read has with them are forwarded
+    Guards against a stream that is resumed after an event that its caller never got, and ends as complete without it.
+    Given a resumable stream that has received 2 events
+    When one read has event 3 and then <fault>
+    Then the caller got the events up to event 3 only
+    And it is sent to another engine and resumes after event 3
+
+    Examples:
+      | fault                     |
+      | event 7                   |
+      | event 3                   |
+      | an event without an end   |
+
+  Scenario Outline: A stream with an event without an id is not resumed
+    Guards against events that come twice, since nothing tells after which event the stream is to be resumed.
+    Given a resumable stream that has received <count> events
+    When the engine sends an event without an id and breaks off
+    Then the caller's connection is closed
+
+    Examples:
+      | count |
+      | 0     |
+      | 2     |
+
   Scenario: A stream that must not be resumed is cut off
     Guards against a second run of a request that may run only once.
     Given a non-resumable stream that has received 2 events
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -1,5 +1,6 @@
 """Steps for the state machine of relayed requests."""
 
+import re
 from random import Random
 
 from behave import given, then, when
@@ -25,7 +26,10 @@
 from features.standins.users_platform import event
 from features.support.relay_samples import entry, relay_call, route
 
+_EVENT_ID = re.compile(rb'^id: (\d+)$', re.MULTILINE)
 _FINAL_ACTIONS = (ReplyFull, ReplyEnd, ReplyFailure)
+#: More than an event may have.
+_TOO_LONG_BYTES = 300_000
 _PLAIN_ROUTE = {'is_stream': False, 'may_resume': False}
 _SUCCESS = EndpointAnswerHead(HeadKind.success, 200, (Header('a', 'b'),))
 _NOT_RUN = EndpointAnswerHead(HeadKind.not_run, 503)
@@ -210,6 +214,23 @@
     unreachable_in_turn(context, count)
 
 
+@when('one read has event 3 and then {fault}')
+def event_and_fault(context, fault):
+    if fault == 'an event without an end':
+        rest = b'id: 4\ndata: %b' % bytes(_TOO_LONG_BYTES)
+    else:
+        rest = event(int(fault.removeprefix('event ')))
+    run = context.run
+    run.record(run.flow.on_data(run.now_s, event(3) + rest))
+
+
+@when('the engine sends an event without an id and breaks off')
+def sends_unnumbered_event(context):
+    run = context.run
+    run.record(run.flow.on_data(run.now_s, b'data: text\n\n'))
+    connection_breaks(context)
+
+
 @when('the engine sends event {number:d}')
 def sends_event(context, number):
     context.run.receive_events(number)
@@ -437,6 +458,10 @@
     assert len(final_actions) <= 1, (seed, final_actions)
     assert final_actions or timeline.caller_has_left, seed
     assert len(set(router.placed)) == len(router.placed), seed
+    forwarded = b''.join(data.data for data in run.actions_of(ReplyData))
+    events = list(map(int, _EVENT_ID.findall(forwarded)))
+    first = events[0] if events else 0
+    assert events == list(range(first, first + len(events))), (seed, events)
     may_run_again = call_route.may_run_again
     assert may_run_again or timeline.possible_runs <= 1, (seed, run.actions)
     for final_action in final_actions:
@@ -532,8 +557,11 @@
         run, random = self.run, self.random
         draw = random.random()
         if draw < 0.6:
-            self.event_number += random.choice((1, 1, 1, 1, 0, 2))
-            run.receive_events(self.event_number)
+            numbers = []
+            for _ in range(random.randint(1, 3)):
+                self.event_number += random.choice((1, 1, 1, 1, 0, 2))
+                numbers.append(self.event_number)
+            run.receive_events(*numbers)
         elif draw < 0.8:
             run.record(run.flow.on_end(run.now_s))
         else:
