Quarantine a part that crashes the same few endpoints again and again

Cause: the evidence asked for three endpoint ids; crashes of endpoints that start again under their ids added nothing.

Change: five confirmed crashes at two endpoints suffice if no request with the part succeeded within a minute (seven, if different parts follow it), and two on probation.

--- a/bergamotturn/process/endpoints/part_evidence.py
+++ b/bergamotturn/process/endpoints/part_evidence.py
@@ -3,7 +3,9 @@
 A request whose connection breaks off before its second event is evidence
 against all its parts. Most of these requests only ran beside the one that
 crashed the endpoint, so that a part is suspected of it only after several
-crashes at different endpoints.
+crashes at different endpoints. An endpoint may start again under its id, and
+placement may choose the same ones each time, so that more crashes suffice at
+fewer endpoints if no request with the part succeeds.
 """
 
 from collections.abc import Collection
@@ -19,6 +21,14 @@
 _WEAK_POINTS: Final = 1
 _MIN_ENDPOINTS: Final = 3
 _MIN_POINTS: Final = 6
+#: Crashes that suffice at fewer endpoints, if their points suffice. A single
+#: endpoint may crash for a reason of its own whenever it starts.
+_MIN_REPEATED_CRASHES: Final = 5
+_MIN_REPEATING_ENDPOINTS: Final = 2
+#: The same if different parts follow in their requests, which may be the cause.
+_MIN_SPLIT_CRASHES: Final = 7
+#: Endpoints that suffice on probation if no answer had begun.
+_MIN_RELAPSE_ENDPOINTS: Final = 2
 #: Endpoints with crashes after the head of an answer that need no delay.
 _CERTAIN_ENDPOINTS: Final = 5
 #: Reports on an endpoint within this time are of the same crash.
@@ -152,6 +162,11 @@
         """Return the endpoints of confirmed crashes."""
         return {crash.endpoint for crash in self._crashes if crash.points}
 
+    @property
+    def crash_count(self) -> int:
+        """Return the number of confirmed crashes."""
+        return sum(crash.points > 0 for crash in self._crashes)
+
     @property
     def strong_endpoints(self) -> int:
         """Return the number of endpoints that crashed after an answer began."""
@@ -163,6 +178,13 @@
             }
         )
 
+    @property
+    def has_relapsed(self) -> bool:
+        """Return whether there is enough evidence against a known part."""
+        if self.strong_endpoints:
+            return True
+        return len(self.endpoints) >= _MIN_RELAPSE_ENDPOINTS
+
     @property
     def has_reports(self) -> bool:
         """Return whether any evidence is left."""
@@ -206,6 +228,14 @@
             return False
         return len(self.endpoints) >= endpoints
 
+    def has_repeated_crashes(self, part: str) -> bool:
+        """Return whether a few endpoints crashed again and again."""
+        if not self.has_evidence_of(_MIN_REPEATING_ENDPOINTS, _MIN_POINTS):
+            return False
+        if self.is_split(part):
+            return self.crash_count >= _MIN_SPLIT_CRASHES
+        return self.crash_count >= _MIN_REPEATED_CRASHES
+
     def is_split(self, part: str) -> bool:
         """Return whether different parts follow ``part`` in its evidence."""
         followers = {
@@ -297,11 +327,13 @@
         suspect = self._suspects.get(part)
         if suspect is None:
             return False
-        if part in probation and suspect.strong_endpoints:
+        if part in probation and suspect.has_relapsed:
             return True
         if has_succeeded and suspect.is_split(part):
             return suspect.strong_endpoints >= _CERTAIN_ENDPOINTS
-        return suspect.has_evidence_of(_MIN_ENDPOINTS, _MIN_POINTS)
+        if suspect.has_evidence_of(_MIN_ENDPOINTS, _MIN_POINTS):
+            return True
+        return not has_succeeded and suspect.has_repeated_crashes(part)
 
     def is_certain(self, part: str, probation: Collection[str]) -> bool:
         """Return whether no objection needs to be awaited.
--- a/features/part_quarantine.feature
+++ b/features/part_quarantine.feature
@@ -45,6 +45,45 @@
     When a request with "first sound" crashes "e-1" 6 times, 3 seconds apart
     Then nothing is quarantined 1 second later
 
+  Scenario Outline: Two endpoints that crash again and again under their ids suffice
+    Guards against a part that crashes the same two endpoints for ever, since they keep their ids.
+    Given an instance without evidence
+    When requests with "first deadly" <break> "e-1 e-2" each 3.5 seconds, 2 times
+    And requests with "first deadly" <break> "<more>" each 3.5 seconds, 1 times
+    Then nothing is quarantined 0 seconds later
+    And "deadly" is quarantined 0.31 seconds later
+    And requests with "first other" are not refused
+
+    Examples:
+      | break                        | more    |
+      | crash                        | e-1     |
+      | break off before answers at  | e-1 e-2 |
+
+  Scenario: A part that other parts follow is found at two endpoints
+    Guards against a part that crashes the same two endpoints for ever, whatever follows it in its requests.
+    Given an instance without evidence
+    When requests with "deadly a" crash "e-1 e-2" each 3.5 seconds, 1 times
+    And requests with "deadly b" crash "e-1 e-2" each 3.5 seconds, 1 times
+    And requests with "deadly c" crash "e-1 e-2" each 3.5 seconds, 1 times
+    And requests with "deadly d" crash "e-1" each 3.5 seconds, 1 times
+    Then "deadly" is quarantined 0.31 seconds later
+
+  Scenario Outline: A first part is served while requests without anything else in common crash two endpoints
+    Guards against the refusal of all requests with a first part because of two endpoints that crash for other reasons.
+    Given an instance without evidence
+    When a request with "first" succeeds
+    And requests with "<parts>" crash "e-1 e-2" each 3.5 seconds, 8 times
+    Then nothing is quarantined 5 seconds later
+    When requests with "<parts>" crash "e-1 e-2" each 3.5 seconds, 2 times
+    And a request with "first" succeeds
+    And requests with "<parts>" crash "e-1 e-2" each 3.5 seconds, 2 times
+    Then nothing is quarantined 5 seconds later
+
+    Examples:
+      | parts           |
+      | first           |
+      | first own-count |
+
   Scenario: Of two parts with the same evidence the deeper one is quarantined
     Guards against refusing all requests with a first part because of a rare deeper one.
     Given an instance without evidence
@@ -274,6 +313,15 @@
     When a request with "first deadly" crashes "e-5"
     Then "deadly" is quarantined 0 seconds later
 
+  Scenario: On probation two crashes before the answer are enough
+    Guards against as many crashes after each quarantine as before the first one.
+    Given an instance without evidence
+    When requests with "first deadly" break off before their answers at "e-1 e-2 e-3 e-4 e-5 e-6"
+    Then "deadly" is quarantined 0.31 seconds later
+    When 61 seconds go by
+    And requests with "first deadly" break off before their answers at "e-1 e-2"
+    Then "deadly" is quarantined 0.31 seconds later
+
   Scenario: A success ends the probation
     Guards against a quarantine after a single crash of a part that has long been sound.
     Given an instance without evidence
