Keep what an endpoint said while its entry is away

Reproduced: an entry that lapses and comes back with the same start made each instance send the leaving endpoint one request more.

Cause: the mark of Server-Leaving, the pause of a 503, the rate limit and the requests of the last second were kept with the table's entry and dropped with it; notices that came while the entry was away were ignored.

Change: RemovedEndpoints remembers endpoints whose entry was removed, bounded in number. An entry with the same start takes up what they said.

Evidence: 'The entry of an engine that leaves ...' failed on (a request of each instance after the return) and passes; so do the examples of 'What an endpoint said holds ...' for the same start.

--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Final, final
 
 from ...request.relay.call import EndpointNotice
@@ -11,12 +11,11 @@
 from .address_owners import AddressOwners
 from .cells import Cells
 from .cold_limiter import ColdEndpointLimiter
-from .endpoint_load import RATE_WINDOW_S
 from .entry import EndpointEntry
 from .health import EndpointHealth, Fault
+from .known_endpoint import KnownEndpoint, RemovedEndpoints
 from .load_table import LoadTable
 from .rate_limits import RateLimits
-from .recent_count import RecentCount
 
 __all__ = ('EndpointTable', 'Exclusions')
 
@@ -56,29 +55,6 @@
         }
 
 
-@final
-@dataclass(slots=True, eq=False)
-class _KnownEndpoint:
-    """Entry and health of one endpoint.
-
-    :param rank: hash of its id.
-    :param own_requests: recent requests that this instance sent to it.
-    :param is_leaving: whether it said in an answer that it is about to stop;
-        its entry may not say so, or later.
-    :param paused_until_s: monotonic time until which it takes no request from
-        this instance, as it said when it rejected one.
-    """
-
-    entry: EndpointEntry
-    rank: int
-    is_leaving: bool = False
-    paused_until_s: float = float('-inf')
-    health: EndpointHealth = field(default_factory=EndpointHealth)
-    own_requests: RecentCount = field(
-        default_factory=lambda: RecentCount(RATE_WINDOW_S)
-    )
-
-
 @final
 class EndpointTable:
     """Entries, health and load of all endpoints."""
@@ -91,7 +67,8 @@
         self.load_table = load_table
         self.cold_limiter = limiter
         self.rate_limits = RateLimits()
-        self._known: dict[str, _KnownEndpoint] = {}
+        self._known: dict[str, KnownEndpoint] = {}
+        self._removed = RemovedEndpoints()
         self._out_of_service: frozenset[str] = frozenset()
         self._addresses = AddressOwners()
 
@@ -99,24 +76,34 @@
         """Return the entries of all known endpoints."""
         return tuple(known.entry for known in self._known.values())
 
-    def entry(self, endpoint_id: str) -> EndpointEntry | None:
-        """Return the entry of an endpoint, or ``None`` if it is unknown."""
+    def entry(
+        self, endpoint_id: str, *, with_removed: bool = False
+    ) -> EndpointEntry | None:
+        """Return the entry of an endpoint, or ``None`` if it is unknown.
+
+        :param with_removed: whether to return also one that was removed.
+        """
         known = self._known.get(endpoint_id)
+        if known is None and with_removed:
+            known = self._removed.get(endpoint_id)
         return None if known is None else known.entry
 
     def put(self, entry: EndpointEntry) -> bool:
         """Add or replace an entry.
 
-        An entry of a later start resets the endpoint's health.
+        An entry of a later start resets the endpoint's health and what it
+        said of itself, one that comes back its health only.
 
         :returns: false if the entry is of an earlier start than the known
             one and was ignored.
         """
         known = self._known.get(entry.endpoint_id)
         if known is None:
-            self._known[entry.endpoint_id] = _KnownEndpoint(
-                entry, rank_of(entry.endpoint_id)
-            )
+            known = self._removed.take(entry)
+            if known is None:
+                self.rate_limits.forget(entry.endpoint_id)
+                known = KnownEndpoint(entry, rank_of(entry.endpoint_id))
+            self._known[entry.endpoint_id] = known
         elif entry.born_unix_ms < known.entry.born_unix_ms:
             return False
         else:
@@ -133,11 +120,12 @@
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint that is gone."""
         known = self._known.pop(endpoint_id, None)
-        self.load_table.forget_endpoint(endpoint_id)
-        self.rate_limits.forget(endpoint_id)
         if known is None:
             return
         self._addresses.remove(known.entry)
+        for forgotten in self._removed.add(known):
+            self.load_table.forget_endpoint(forgotten)
+            self.rate_limits.forget(forgotten)
 
     def mark_out_of_service(self, data_centres: frozenset[str]) -> None:
         """Exclude the endpoints of exactly these data centres."""
@@ -188,7 +176,7 @@
 
         :returns: whether it said for the first time that it is leaving.
         """
-        known = self._known.get(endpoint_id)
+        known = self._known.get(endpoint_id) or self._removed.get(endpoint_id)
         if known is None:
             return False
         if notice.pause_s:
@@ -282,7 +270,7 @@
         self,
         now_s: float,
         service: ServedService,
-        known: _KnownEndpoint,
+        known: KnownEndpoint,
         tried: frozenset[str],
         excluded: Exclusions,
     ) -> bool:
@@ -310,7 +298,7 @@
     def _is_within_rate_limit(
         self,
         now_s: float,
-        known: _KnownEndpoint,
+        known: KnownEndpoint,
         excluded: Exclusions,
         *,
         with_limited: bool,
@@ -324,7 +312,7 @@
         return False
 
     def _is_within_cold_limit(
-        self, now_s: float, service: ServedService, known: _KnownEndpoint
+        self, now_s: float, service: ServedService, known: KnownEndpoint
     ) -> bool:
         load = self.load_table.load(known.entry.endpoint_id)
         return self.cold_limiter.allows(
--- a/bergamotturn/process/relay_tasks/notice_registry.py
+++ b/bergamotturn/process/relay_tasks/notice_registry.py
@@ -72,7 +72,7 @@
             endpoint_id = message.endpoint
         else:
             return
-        entry = self._table.entry(endpoint_id)
+        entry = self._table.entry(endpoint_id, with_removed=True)
         self._post(
             self._exchange.on_message(
                 monotonic(), envelope.sender, message, entry
@@ -87,7 +87,7 @@
         :param sent_s: monotonic time at which the request was sent.
         """
         notice = head.notice
-        entry = self._table.entry(sent_to.endpoint_id)
+        entry = self._table.entry(sent_to.endpoint_id, with_removed=True)
         is_current = entry and entry.born_unix_ms == sent_to.born_unix_ms
         if notice is None or not is_current:
             return
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -23,6 +23,29 @@
     When one is leaving, one is out of service and one was tried
     Then 3 are left to choose from
 
+  Scenario Outline: What an endpoint said holds while its entry is away
+    Guards against requests to an endpoint that has said that it takes none, once its entry lapsed and came back.
+    Given 6 known endpoints
+    When the first says "<word>" <moment> its entry is removed, and is listed again <start>
+    Then <count> are left to choose from
+
+    Examples:
+      | word                         | moment | start                | count |
+      | that it leaves               | before | with the same start  | 5     |
+      | that it leaves               | after  | with the same start  | 5     |
+      | that it leaves               | before | with a later start   | 6     |
+      | that it takes none for 60 s  | before | with the same start  | 5     |
+      | that it takes none for 60 s  | before | with a later start   | 6     |
+      | that it takes 1 a second     | before | with the same start  | 5     |
+      | that it takes 1 a second     | after  | with the same start  | 5     |
+      | that it takes 1 a second     | before | with a later start   | 6     |
+
+  Scenario: Endpoints that come and go are not all remembered
+    Guards against memory that grows with each start of an endpoint.
+    Given 6 known endpoints
+    When 20000 endpoints that name rate limits come and go
+    Then at most 2100 of them are remembered
+
   Scenario: An entry of an earlier start is ignored
     Guards against a late entry of an endpoint's earlier start that replaces the newer one.
     Given 6 known endpoints
--- a/features/endpoint_notices.feature
+++ b/features/endpoint_notices.feature
@@ -55,6 +55,17 @@
     And 20 streams a second are sent through all instances for 3 seconds
     Then it gets streams again through each instance
 
+  Scenario: The entry of an engine that leaves is removed and comes back
+    Guards against requests to an engine that has said that it is about to stop: after its entry had lapsed and come
+    back, with the same start, each of 40 instances sent it one more.
+    Given a relay fleet
+    When the busiest engine says in its answers that it leaves
+    And 20 streams a second are sent through all instances for 3 seconds
+    And the entry of this engine is removed and comes back
+    And 20 streams a second are sent through all instances for 3 seconds
+    Then this engine gets no request 2 seconds after its first such answer through each instance
+    And every stream is answered
+
   # The bound is that of the users' rule: two requests of an instance from half a second after the rejection on.
   Scenario: An engine that is full asks for a pause
     Guards against requests to an engine that has told an instance how long it wants none.
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -15,13 +15,19 @@
 from bergamotturn.process.endpoints.cold_limiter import ColdEndpointLimiter
 from bergamotturn.process.endpoints.health import Fault
 from bergamotturn.process.endpoints.load_table import LoadTable
+from bergamotturn.process.endpoints.rate_limits import LimitWord
 from bergamotturn.process.endpoints.retry_budget import RetryBudget
 from bergamotturn.process.endpoints.table import EndpointTable
+from bergamotturn.request.relay.call import EndpointNotice
 from features.support.relay_samples import ENGINE_SERVICE, entry
 
 _NOW_S = 50.0
 _COLD_WINDOW_S = 1.0
 _RETRY_WINDOW_S = 10.0
+_NOTICES = {
+    'that it leaves': EndpointNotice(is_leaving=True),
+    'that it takes none for 60 s': EndpointNotice(pause_s=60),
+}
 
 
 @then(
@@ -86,6 +92,50 @@
         )
 
 
+@when(
+    'the first says "{word}" {moment} its entry is removed, and is listed '
+    'again {start}'
+)
+def says_and_returns(context, word, moment, start):
+    endpoints = context.endpoints
+    endpoints.put(entry('e-0', born_unix_ms=1000))
+    if moment == 'after':
+        endpoints.remove('e-0')
+        assert endpoints.entry('e-0', with_removed=True)
+    if word == 'that it takes 1 a second':
+        endpoints.rate_limits.note('e-0', LimitWord(1000, 1, _NOW_S))
+    else:
+        endpoints.note_notice(_NOW_S, 'e-0', _NOTICES[word])
+    endpoints.remove('e-0')
+    endpoints.remove('e-0')
+    left(context, 5)
+    is_same = start == 'with the same start'
+    endpoints.put(entry('e-0', born_unix_ms=1000 if is_same else 2000))
+
+
+@when('{count:d} endpoints that name rate limits come and go')
+def come_and_go(context, count):
+    endpoints = context.endpoints
+    for number in range(count):
+        name = f'gone-{number}'
+        endpoints.put(entry(name, born_unix_ms=1000))
+        endpoints.rate_limits.note(name, LimitWord(1000, 1, _NOW_S))
+        endpoints.load_table.load(name)
+        endpoints.remove(name)
+
+
+@then('at most {count:d} of them are remembered')
+def few_remembered(context, count):
+    endpoints = context.endpoints
+    for remembered in (
+        endpoints.rate_limits._words,
+        endpoints.rate_limits._permits,
+        endpoints.load_table._loads,
+        endpoints._removed._removed,
+    ):
+        assert 0 < len(remembered) <= count, len(remembered)
+
+
 @when('one is leaving, one is out of service and one was tried')
 def some_excluded(context):
     context.endpoints.put(entry('e-0', is_leaving=True))
--- a/features/steps/endpoint_notices_steps.py
+++ b/features/steps/endpoint_notices_steps.py
@@ -1,6 +1,7 @@
 """Steps for endpoints that say which requests they take."""
 
 from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from itertools import cycle
 from time import monotonic, sleep
 
@@ -48,6 +49,39 @@
         assert not late, (name, late)
 
 
+@when('the entry of this engine is removed and comes back')
+def entry_comes_back(context):
+    fleet = context.fleet
+    entry = fleet.entry(context.limited)
+    for content, message_type in (
+        (None, 'endpoint_gone'),
+        (entry, 'endpoint_listed'),
+    ):
+        counts = _line_counts(context, message_type)
+        fleet.put('servers', f'i-{context.limited}', content)
+        fleet.wait_until(
+            partial(_is_logged_since, context, message_type, counts),
+            message_type,
+        )
+
+
+def _line_counts(context, message_type):
+    """Return the lines of a type on the chosen engine, by instance."""
+    return {
+        name: sum(
+            line['message_type'] == message_type
+            and line['endpoint'] == f'i-{context.limited}'
+            for line in context.fleet.log(name)
+        )
+        for name in context.fleet.instances
+    }
+
+
+def _is_logged_since(context, message_type, counts):
+    new_counts = _line_counts(context, message_type)
+    return all(new_counts[name] > counts[name] for name in counts)
+
+
 @when('this engine has started again under its id and says nothing')
 def started_again(context):
     fleet = context.fleet
