Refuse entries of endpoints with values out of range

What callers saw: a request placed on an entry with port 65536 got no answer until its time limit. An entry with a start time above 64 bits hid the endpoint at its address.

Cause: connect_ex raises OverflowError, which no handler took for a failed connection; numbers and addresses of entries had no range.

Change: such entries name no endpoint and are logged as unreadable; the client reports an address that can't be connected to as unreachable. A reading rate of 0 makes a configuration invalid in place of raising ZeroDivisionError.

Evidence: 'An address with a port out of range', six examples of 'An invalid entry adds no endpoint' and one of 'An invalid configuration ...' failed before and pass.

--- a/bergamotturn/connection/exchange.py
+++ b/bergamotturn/connection/exchange.py
@@ -5,6 +5,7 @@
 names as its owner.
 """
 
+import re
 from itertools import count
 from math import inf
 from typing import Final, final
@@ -32,6 +33,8 @@
 HTTP_CLIENT: Final = 'http_client'
 
 _EXCHANGE_IDS: Final = count(1)
+_PORT: Final = re.compile('[0-9]{1,5}')
+_MAX_PORT: Final = 65_535
 
 
 @final
@@ -56,7 +59,7 @@
         :raises ValueError: if ``text`` has another format.
         """
         host, _, port = text.rpartition(':')
-        if not host:
+        if not host or not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
             raise ValueError(f'{text!r} is not host:port')
         return cls(host, int(port))
 
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -149,7 +149,11 @@
         self._connections[sock] = connection
         self._by_descriptor[sock.fileno()] = connection
         self._by_exchange[exchange.exchange_id] = connection
-        code = sock.connect_ex((address.host, address.port))
+        try:
+            code = sock.connect_ex((address.host, address.port))
+        except OverflowError as error:
+            self._fail(connection, ErrorKind.endpoint_unavailable, str(error))
+            return
         if code not in {0, EINPROGRESS}:
             self._fail(
                 connection, ErrorKind.endpoint_unavailable, strerror(code)
--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -1,6 +1,6 @@
 """Parses the platform's configuration row into serving types."""
 
-from typing import Final, final
+from typing import Annotated, Final, final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -82,7 +82,7 @@
     slots: int
     kv_tokens: int = msgspec.field(name='kvTokens')
     step_ms: float
-    read_per_s: float
+    read_per_s: Annotated[float, msgspec.Meta(gt=0)]
     per_seq_ms: float = 0
     context_per_k: float = 0
     pairs_per_m: float = 0
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -1,8 +1,8 @@
 """Parses changed rows of the platform's tables and publishes their content."""
 
-import re
+from ipaddress import IPv4Address
 from time import monotonic
-from typing import Final, final
+from typing import Annotated, Final, final
 
 import msgspec
 from circuits import Component, handler
@@ -34,6 +34,12 @@
 _MS_PER_S: Final = 1000.0
 _READY: Final = 'ready'
 _LEAVING: Final = 'draining'
+#: Largest integer that every JSON implementation keeps exactly. Messages to
+#: other instances have no room for more than 64 bits.
+_MAX_INTEGER: Final = 9_007_199_254_740_991
+_IN_RANGE: Final = msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)
+_ExactInteger = Annotated[int, _IN_RANGE]
+_ExactNumber = Annotated[float, _IN_RANGE]
 
 
 @final
@@ -48,12 +54,11 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    cold_remaining_ms: float = 0
-    born: int = 0
+    slots: _ExactInteger = 1
+    cold_remaining_ms: _ExactNumber = 0
+    born: _ExactInteger = 0
 
 
-_ADDRESS: Final = re.compile(r'[0-9.]+:[0-9]{1,5}')
 _ENDPOINT_DECODER: Final = msgspec.json.Decoder(_EndpointJson)
 
 
@@ -158,13 +163,25 @@
 
 def _endpoint_entry(row: Row, now_s: float) -> EndpointEntry | None:
     """Return the engine in ``row``, or None if the row is invalid."""
-    parsed = _parse_endpoint(row)
-    if parsed is None or parsed.state not in {_READY, _LEAVING}:
+    try:
+        return _parse_endpoint(row, now_s)
+    except (msgspec.DecodeError, ValueError):
         return None
+
+
+def _parse_endpoint(row: Row, now_s: float) -> EndpointEntry:
+    """Return the engine in ``row``.
+
+    :raises msgspec.DecodeError: if the row is not a JSON object of an engine.
+    :raises ValueError: if a value in it is invalid.
+    """
+    parsed = decode(_ENDPOINT_DECODER, row.value)
+    if parsed.state not in {_READY, _LEAVING}:
+        raise ValueError(f'unknown state {parsed.state!r}')
     return EndpointEntry(
         endpoint_id=_endpoint_id(row.row_key),
         service=parsed.service,
-        address=Address.parse(parsed.address),
+        address=_parse_address(parsed.address),
         data_centre=parsed.zone,
         slots=max(1, parsed.slots),
         born_unix_ms=parsed.born,
@@ -174,9 +191,13 @@
     )
 
 
-def _parse_endpoint(row: Row) -> _EndpointJson | None:
-    try:
-        parsed = decode(_ENDPOINT_DECODER, row.value)
-    except msgspec.DecodeError:
-        return None
-    return parsed if _ADDRESS.fullmatch(parsed.address) else None
+def _parse_address(text: str) -> Address:
+    """Return the address that an engine listens on.
+
+    :raises ValueError: if nothing can listen there.
+    """
+    address = Address.parse(text)
+    IPv4Address(address.host)
+    if not address.port:
+        raise ValueError(f'{text!r} has no port')
+    return address
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -23,6 +23,12 @@
     When a "POST" is sent to the peer
     Then the exchange fails as "endpoint_unavailable" with nothing sent
 
+  Scenario: An address with a port out of range
+    Guards against an exchange that never ends, since nothing reports that its connection could not be opened.
+    Given an address with the port 65536
+    When a "GET" is sent to the peer
+    Then the exchange fails as "endpoint_unavailable" with nothing sent
+
   Scenario: A peer that resets the connection in the middle of an answer
     Guards against a truncated answer that is reported as complete.
     Given a peer that sends half an answer and resets
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -17,6 +17,7 @@
       | {"version": "x"}                     |
       | {"version": 3, "routes": [{}]}       |
       | not JSON                             |
+      | {"version": 3, "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
 
   Scenario Outline: Content that is nested too deeply is refused
     Guards against a RecursionError that ends the handling of all other content of the same answer or message.
@@ -57,6 +58,12 @@
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "new"}                    |
       | {"service": "s", "zone": "a", "state": "ready"}                                            |
       | garbage                                                                                    |
+      | {"service": "s", "address": "10.0.0.1:65536", "zone": "a", "state": "ready"}               |
+      | {"service": "s", "address": "10.0.0.1:0", "zone": "a", "state": "ready"}                   |
+      | {"service": "s", "address": "10.0.0.256:80", "zone": "a", "state": "ready"}                |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "born": 18446744073709551616} |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "slots": 18446744073709551616} |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "coldRemainingMs": 1e200} |
 
   Scenario: An entry that is nested too deeply hides no other entry
     Guards against an instance that starts without any endpoint because one entry of another writer is nested too deeply.
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -238,6 +238,12 @@
         context.add_cleanup(filler.close)
 
 
+@given('an address with the port {port:d}')
+def port_out_of_range(context, port):
+    context.address = Address('127.0.0.1', port)
+    context.waits_for_close = False
+
+
 @given('an address where nobody listens')
 def no_listener(context):
     context.waits_for_close = False
