Soak: change routes, lapse entries and let endpoints say that they leave

The soak changed nothing in the configuration but keys, at five instances, so that neither CONFIG nor DENIED of the users' report could show in it, and no endpoint said Server-Leaving. Added routes are checked for refusals and for runs by a service that they no longer have, routes and keys that were always there for any refusal.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -13,6 +13,20 @@
       | seed   | seconds |
       | 1      | 10      |
 
+  Scenario Outline: A short run with changes of the configuration keeps all promises
+    Guards against a change that was confirmed and is not in force in time or comes back older, against proper requests
+    that are turned away as if they were wrong, and against requests to endpoints that have said that they leave, while
+    routes are added, moved and removed, rows can't be read or are older, and entries lapse.
+    Then the soak of <seconds> seconds with changes and seed <seed> breaks no promise
+
+    Examples: Seed of each run of the checks
+      | seed   | seconds |
+      | 5      | 10      |
+
+  Scenario Outline: Seeds that failed keep all promises
+    Guards against faults that were found once.
+    Then the soak of <seconds> seconds with seed <seed> breaks no promise
+
     Examples: Seeds that failed
       # Also: an instance that resumed after a pause reported a charge as overdue that it answered in the same turn.
       # The check failed a charge that could not end because its instance was paused for 3.8 s.
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -6,7 +6,8 @@
 that has a Token-Count header with a stream of numbered events, and any other
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
-events), ``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
+events), ``stall`` (a stream that pauses for ``delay_s`` after two events),
+``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
 between events), ``large`` (a plain answer of :data:`LARGE_BYTES`), ``second``
 (the answer to another request comes first) and these:
 
@@ -339,6 +340,8 @@
                 if fault == 'cut' and number > 2:
                     await answer.write(b'id: 3\nda')
                     request.transport.abort()
+                if fault == 'stall' and number == 3:
+                    await asyncio.sleep(self.fault.delay_s)
                 await asyncio.sleep(interval_s)
                 await answer.write(event(number))
         except ConnectionError:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,12 +4,24 @@
 
 from behave import then
 
-from features.support.soak.run import run_seed
+from features.support.soak.run import RunSize, run_seed
+
+
+@then(
+    'the soak of {seconds:d} seconds with changes and seed {seed:d} breaks no '
+    'promise'
+)
+def soak_with_changes(context, seconds, seed):
+    _run_soak(seconds, seed, RunSize(with_changes=True))
 
 
 @then('the soak of {seconds:d} seconds with seed {seed:d} breaks no promise')
 def soak(context, seconds, seed):
-    with closing(run_seed(seed, seconds)) as result:
+    _run_soak(seconds, seed, RunSize())
+
+
+def _run_soak(seconds, seed, size):
+    with closing(run_seed(seed, seconds, size)) as result:
         print(result.summary())
         assert not result.violations, result.violations
         assert result.faults.total() > 5
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -2,7 +2,9 @@
 
 ``python -m features.support.soak [--seeds N] [--seed S] [--seconds T]`` runs
 N consecutive seeds that start at S, or at a random one, and prints a line for
-each. The exit code is 1 when a check failed; the logs of such a run are kept.
+each. ``--instances``, ``--engines``, ``--plain`` and ``--callers`` set the
+size; with ``--changes`` routes change and endpoints say that they leave. The
+exit code is 1 when a check failed; the logs of such a run are kept.
 """
 
 import argparse
@@ -12,7 +14,7 @@
 from random import SystemRandom
 from typing import Final
 
-from .run import run_seed
+from .run import RunSize, run_seed
 
 __all__ = ('main',)
 
@@ -26,13 +28,26 @@
     parser.add_argument('--seed', type=int)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--keep', type=Path, default=Path('run/soak'))
+    default = RunSize()
+    for name in ('instances', 'engines', 'plain', 'callers'):
+        parser.add_argument(
+            f'--{name}', type=int, default=getattr(default, name)
+        )
+    parser.add_argument('--changes', action='store_true')
     options = parser.parse_args()
+    size = RunSize(
+        options.instances,
+        options.engines,
+        options.plain,
+        options.callers,
+        with_changes=options.changes,
+    )
     first = options.seed
     if first is None:
         first = SystemRandom().randrange(_SEED_LIMIT)
     failed = 0
     for seed in range(first, first + options.seeds):
-        result = run_seed(seed, options.seconds)
+        result = run_seed(seed, options.seconds, size)
         print(result.summary(), flush=True)
         if result.violations:
             failed += 1
--- a/features/support/soak/callers.py
+++ b/features/support/soak/callers.py
@@ -17,8 +17,11 @@
 #: Routes in the fleet's configuration, with their shares of the load.
 _ROUTE_SHARES: Final = (('draft', 0.5), ('look', 0.25), ('charge', 0.25))
 _FULL_STREAM: Final = b''.join(event(number) for number in range(1, 6))
+#: Share of the load on routes that a run added.
+_EXTRA_SHARE: Final = 0.5
 _HOST_NAME: Final = 'h.example'
 _DEADLINE_S: Final = {'draft': 5.0, 'look': 2.0, 'charge': 2.0}
+_EXTRA_DEADLINE_S: Final = 3.0
 #: Error of a call that got neither an answer nor a closed connection.
 NOT_ENDED: Final = 'not ended two seconds after the deadline'
 _ADDRESS_CACHE_S: Final = 2.0
@@ -85,11 +88,14 @@
 
     :param directories: addresses that answer ``/api/resolve``.
     :param keys: returns the API keys that callers may use now.
+    :param extra_routes: returns the routes that callers may use now beside
+        those of the fleet.
     """
 
     seed: int
     directories: list[str]
     keys: Callable[[], list[str]]
+    extra_routes: Callable[[], list[str]] = list
     calls: list[Call] = field(default_factory=list)
     is_stopping: bool = False
 
@@ -129,6 +135,9 @@
     ) -> Call:
         routes, shares = zip(*_ROUTE_SHARES, strict=True)
         route = random.choices(routes, shares)[0]
+        extra_routes = self.extra_routes()
+        if extra_routes and random.random() < _EXTRA_SHARE:
+            route = random.choice(extra_routes)
         call = Call(
             request=f'{self.seed}-{len(self.calls)}',
             route=route,
@@ -138,7 +147,7 @@
         )
         self.calls.append(call)
         disconnects = route == 'draft' and random.random() < _DISCONNECT_SHARE
-        timeout_s = 0.1 if disconnects else _DEADLINE_S[route] + 2
+        timeout_s = 0.1 if disconnects else _deadline_s(route) + 2
         try:
             await asyncio.wait_for(self._exchange(session, call), timeout_s)
         except TimeoutError:
@@ -156,7 +165,7 @@
         headers = {
             'Host': _HOST_NAME,
             'Request-Id': call.request,
-            'Request-Deadline': str(int(_DEADLINE_S[call.route] * 1000)),
+            'Request-Deadline': str(int(_deadline_s(call.route) * 1000)),
             'X-Api-Key': call.key,
         }
         if call.route == 'draft':
@@ -170,6 +179,10 @@
                 call.error = _find_error(call, answer.headers, body)
 
 
+def _deadline_s(route: str) -> float:
+    return _DEADLINE_S.get(route, _EXTRA_DEADLINE_S)
+
+
 async def _addresses_at(session: aiohttp.ClientSession, url: str) -> list[str]:
     timeout = aiohttp.ClientTimeout(total=1)
     async with session.get(url, timeout=timeout) as answer:
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -2,10 +2,12 @@
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
+from math import inf
 from typing import Any, Final
 
 from .callers import NOT_ENDED, Call
 from .faults import FaultInjector
+from .route_changes import RouteHistory
 
 __all__ = ('find_violations',)
 
@@ -21,6 +23,8 @@
 #: Answers that guarantee that the request did not run.
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 _MAX_RUNS: Final = 2
+_DENIED_STATUSES: Final = frozenset((401, 403, 404))
+_FIRST_KEYS: Final = frozenset(('key-w', 'key-2', 'key-v'))
 
 
 def find_violations(
@@ -37,9 +41,52 @@
     )
     for call in calls:
         yield from _call_violations(call, runs[call.request], injector)
+        yield from _denials(call, injector)
+    routes = {call.request: call for call in calls}
     for port, requests in seen.items():
         for run in requests:
             yield from _run_violations(port, run, injector)
+            call = routes.get(run['request-id'])
+            if call is not None:
+                yield from _route_violations(run, call, injector)
+
+
+def _denials(call: Call, injector: FaultInjector) -> Iterator[str]:
+    """Yield a refusal of what every configuration that may be in force allows.
+
+    A route or a key that was there all the while is refused by none, whatever
+    the faults; one that was added lately is known after the propagation time.
+    """
+    if call.status not in _DENIED_STATUSES:
+        return
+    configurations = injector.configurations
+    is_first_route = call.route not in configurations.routes
+    if is_first_route and call.key in _FIRST_KEYS - set(injector.revoked_s):
+        yield f'{call}: refused although always allowed'
+        return
+    from_s = call.sent_s - _PROPAGATION_S - _MARGIN_S
+    history = configurations.routes.get(call.route, RouteHistory([(0, 'any')]))
+    if None in history.allowed(from_s, call.ended_s):
+        return
+    if injector.revoked_s.get(call.key, inf) < call.ended_s:
+        return
+    added_s = configurations.added_s.get(call.key, 0)
+    if added_s < from_s and not _is_excused(injector, call.sent_s):
+        yield f'{call}: refused, routes {history}, key of {added_s}'
+
+
+def _route_violations(
+    run: Run, call: Call, injector: FaultInjector
+) -> Iterator[str]:
+    """Yield a run by a service that the route no longer has."""
+    history = injector.configurations.routes.get(call.route)
+    if history is None:
+        return
+    from_s = call.sent_s - _PROPAGATION_S - _MARGIN_S
+    allowed = history.allowed(from_s, call.ended_s or inf)
+    if run['service'] in allowed or _is_excused(injector, call.sent_s):
+        return
+    yield f'{call}: run by {run["service"]}, allowed {allowed}'
 
 
 def _call_violations(
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -11,11 +11,14 @@
 from features.support.relay_fleet import RelayFleet
 
 from .proxy import Proxy
+from .route_changes import Configurations
 
 __all__ = ('Fault', 'FaultInjector')
 
 _MAX_FAULT_S: Final = 4.0
 _MIN_FAULT_S: Final = 0.3
+#: Changes of routes for each other fault of a kind.
+_ROUTE_CHANGES: Final = 8
 #: Maximum time of a graceful stop, with a margin for a busy machine.
 _MAX_STOP_S: Final = 12.0
 
@@ -71,19 +74,30 @@
 class FaultInjector:
     """Injects random faults and undoes them when their time is over."""
 
-    def __init__(self, fleet: RelayFleet, seed: int) -> None:
-        """Initialise without an active fault."""
+    def __init__(
+        self, fleet: RelayFleet, seed: int, *, with_changes: bool = False
+    ) -> None:
+        """Initialise without an active fault.
+
+        :param with_changes: whether routes change and engines say that they
+            leave, beside the faults.
+        """
         self._fleet = fleet
         self._random = Random(seed)
         self._unavailable: set[str] = set()
         self._stopping: dict[str, float] = {}
-        self._version = 1
-        #: Valid API keys, and when others were revoked.
-        self.keys = ['key-w', 'key-2', 'key-v']
+        self._with_changes = with_changes
+        self.configurations = Configurations(fleet)
+        #: When API keys were revoked.
         self.revoked_s: dict[str, float] = {}
         #: Port of an endpoint, start and end of its ``draining`` state.
         self.drain_periods: list[tuple[int, float, float]] = []
+        #: Port of an endpoint, start and end of the time in which it says in
+        #: its answers that it leaves.
+        self.leaving_periods: list[tuple[int, float, float]] = []
         self.injected: list[Fault] = []
+        #: Start of each endpoint that has started again, in its entry.
+        self._starts: dict[int, int] = {}
         self._undrawn: list[Callable[[], Fault | None]] = []
 
     def inject_next(self) -> None:
@@ -104,6 +118,15 @@
                 self._revoke,
                 self._compact,
             ]
+            if self._with_changes:
+                self._undrawn += [
+                    *(self._change_route for _ in range(_ROUTE_CHANGES)),
+                    self._put_invalid,
+                    self._put_older,
+                    self._say_leaving,
+                    self._lapse,
+                    self._stall,
+                ]
             self._random.shuffle(self._undrawn)
         fault = self._undrawn.pop()()
         if fault is not None:
@@ -261,12 +284,13 @@
 
     def _leave(self) -> Fault:
         port = self._random.choice(self._fleet.engines)
-        self._fleet.put_entry(port, state='draining')
+        born = self._starts.get(port, 1000)
+        self._fleet.put_entry(port, state='draining', born=born)
         began_s = monotonic()
 
         def undo() -> None:
             self.drain_periods.append((port, began_s, monotonic()))
-            self._fleet.put_entry(port)
+            self._fleet.put_entry(port, born=self._starts.get(port, 1000))
 
         return self._build_fault('leave', str(port), undo)
 
@@ -281,15 +305,58 @@
 
     def _revoke(self) -> Fault:
         """Revoke an API key and issue a new one."""
-        key = self._random.choice(self.keys)
-        self._version += 1
-        self.keys = [each for each in self.keys if each != key]
-        self.keys.append(f'new-key-{self._version}')
-        tenants = [{'name': 'w', 'apiKeys': self.keys}]
-        self._fleet.put_configuration(self._version, tenants=tenants)
-        self.revoked_s[key] = monotonic()
+        key = self._random.choice(self.configurations.keys)
+        self.revoked_s[key] = self.configurations.replace_key(key)
         return self._build_fault('revoke', key, None)
 
+    def _change_route(self) -> Fault:
+        kind, name = self.configurations.change_route(self._random)
+        return self._build_fault(f'route_{kind}', name, None)
+
+    def _put_invalid(self) -> Fault:
+        self.configurations.put_invalid(self._random)
+        return self._build_fault('invalid', 'configuration', None)
+
+    def _put_older(self) -> Fault:
+        self.configurations.put_older()
+        return self._build_fault('older', 'configuration', None)
+
+    def _say_leaving(self) -> Fault:
+        """Let an endpoint say that it leaves, then start again."""
+        port = self._random.choice((*self._fleet.engines, *self._fleet.plain))
+        began_s = monotonic()
+        self._fleet.fault(port, headers={'Server-Leaving': '1'})
+
+        def undo() -> None:
+            self.leaving_periods.append((port, began_s, monotonic()))
+            self._fleet.fault(port, fault='')
+            self._starts[port] = self._starts.get(port, 1000) + 1
+            self._fleet.put_entry(port, born=self._starts[port])
+
+        return self._build_fault('say_leaving', str(port), undo)
+
+    def _lapse(self) -> Fault:
+        """Remove the entries of a third of the endpoints for some time."""
+        ports = [*self._fleet.engines, *self._fleet.plain]
+        ports = self._random.sample(ports, max(1, len(ports) // 3))
+        for port in ports:
+            self._fleet.put('servers', f'i-{port}', None)
+
+        def undo() -> None:
+            for port in ports:
+                born = self._starts.get(port, 1000)
+                self._fleet.put_entry(port, born=born)
+
+        return self._build_fault('lapse', str(len(ports)), undo)
+
+    def _stall(self) -> Fault:
+        """Let a sound engine pause for a second in each answer."""
+        port = self._random.choice(self._fleet.engines)
+        self._fleet.fault(port, fault='stall', delay_s=1.1)
+        return self._build_fault(
+            'stall', str(port), lambda: self._fleet.fault(port, fault='')
+        )
+
     def _compact(self) -> Fault:
         self._fleet.compact()
         return self._build_fault('compact', 'store', None)
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -12,11 +12,13 @@
 from .callers import Callers
 from .checks import find_violations
 from .faults import FaultInjector
+from .leaving import find_late_requests
 from .proxy import LoopThread
 
-__all__ = ('RunResult', 'run_seed')
+__all__ = ('RunResult', 'RunSize', 'run_seed')
 
-_CALLER_COUNT: Final = 12
+#: Number of added routes that callers use; some of them are removed by then.
+_CALLED_ROUTES: Final = 6
 _MEAN_PAUSE_S: Final = 0.15
 #: Minimum and maximum time between two faults: some faults overlap, others
 #: end before the next.
@@ -64,16 +66,44 @@
         self.fleet.close()
 
 
-def run_seed(seed: int, seconds: float) -> RunResult:
+@final
+@dataclass(slots=True, frozen=True)
+class RunSize:
+    """Number of processes and callers of a run.
+
+    :param with_changes: whether routes change and engines say that they
+        leave, beside the faults.
+    """
+
+    instances: int = 5
+    engines: int = 4
+    plain: int = 3
+    callers: int = 12
+    with_changes: bool = False
+
+
+def run_seed(
+    seed: int, seconds: float, size: RunSize | None = None
+) -> RunResult:
     """Run one seed; all processes have ended when it returns."""
+    size = size or RunSize()
     loop = LoopThread()
-    fleet = RelayFleet(instances=5, engines=4, plain=3, loop=loop)
+    fleet = RelayFleet(
+        instances=size.instances,
+        engines=size.engines,
+        plain=size.plain,
+        loop=loop,
+    )
     with fleet.running():
-        injector = FaultInjector(fleet, seed)
+        injector = FaultInjector(fleet, seed, with_changes=size.with_changes)
+        configurations = injector.configurations
         callers = Callers(
-            seed, fleet.directories(), lambda: [*injector.keys, 'key-w']
+            seed,
+            fleet.directories(),
+            lambda: [*configurations.keys, 'key-w'],
+            lambda: list(configurations.routes)[-_CALLED_ROUTES:],
         )
-        running = loop.start(callers.run(_CALLER_COUNT, _MEAN_PAUSE_S))
+        running = loop.start(callers.run(size.callers, _MEAN_PAUSE_S))
         faults_ended_s = _inject_faults(
             injector, Random(f'gaps/{seed}'), seconds
         )
@@ -81,14 +111,21 @@
         callers.is_stopping = True
         running.result(_RECOVERY_S + 10)
         seen = {
-            port: fleet.facts(port)['seen']
-            for port in (*fleet.engines, *fleet.plain)
+            port: [
+                {**run, 'service': service} for run in fleet.facts(port)['seen']
+            ]
+            for service, ports in (
+                ('letters', fleet.engines),
+                ('ledger', fleet.plain),
+            )
+            for port in ports
         }
         violations = [
             *find_violations(callers.calls, seen, injector),
             *_failed_after_recovery(
                 callers, injector, faults_ended_s + _RECOVERY_S
             ),
+            *find_late_requests(fleet, injector),
             *fleet.program_errors(),
         ]
     loop.stop()
@@ -124,11 +161,12 @@
     callers: Callers, injector: FaultInjector, from_s: float
 ) -> list[str]:
     """Return the calls that failed after the recovery time."""
+    configurations = injector.configurations
     return [
         f'{call}: not served after recovery'
         for call in callers.calls
         if call.sent_s >= from_s
-        and call.key in injector.keys
         and call.status != 200
         and not call.has_disconnected
+        and configurations.allows(call.key, call.route)
     ]
