Keep a silent attempt open until another engine has taken its request

Reproduced: a stream of a sound engine that pauses for a second is cut off if all other engines are full.

Cause: the flow closed the silent attempt before it looked for another engine, and had nothing left when all refused.

Change: the silent attempt is kept as a standby. Whichever attempt goes on first answers, and the other is closed; if no engine takes the request, it waits for the standby until its time limit. The events of attempts name the attempt; what is known of an attempt is in AttemptProgress, and what its sending took in SentAttempt.

The soak's fleet waits for 64 listed addresses at most, as an instance lists no more.

--- a/bergamotturn/process/relay_tasks/pending_relay.py
+++ b/bergamotturn/process/relay_tasks/pending_relay.py
@@ -1,25 +1,39 @@
 """State of pending relayed requests."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import final
 
 from ...request.relay.actions import Attempt
 from ...request.relay.flow import RelayFlow
 from .reservations import Reservation, ReservationSet
 
-__all__ = ('PendingRelay', 'ReservationCall')
+__all__ = ('PendingRelay', 'ReservationCall', 'SentAttempt')
+
+
+@final
+@dataclass(slots=True, frozen=True, eq=False)
+class SentAttempt:
+    """An attempt that is under way.
+
+    :param exchange_id: exchange that sends it.
+    :param work: its number in updates to other instances.
+    :param notified_cells: cells that got the updates.
+    :param sent_s: monotonic time at which it was sent.
+    """
+
+    exchange_id: int
+    work: int
+    notified_cells: tuple[str, ...]
+    sent_s: float
 
 
 @final
 @dataclass(slots=True, eq=False)
 class PendingRelay:
-    """A pending request with its timers, exchange and reservations.
+    """A pending request with its timers, attempts and reservations.
 
     :param wake_timer: timer for the next time limit, set for ``wake_s``.
-    :param exchange_id: exchange of the current attempt, 0 if there is none.
-    :param work: number of the current attempt in updates, 0 if there is none.
-    :param notified_cells: cells that got the updates on the current attempt.
-    :param sent_s: monotonic time at which the current attempt was sent.
+    :param sent: attempts under way, by their numbers.
     :param first_event_s: time from the arrival of the request to its first
         event, 0 before.
     :param last_data_s: monotonic time at which the last part of a streamed
@@ -29,10 +43,7 @@
     flow: RelayFlow
     wake_timer: int = 0
     wake_s: float = 0
-    exchange_id: int = 0
-    work: int = 0
-    notified_cells: tuple[str, ...] = ()
-    sent_s: float = 0
+    sent: dict[int, SentAttempt] = field(default_factory=dict)
     reservation_set: ReservationSet | None = None
     renewal_timer: int = 0
     first_event_s: float = 0
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -150,26 +150,32 @@
         if pending is None:
             return
         head = self._wire.read_head(pending.flow.call, status, headers)
-        self._note_answer(pending.sent_s, attempt.plan.entry, head)
+        sent_s = pending.sent[attempt.number].sent_s
+        self._note_answer(sent_s, attempt.plan.entry, head)
         if head.faulty_address:
             self._eject_address(pending, head.faulty_address)
         log_message(
             'answer_began',
             request=pending.flow.call.call_id,
+            attempt=attempt.number,
             kind=head.kind.value,
             status=status,
-            after_s=round(monotonic() - pending.sent_s, SECONDS_DIGITS),
+            after_s=round(monotonic() - sent_s, SECONDS_DIGITS),
             load=head.load,
             faulty=head.faulty_address or None,
             notice=None if head.notice == EndpointNotice() else head.notice,
         )
-        self._perform_all(pending, pending.flow.on_head(monotonic(), head))
+        actions = pending.flow.on_head(monotonic(), head, attempt)
+        self._perform_all(pending, actions)
 
     @handler('exchange_data')
     def _on_exchange_data(self, exchange: Exchange, data: bytes) -> None:
-        pending, _ = self._exchanges.get(exchange.exchange_id, (None, None))
+        pending, attempt = self._exchanges.get(
+            exchange.exchange_id, (None, None)
+        )
         if pending is not None:
-            self._perform_all(pending, pending.flow.on_data(monotonic(), data))
+            actions = pending.flow.on_data(monotonic(), data, attempt)
+            self._perform_all(pending, actions)
 
     @handler('exchange_data_batch')
     def _on_exchange_data_batch(self, parts: Iterable[ExchangePart]) -> None:
@@ -183,9 +189,12 @@
             is_granted = self._wire.is_reserved(call.status)
             self._on_reservation_answer(call, is_granted=is_granted)
             return
-        pending, _ = self._exchanges.pop(exchange.exchange_id, (None, None))
+        pending, attempt = self._exchanges.pop(
+            exchange.exchange_id, (None, None)
+        )
         if pending is not None:
-            self._perform_all(pending, pending.flow.on_end(monotonic()))
+            actions = pending.flow.on_end(monotonic(), attempt)
+            self._perform_all(pending, actions)
 
     @handler('exchange_failed')
     def _on_exchange_failed(
@@ -195,11 +204,17 @@
         if call is not None:
             self._on_reservation_answer(call, is_granted=False)
             return
-        pending, _ = self._exchanges.pop(exchange.exchange_id, (None, None))
+        pending, attempt = self._exchanges.pop(
+            exchange.exchange_id, (None, None)
+        )
         if pending is None:
             return
         actions = pending.flow.on_failed(
-            monotonic(), _fault_of(failure, sent), failure.detail, is_sent=sent
+            monotonic(),
+            _fault_of(failure, sent),
+            failure.detail,
+            is_sent=sent,
+            attempt=attempt,
         )
         self._perform_all(pending, actions)
 
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -13,6 +13,7 @@
 from ...connection.endpoint_wire_format import EndpointWireFormat
 from ...connection.exchange import (
     HTTP_CLIENT,
+    Exchange,
     cancel_exchange,
     start_exchange,
 )
@@ -56,7 +57,7 @@
 from ..placement.policies import policy_of
 from ..timers import Timers
 from .answer_durations import AnswerDurations
-from .pending_relay import PendingRelay
+from .pending_relay import PendingRelay, SentAttempt
 from .placement_router import PlacementRouter
 from .prompt_reports import PromptReports
 from .reservation_manager import ReservationManager
@@ -199,9 +200,8 @@
         exchange = self._wire.attempt(
             call, attempt, service, left_s, self.channel
         )
-        pending.exchange_id = exchange.exchange_id
-        pending.sent_s = now_s
-        pending.work = next(self._work_numbers)
+        sent = self._new_sent_attempt(pending, attempt, exchange, now_s)
+        pending.sent[attempt.number] = sent
         self._exchanges[exchange.exchange_id] = (pending, attempt)
         self._table.note_sent(now_s, endpoint_id)
         if not plan.needs_reservations:
@@ -214,7 +214,7 @@
         # The request goes first: sending the update to many instances takes
         # a while.
         self.fire(start_exchange(exchange), HTTP_CLIENT)
-        self._send_work_began(pending, attempt, left_s)
+        self._send_work_began(pending, attempt, sent, left_s)
         ATTEMPTS.labels(call.service, plan.reason).inc()
         log_message(
             'request_sent',
@@ -233,27 +233,42 @@
             **plan.inputs,
         )
 
+    def _new_sent_attempt(
+        self,
+        pending: PendingRelay,
+        attempt: Attempt,
+        exchange: Exchange,
+        now_s: float,
+    ) -> SentAttempt:
+        is_long = self._router.is_long(pending.flow.call)
+        cells = self._cells_to_notify(
+            attempt.plan.entry, to_all_cells=is_long or attempt.is_retry
+        )
+        return SentAttempt(
+            exchange.exchange_id, next(self._work_numbers), cells, now_s
+        )
+
     def _send_work_began(
-        self, pending: PendingRelay, attempt: Attempt, left_s: float
+        self,
+        pending: PendingRelay,
+        attempt: Attempt,
+        sent: SentAttempt,
+        left_s: float,
     ) -> None:
         call = pending.flow.call
-        elapsed_s = pending.sent_s - call.arrived_s
+        elapsed_s = sent.sent_s - call.arrived_s
         due_s = max(0, call.route.objective_s - elapsed_s)
-        is_long = self._router.is_long(call)
-        pending.notified_cells = self._cells_to_notify(
-            attempt.plan.entry, to_all_cells=is_long or attempt.is_retry
-        )
         began = WorkBegan(
             place=0,
-            work=pending.work,
-            is_long=is_long,
+            work=sent.work,
+            is_long=self._router.is_long(call),
             lasts_ms=int(left_s * _MS),
             due_ms=int(due_s * _MS),
             pause_ms=int(call.route.gap_objective_s * _MS),
             again=attempt.is_retry,
             shares=_shares(call, attempt),
         )
-        self._send_update(began, pending.notified_cells)
+        self._send_update(began, sent.notified_cells)
 
     def _record_prefill_done(
         self, pending: PendingRelay, action: SendPrefillDone
@@ -263,8 +278,9 @@
         call = pending.flow.call
         # The prefill of a short request takes less time than an update to
         # all other instances.
-        if pending.work and self._router.is_long(call):
-            self._send_prefill_done(pending.work, pending.notified_cells)
+        sent = pending.sent[attempt.number]
+        if self._router.is_long(call):
+            self._send_prefill_done(sent.work, sent.notified_cells)
         if not pending.first_event_s:
             pending.first_event_s = now_s - call.arrived_s
             FIRST_EVENT_S.labels(call.service).observe(pending.first_event_s)
@@ -273,16 +289,18 @@
             request=call.call_id,
             attempt=attempt.number,
             endpoint=attempt.plan.entry.endpoint_id,
-            after_s=round(now_s - pending.sent_s, SECONDS_DIGITS),
+            after_s=round(now_s - sent.sent_s, SECONDS_DIGITS),
             expected_s=round(
                 attempt.plan.expected_first_event_s, SECONDS_DIGITS
             ),
         )
 
     def _close(self, pending: PendingRelay, action: CloseAttempt) -> None:
-        if pending.exchange_id in self._exchanges:
-            self._exchanges.pop(pending.exchange_id)
-            self.fire(cancel_exchange(pending.exchange_id), HTTP_CLIENT)
+        sent = pending.sent.pop(action.attempt.number, None)
+        if sent is None:
+            return
+        if self._exchanges.pop(sent.exchange_id, None) is not None:
+            self.fire(cancel_exchange(sent.exchange_id), HTTP_CLIENT)
             log_message(
                 'attempt_cut',
                 request=pending.flow.call.call_id,
@@ -290,10 +308,7 @@
                 endpoint=action.attempt.plan.entry.endpoint_id,
                 reason=action.reason,
             )
-        pending.exchange_id = 0
-        if pending.work:
-            self._send_work_ended(pending.work, pending.notified_cells)
-            pending.work = 0
+        self._send_work_ended(sent.work, sent.notified_cells)
 
     def _record_success(
         self, pending: PendingRelay, action: ReportSuccess
@@ -308,6 +323,8 @@
             monotonic(), endpoint_id, action.fault
         )
         ENDPOINT_FAULTS.labels(action.fault.value).inc()
+        sent = pending.sent.get(action.attempt.number)
+        after_s = monotonic() - sent.sent_s if sent else None
         log_message(
             'attempt_failed',
             request=pending.flow.call.call_id,
@@ -317,7 +334,7 @@
             detail=action.detail,
             has_head=action.has_head,
             events=action.events,
-            after_s=round(monotonic() - pending.sent_s, SECONDS_DIGITS),
+            after_s=after_s and round(after_s, SECONDS_DIGITS),
             alone_for_s=round(for_s, SECONDS_DIGITS),
         )
         if for_s:
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -10,305 +10,210 @@
 others end with a failure that does not say whether the request ran. A refusal
 that says that the request did not run is given only if nothing was sent, or if
 every endpoint that received the request said that it did not run it.
+
+An endpoint that falls silent may only be slow. Its attempt is kept as a standby
+while another endpoint is asked, and whichever of the two goes on first answers
+the request. If no other endpoint takes it, the request waits for the standby.
 """
 
 from collections.abc import Sequence
-from typing import Final, final
+from typing import final
 
-from ...errors import ErrorKind
 from ...process.endpoints.health import Fault
 from ...process.placement.plan import Refusal
-from ...version.serving import Route
 from .actions import (
     Attempt,
+    CloseAttempt,
     RelayAction,
-    ReplyData,
-    ReplyEnd,
-    ReplyFull,
-    ReplyHead,
+    ReplyFailure,
+    ReportFailure,
+    ReportSuccess,
 )
-from .call import EndpointAnswerHead, HeadKind
-from .flow_state import RelayState
+from .attempt_flow import DECODING_EVENTS, MAX_BUFFERED_BYTES, AttemptFlow
+from .attempt_progress import AttemptProgress
+from .call import EndpointAnswerHead, HeadKind, RelayCall
+from .flow_state import RequestRouter
 
 __all__ = ('DECODING_EVENTS', 'RelayFlow')
 
-#: Largest answer of a plain call that is buffered until it is complete, so
-#: that the request can be retried if the answer breaks off. Larger answers are
-#: forwarded as they arrive.
-_MAX_BUFFERED_BYTES: Final = 262_144
-#: Number of rejections by endpoints after which a request is refused; each
-#: costs a round trip.
-_MAX_REJECTIONS: Final = 4
-#: Number of unreachable endpoints in a row after which a request is refused. A
-#: process that does not listen costs a round trip but no engine time, and all
-#: endpoints of a data centre may fail at once.
-_MAX_UNREACHABLE: Final = 12
-#: Time without a reachable endpoint after which a request is refused, so that
-#: its caller can try another instance. Three connection timeouts exceed it.
-_MAX_UNREACHABLE_S: Final = 1.2
-#: An engine counts as silent after this multiple of the route's objective for
-#: the gap between events, but not before the minimum: a lost packet is
-#: retransmitted only after 0.2 s.
-_EVENT_GAP_FACTOR: Final = 3.0
-_MIN_EVENT_GAP_LIMIT_S: Final = 0.6
-#: Limit for the gap between events if the route has no objective for it.
-_DEFAULT_EVENT_GAP_LIMIT_S: Final = 2.0
-#: Events after which an endpoint has survived the begin of an answer.
-DECODING_EVENTS: Final = 2
-
 
 @final
-class RelayFlow(RelayState):
-    """Handles the events of a request."""
+class RelayFlow(AttemptFlow):
+    """Handles the events of a request.
 
-    def begin(self, now_s: float) -> Sequence[RelayAction]:
-        """Place the request on a first endpoint."""
-        return self._place(now_s)
+    Events of attempts name the attempt; without one it is the current attempt.
+    """
 
-    def on_reserved(
-        self, now_s: float, attempt: Attempt, *, is_granted: bool
-    ) -> Sequence[RelayAction]:
-        """Send ``attempt`` if its memory is reserved, else place it anew."""
-        if attempt is not self._attempt or self._is_sent:
-            return []
-        if is_granted:
-            return self._send(now_s)
-        self._rejections += 1
-        if self._rejections >= _MAX_REJECTIONS:
-            return self._stop_retrying('no_memory')
-        # Another division of the prompt may use the same engines.
-        self._tried.clear()
-        return [*self._close_attempt('no_memory'), *self._place(now_s)]
+    def __init__(self, call: RelayCall, router: RequestRouter) -> None:
+        """Start without an attempt."""
+        super().__init__(call, router)
+        self._standby: AttemptProgress | None = None
 
     def on_head(
-        self, now_s: float, head: EndpointAnswerHead
+        self,
+        now_s: float,
+        head: EndpointAnswerHead,
+        attempt: Attempt | None = None,
     ) -> Sequence[RelayAction]:
         """Handle the head of an answer."""
-        if self._attempt is None:
+        standby = self._standby_of(attempt)
+        if standby is None:
+            return super().on_head(now_s, head)
+        standby.head = head
+        if head.kind is HeadKind.success:
             return []
-        self._head = head
-        self._has_reached_endpoint = True
-        if head.kind in {HeadKind.not_run, HeadKind.moved}:
-            return self._on_rejected(now_s, head)
-        self._possible_runs += 1
-        if head.kind is HeadKind.unrecognised:
-            return self._on_attempt_failed(
-                now_s,
-                Fault.garbled,
-                f'unrecognised answer, status {head.status}',
-            )
-        if head.kind is HeadKind.failure:
-            return self._on_failure_answer(now_s, head)
-        return []
+        return self._close_standby(head.kind.value)
 
-    def on_data(self, now_s: float, data: bytes) -> Sequence[RelayAction]:
+    def on_data(
+        self, now_s: float, data: bytes, attempt: Attempt | None = None
+    ) -> Sequence[RelayAction]:
         """Handle body bytes of an answer."""
-        if self._attempt is None or self._head is None:
-            return []
-        if self._head.kind is HeadKind.success and self.call.route.is_stream:
-            return self._on_stream_data(now_s, data)
-        if self._is_head_forwarded:
-            return [ReplyData(data)]
-        self._body += data
-        if len(self._body) <= _MAX_BUFFERED_BYTES:
-            return []
-        self._is_head_forwarded = True
-        return [
-            ReplyHead(self._head.status, self._head.headers),
-            ReplyData(bytes(self._body)),
-        ]
-
-    def on_end(self, now_s: float) -> Sequence[RelayAction]:
+        standby = self._standby_of(attempt)
+        if standby is not None:
+            return self._on_standby_data(now_s, standby, data)
+        actions = super().on_data(now_s, data)
+        is_plain = not self.call.route.is_stream
+        if self._progress.events or (is_plain and self._is_head_forwarded):
+            return [*actions, *self._close_standby('answered_elsewhere')]
+        return actions
+
+    def on_end(
+        self, now_s: float, attempt: Attempt | None = None
+    ) -> Sequence[RelayAction]:
         """Handle the end of a complete answer."""
-        head = self._head
-        if self._attempt is None or head is None:
-            return []
-        is_success = head.kind is HeadKind.success
-        if is_success and self.call.route.is_stream:
-            return self._on_stream_end(now_s)
-        reports = []
-        if is_success:
-            reports = [*self._report_success(), *self._note_decoding()]
-        if self._is_head_forwarded:
-            return [*reports, *self._end(ReplyEnd())]
-        answer = ReplyFull(head.status, head.headers, bytes(self._body))
-        return [*reports, *self._end(answer)]
+        standby = self._standby_of(attempt)
+        if standby is None:
+            return super().on_end(now_s)
+        is_broken = standby.head is None or standby.stream.partial_event
+        if is_broken or (
+            standby.head.is_close_delimited and not standby.events
+        ):
+            return self._on_standby_failed(
+                standby, Fault.broke_off, 'stream ended too early'
+            )
+        return [*self._return_to_standby(now_s), *super().on_end(now_s)]
 
     def on_failed(
-        self, now_s: float, fault: Fault, detail: str, *, is_sent: bool
+        self,
+        now_s: float,
+        fault: Fault,
+        detail: str,
+        *,
+        is_sent: bool,
+        attempt: Attempt | None = None,
     ) -> Sequence[RelayAction]:
         """Handle the end of an attempt without a complete answer.
 
         :param is_sent: whether any byte of the request was sent.
         """
-        if self._attempt is None:
-            return []
-        if is_sent:
-            self._has_reached_endpoint = True
-            if self._head is None:
-                self._possible_runs += 1
-            return self._on_attempt_failed(now_s, fault, detail)
-        self._unreachable_count += 1
-        reports = self._report_failure(fault, detail)
-        if self._is_too_late(now_s):
-            return [*reports, *self._expire(detail)]
-        is_late = now_s - self._search_began_s > _MAX_UNREACHABLE_S
-        if is_late or self._unreachable_count >= _MAX_UNREACHABLE:
-            return [*reports, *self._stop_retrying('endpoints_unreachable')]
-        # The request reached no endpoint, so the retry budget is not used.
-        return [*reports, *self._close_attempt(detail), *self._place(now_s)]
+        standby = self._standby_of(attempt)
+        if standby is not None:
+            return self._on_standby_failed(standby, fault, detail)
+        return super().on_failed(now_s, fault, detail, is_sent=is_sent)
 
     def on_timer(self, now_s: float) -> Sequence[RelayAction]:
         """Handle a time limit that has passed."""
-        if self.is_over or now_s < self.wake_s:
-            return []
-        if now_s >= self.call.deadline_s:
-            return self._expire('deadline')
-        if self._place_again_until_s is not None:
-            return self._place(now_s)
-        if self._attempt is None or not self._is_sent:
-            self.wake_s = self.call.deadline_s
-            return []
-        return self._on_silence(now_s)
+        if self.is_over or now_s < self.call.deadline_s:
+            return super().on_timer(now_s)
+        return [*self._close_standby('deadline'), *super().on_timer(now_s)]
 
     def on_stop(self) -> Sequence[RelayAction]:
         """End the request with a failure, since the process ends."""
-        if self._possible_runs or self._is_sent or self._is_head_forwarded:
-            return self._fail(ErrorKind.endpoint_lost, 'stopping')
-        return self._fail(ErrorKind.draining, 'stopping')
+        return [*self._close_standby('stopping'), *super().on_stop()]
 
     def on_quarantine(self, refusal: Refusal) -> Sequence[RelayAction]:
         """End a request with a quarantined part whose answer has not begun."""
-        if self._attempt_event_count or self._is_head_forwarded:
+        if self._is_head_forwarded:
             return []
-        if self._is_sent:
-            return self._fail(ErrorKind.endpoint_lost, refusal.reason)
-        return self._refuse(refusal)
+        closed = self._close_standby('quarantine')
+        return [*closed, *super().on_quarantine(refusal)]
 
     def on_caller_gone(self, now_s: float) -> Sequence[RelayAction]:
-        """Close the attempt under way for a caller that disconnected."""
-        self.is_over = True
-        return self._close_attempt('caller_gone')
-
-    def _on_silence(self, now_s: float) -> Sequence[RelayAction]:
-        """Retry at another endpoint, or keep waiting if that is not allowed."""
-        self._has_reached_endpoint = True
-        runs = self._possible_runs + (self._head is None)
-        if not self._may_run_again(now_s, runs):
-            # The engine may only be slow, and a late answer is better than
-            # none. Ejecting it would overload the others and slow them too.
-            self.wake_s = self.call.deadline_s
-            return []
-        self._possible_runs = runs
-        return self._on_attempt_failed(
-            now_s, Fault.silent, 'silent for too long'
-        )
+        """Close all attempts for a caller that disconnected."""
+        closed = self._close_standby('caller_gone')
+        return [*closed, *super().on_caller_gone(now_s)]
+
+    def _standby_of(self, attempt: Attempt | None) -> AttemptProgress | None:
+        """Return the standby if it is ``attempt``."""
+        standby = self._standby
+        is_standby = standby is not None and standby.attempt is attempt
+        return standby if is_standby else None
+
+    def _leave_attempt(self, reason: str) -> list[RelayAction]:
+        """Keep a silent attempt as the standby, and close any other."""
+        attempt = self._progress.attempt
+        if reason != Fault.silent.value or attempt is None:
+            return self._close_attempt(reason)
+        if self._standby is not None or attempt.plan.needs_reservations:
+            return self._close_attempt(reason)
+        self._standby = self._progress
+        self._progress = AttemptProgress()
+        return []
 
-    def _on_rejected(
-        self, now_s: float, head: EndpointAnswerHead
-    ) -> Sequence[RelayAction]:
-        self._rejections += 1
-        reports: list[RelayAction] = []
-        if head.kind is HeadKind.moved and not head.faulty_address:
-            reports = self._report_failure(
-                Fault.replaced, f'status {head.status}'
-            )
-        if self._rejections >= _MAX_REJECTIONS:
-            return [*reports, *self._stop_retrying('endpoints_full')]
-        return [*reports, *self._retry(now_s, head.kind.value)]
+    def _end(self, final_action: RelayAction) -> list[RelayAction]:
+        """End the request, or wait for the standby in place of a failure."""
+        if self._standby is None or not isinstance(final_action, ReplyFailure):
+            return [*self._close_standby('over'), *super()._end(final_action)]
+        actions = self._close_attempt(final_action.reason)
+        self._progress = self._standby
+        self._standby = None
+        self.wake_s = self.call.deadline_s
+        return actions
 
     def _on_failure_answer(
         self, now_s: float, head: EndpointAnswerHead
     ) -> Sequence[RelayAction]:
-        """Retry at another endpoint, or forward the failure unchanged."""
-        is_server_error = head.status >= _FIRST_SERVER_ERROR
-        if is_server_error and self._may_run_again(now_s, self._possible_runs):
-            self._unattributed_failures.append(self._attempt)
-            return self._retry(now_s, 'failed')
-        if self._is_head_forwarded:
-            # The caller is in the middle of another endpoint's answer.
-            return self._fail(ErrorKind.endpoint_lost, 'failed')
-        return []
-
-    def _on_attempt_failed(
-        self, now_s: float, fault: Fault, detail: str
-    ) -> Sequence[RelayAction]:
-        reports = self._report_failure(fault, detail)
-        if self._may_run_again(now_s, self._possible_runs):
-            return [*reports, *self._retry(now_s, fault.value)]
-        if now_s >= self.call.deadline_s:
-            return [*reports, *self._expire(detail)]
-        return [*reports, *self._fail(ErrorKind.endpoint_lost, detail)]
-
-    def _may_run_again(self, now_s: float, runs: int) -> bool:
-        """Return whether a request that may have run may be retried.
-
-        :param runs: number of endpoints that may have run it.
-        """
-        route = self.call.route
-        if not route.may_run_again or runs >= route.max_endpoints:
-            return False
-        if self._is_head_forwarded and not route.is_stream:
-            return False
-        if not self._position.is_known:
-            return False
-        return self._router.may_retry(now_s, self.call)
-
-    def _on_stream_data(
-        self, now_s: float, data: bytes
+        """Retry, forward the failure, or wait for the standby instead."""
+        actions = super()._on_failure_answer(now_s, head)
+        if actions or self._standby is None:
+            return actions
+        return self._return_to_standby(now_s)
+
+    def _on_standby_data(
+        self, now_s: float, standby: AttemptProgress, data: bytes
     ) -> Sequence[RelayAction]:
-        events, fault_detail = self._position.read(self._stream, data)
-        replies: list[RelayAction] = []
-        if events:
-            content = b''.join(event.data for event in events)
-            replies = [*self._forward_head(), ReplyData(content)]
-        progress = sum(event.is_progress for event in events)
-        if progress:
-            self.event_count += progress
-            self._attempt_event_count += progress
-            gap_limit_s = _event_gap_limit_s(self.call.route)
-            self.wake_s = min(self.call.deadline_s, now_s + gap_limit_s)
-            replies = [
-                *self._note_prefilled(),
-                *self._note_decoding(DECODING_EVENTS),
-                *replies,
+        if standby.head is None:
+            return []
+        if not self.call.route.is_stream:
+            if len(standby.body) + len(data) <= MAX_BUFFERED_BYTES:
+                standby.body += data
+                return []
+            returned = self._return_to_standby(now_s)
+            return [*returned, *self.on_data(now_s, data)]
+        events, fault_detail = self._position.read(standby.stream, data)
+        if any(event.is_progress for event in events):
+            return [
+                *self._return_to_standby(now_s),
+                *self._forward_events(now_s, events, fault_detail),
             ]
-        if not fault_detail:
-            return replies
-        # The next attempt begins after the events that came before the fault.
-        return [
-            *replies,
-            *self._on_attempt_failed(now_s, Fault.garbled, fault_detail),
-        ]
+        if fault_detail:
+            return self._on_standby_failed(standby, Fault.garbled, fault_detail)
+        return []
 
-    def _forward_head(self) -> list[RelayAction]:
-        if self._is_head_forwarded:
+    def _on_standby_failed(
+        self, standby: AttemptProgress, fault: Fault, detail: str
+    ) -> list[RelayAction]:
+        report = ReportFailure(
+            standby.attempt,
+            fault,
+            detail,
+            has_head=standby.head is not None,
+            events=standby.events,
+        )
+        return [report, *self._close_standby(fault.value)]
+
+    def _return_to_standby(self, now_s: float) -> list[RelayAction]:
+        """Make the standby the current attempt again."""
+        actions = self._close_attempt('earlier_attempt_goes_on')
+        self._progress = self._standby
+        self._standby = None
+        self._place_again_until_s = None
+        self.wake_s = self.call.deadline_s
+        return [*actions, ReportSuccess(self._progress.attempt)]
+
+    def _close_standby(self, reason: str) -> list[RelayAction]:
+        standby = self._standby
+        if standby is None:
             return []
-        self._is_head_forwarded = True
-        return [ReplyHead(self._head.status, self._head.headers)]
-
-    def _on_stream_end(self, now_s: float) -> Sequence[RelayAction]:
-        if self._stream.partial_event:
-            return self._on_attempt_failed(
-                now_s, Fault.broke_off, 'stream ended in the middle of an event'
-            )
-        if self._head.is_close_delimited and not self._attempt_event_count:
-            return self._on_attempt_failed(
-                now_s, Fault.broke_off, 'stream ended before its first event'
-            )
-        return [
-            *self._note_prefilled(),
-            *self._note_decoding(),
-            *self._forward_head(),
-            *self._end(ReplyEnd()),
-        ]
-
-
-_FIRST_SERVER_ERROR: Final = 500
-
-
-def _event_gap_limit_s(route: Route) -> float:
-    gap_s = route.gap_objective_s
-    if not gap_s:
-        return _DEFAULT_EVENT_GAP_LIMIT_S
-    return max(_MIN_EVENT_GAP_LIMIT_S, _EVENT_GAP_FACTOR * gap_s)
+        self._standby = None
+        return [CloseAttempt(standby.attempt, reason)]
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -21,8 +21,9 @@
     SendAttempt,
     SendPrefillDone,
 )
-from .call import EndpointAnswerHead, RelayCall
-from .event_stream import EventStream, StreamPosition
+from .attempt_progress import AttemptProgress
+from .call import RelayCall
+from .event_stream import StreamPosition
 
 __all__ = ('RelayState', 'RequestRouter')
 
@@ -68,8 +69,7 @@
         self.attempt_count = 0
         self.event_count = 0
         self._router = router
-        self._attempt: Attempt | None = None
-        self._is_sent = False
+        self._progress = AttemptProgress()
         #: Monotonic time until which the request waits for a permit; None if it
         #: does not wait.
         self._place_again_until_s: float | None = None
@@ -86,19 +86,13 @@
         self._search_began_s = call.arrived_s
         #: Whether an attempt reached an endpoint; later ones are retries.
         self._has_reached_endpoint = False
-        self._head: EndpointAnswerHead | None = None
-        self._body = bytearray()
-        self._stream = EventStream()
         self._position = StreamPosition(call.resume_after)
-        self._is_prefilled = False
         self._is_head_forwarded = False
-        self._attempt_event_count = 0
-        self._is_decoding_reported = False
 
     @property
     def attempt(self) -> Attempt | None:
         """Return the attempt under way, or ``None``."""
-        return self._attempt
+        return self._progress.attempt
 
     def _place(self, now_s: float) -> list[RelayAction]:
         call = self.call
@@ -108,23 +102,17 @@
         self._place_again_until_s = None
         self.attempt_count += 1
         has_events = self.event_count > 0
-        self._attempt = Attempt(
+        attempt = Attempt(
             self.attempt_count,
             decision,
             self._position.last_number if has_events else call.resume_after,
             is_retry=self._has_reached_endpoint,
         )
-        self._is_sent = False
-        self._is_prefilled = False
-        self._attempt_event_count = 0
-        self._is_decoding_reported = False
-        self._head = None
-        self._body.clear()
-        self._stream = EventStream()
+        self._progress = AttemptProgress(attempt)
         self._tried.add(decision.entry.endpoint_id)
         if decision.needs_reservations:
             self.wake_s = call.deadline_s
-            return [ReserveMemory(self._attempt)]
+            return [ReserveMemory(attempt)]
         return self._send(now_s)
 
     def _wait_for_permit(
@@ -138,34 +126,17 @@
         if not refusal.recheck_s or again_s >= latest_s:
             self._place_again_until_s = None
             return self._refuse(refusal)
-        self._is_sent = False
+        self._progress.is_sent = False
         self.wake_s = again_s
         return []
 
     def _send(self, now_s: float) -> list[RelayAction]:
-        self._is_sent = True
+        self._progress.is_sent = True
         self.wake_s = min(
-            self.call.deadline_s, now_s + self._first_event_limit_s()
-        )
-        return [SendAttempt(self._attempt)]
-
-    def _first_event_limit_s(self) -> float:
-        """Return the time limit up to a stream's first event.
-
-        For a plain call it is the limit up to the complete answer.
-        """
-        call = self.call
-        if not call.route.may_run_again:
-            return call.deadline_s
-        if not call.route.is_stream:
-            return max(
-                _PLAIN_CALL_FACTOR * call.route.objective_s,
-                _FIRST_EVENT_SLACK_S,
-            )
-        return (
-            _FIRST_EVENT_FACTOR * self._attempt.plan.expected_first_event_s
-            + _FIRST_EVENT_SLACK_S
+            self.call.deadline_s,
+            now_s + _first_event_limit_s(self.call, self._progress.attempt),
         )
+        return [SendAttempt(self._progress.attempt)]
 
     def _refuse(self, refusal: Refusal) -> list[RelayAction]:
         if self._possible_runs:
@@ -182,8 +153,8 @@
 
     def _close_attempt(self, reason: str) -> list[RelayAction]:
         """Close the attempt under way and release its memory."""
-        attempt = self._attempt
-        self._attempt = None
+        attempt = self._progress.attempt
+        self._progress = AttemptProgress()
         if attempt is None:
             return []
         actions: list[RelayAction] = [CloseAttempt(attempt, reason)]
@@ -191,29 +162,38 @@
             actions.append(ReleaseMemory(attempt))
         return actions
 
+    def _leave_attempt(self, reason: str) -> list[RelayAction]:
+        """Stop waiting for the attempt under way, as another one follows."""
+        return self._close_attempt(reason)
+
     def _report_failure(self, fault: Fault, detail: str) -> list[RelayAction]:
         return [
             ReportFailure(
-                self._attempt,
+                self._progress.attempt,
                 fault,
                 detail,
-                has_head=self._head is not None,
-                events=self._attempt_event_count,
+                has_head=self._progress.head is not None,
+                events=self._progress.events,
             )
         ]
 
     def _note_prefilled(self) -> list[RelayAction]:
-        if self._is_prefilled:
+        if self._progress.is_prefilled:
             return []
-        self._is_prefilled = True
-        return [SendPrefillDone(self._attempt), *self._report_success()]
+        self._progress.is_prefilled = True
+        return [
+            SendPrefillDone(self._progress.attempt),
+            *self._report_success(),
+        ]
 
     def _note_decoding(self, min_events: int = 0) -> list[RelayAction]:
-        is_known = self._is_decoding_reported or not self.call.shared_parts
-        if is_known or self._attempt_event_count < min_events:
+        is_known = (
+            self._progress.is_decoding_reported or not self.call.shared_parts
+        )
+        if is_known or self._progress.events < min_events:
             return []
-        self._is_decoding_reported = True
-        return [ReportDecoding(self._attempt)]
+        self._progress.is_decoding_reported = True
+        return [ReportDecoding(self._progress.attempt)]
 
     def _report_success(self) -> list[RelayAction]:
         """Report the success, and failures of endpoints that failed before.
@@ -223,7 +203,7 @@
         unattributed = self._unattributed_failures
         self._unattributed_failures = []
         return [
-            ReportSuccess(self._attempt),
+            ReportSuccess(self._progress.attempt),
             *(
                 ReportFailure(
                     attempt,
@@ -242,7 +222,7 @@
             return self._stop_retrying('repeat_budget_used_up')
         self._unreachable_count = 0
         self._search_began_s = now_s
-        return [*self._close_attempt(reason), *self._place(now_s)]
+        return [*self._leave_attempt(reason), *self._place(now_s)]
 
     def _is_too_late(self, now_s: float) -> bool:
         """Return whether no time is left for another attempt."""
@@ -257,6 +237,28 @@
         return self._end(ReplyFailure(failure, reason))
 
     def _expire(self, reason: str) -> list[RelayAction]:
-        if self._possible_runs or self._is_sent or self._is_head_forwarded:
+        if (
+            self._possible_runs
+            or self._progress.is_sent
+            or self._is_head_forwarded
+        ):
             return self._fail(ErrorKind.deadline_exceeded, reason)
         return self._fail(ErrorKind.deadline_unreachable, reason)
+
+
+def _first_event_limit_s(call: RelayCall, attempt: Attempt) -> float:
+    """Return the time limit up to a stream's first event.
+
+    For a plain call it is the limit up to the complete answer.
+    """
+    if not call.route.may_run_again:
+        return call.deadline_s
+    if not call.route.is_stream:
+        return max(
+            _PLAIN_CALL_FACTOR * call.route.objective_s,
+            _FIRST_EVENT_SLACK_S,
+        )
+    return (
+        _FIRST_EVENT_FACTOR * attempt.plan.expected_first_event_s
+        + _FIRST_EVENT_SLACK_S
+    )
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -145,6 +145,82 @@
     When nothing is received for 1 second
     Then it is sent to another engine and resumes after event 2
 
+  Scenario Outline: An engine that pauses goes on answering when no other one takes its stream
+    Guards against cutting off the answer of a sound engine that is silent for a second while all other engines are
+    full: its caller got neither the rest of the answer nor a refusal.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And <others>
+    Then it has not ended
+    When the first engine sends events 3 and 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+
+    Examples:
+      | others                                |
+      | the next 4 engines are full           |
+      | nothing listens at the next 3 engines |
+      | no other engine is left               |
+      | the next engine breaks off            |
+      | the next engine fails                 |
+
+  Scenario: An engine that pauses goes on before another one has begun
+    Guards against events that come twice, and against an engine that works on a stream that another one answers.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the first engine sends events 3 and 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+    And both attempts are closed
+
+  Scenario: Another engine goes on before the one that pauses
+    Guards against events that come twice, and against an engine that works on a stream that another one answers.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the next engine sends event 3
+    Then the first attempt is closed
+    When the next engine sends event 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+
+  Scenario: An engine that pauses sends half an event
+    Guards against a stream that waits for an engine without progress, and against joined parts of two answers.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the first engine sends half of event 3
+    And the next engine sends event 3
+    And the next engine sends event 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+
+  Scenario Outline: An engine that pauses ends without an answer
+    Guards against a stream that waits for an engine that is gone.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the first engine <end>
+    Then the first attempt is closed
+    When the next engine sends event 3
+    And the next engine sends event 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+
+    Examples:
+      | end                       |
+      | breaks off                |
+      | sends event 7             |
+      | ends within an event      |
+
+  Scenario: A request that waits for a silent engine ends at its time limit
+    Guards against a request that never ends.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the next 4 engines are full
+    And nothing is received for 20 seconds
+    Then it has ended once, with deadline_exceeded
+
+  Scenario: A plain call whose silent endpoint answers after all
+    Guards against a call that fails although its endpoint answers in time.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And the next 4 engines are full
+    And its first endpoint answers 200
+    Then the caller gets the complete answer
+
   Scenario: A silent engine is waited for when no other may be asked
     Occurs under: bursts of long prompts, whose prefill delays streams for seconds. Guards against cutting off an answer
     that is only late, and against ejecting engines that are only busy, which overloads the others.
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -25,6 +25,12 @@
     And a stream that breaks off is resumed at another engine
     And an answer to another request is not passed to the caller
 
+  Scenario: An engine pauses while all others are full
+    Guards against a stream of a sound engine that is cut off because the engine was silent for a second.
+    Given a relay fleet
+    When an engine pauses for 1.2 seconds in a stream and all others are full
+    Then the stream arrives complete from that engine
+
   Scenario: A caller that knows no chunks sees that a stream broke off
     Guards against an answer that ends with its connection and looks complete although it broke off halfway.
     Given a relay fleet
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -319,6 +319,135 @@
     context.run.record(context.run.flow.on_timer(context.run.now_s))
 
 
+@when('the next {count:d} engines are full')
+def next_are_full(context, count):
+    for _ in range(count):
+        context.run.receive_head(_NOT_RUN)
+
+
+@when('nothing listens at the next {count:d} engines')
+def next_do_not_listen(context, count):
+    for _ in range(count):
+        context.run.now_s += 0.5
+        unreachable(context)
+
+
+@when('no other engine is left')
+def none_left(context):
+    context.run.router.endpoints = 2
+    context.run.receive_head(_NOT_RUN)
+
+
+@when('the next engine breaks off')
+def next_breaks_off(context):
+    connection_breaks(context)
+
+
+@when('the next engine fails')
+def next_fails(context):
+    context.run.receive_head(_FAILED)
+
+
+@when('the next engine sends event {number:d}')
+def next_sends(context, number):
+    run = context.run
+    if number == 3:
+        run.receive_head(_SUCCESS)
+    run.receive_events(number)
+
+
+@when('the next engine sends event {number:d} and ends')
+def next_ends(context, number):
+    context.run.receive_events(number)
+    context.run.record(context.run.flow.on_end(context.run.now_s))
+
+
+@when('the first engine sends events 3 and 4 and ends')
+def first_goes_on(context):
+    run, first = context.run, _first_attempt(context)
+    data = event(3) + event(4)
+    run.record(run.flow.on_data(run.now_s, data[:7], first))
+    run.record(run.flow.on_data(run.now_s, data[7:], first))
+    run.record(run.flow.on_end(run.now_s, first))
+
+
+@when('the first engine sends half of event 3')
+def first_sends_half(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_data(run.now_s, event(3)[:7], first))
+
+
+@when('the first engine breaks off')
+def first_breaks_off(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(
+        run.flow.on_failed(
+            run.now_s, Fault.broke_off, 'reset', is_sent=True, attempt=first
+        )
+    )
+
+
+@when('the first engine sends event 7')
+def first_sends_garbage(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_data(run.now_s, event(7), first))
+
+
+@when('the first engine ends within an event')
+def first_ends_early(context):
+    first_sends_half(context)
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_end(run.now_s, first))
+
+
+@when('its first endpoint answers 200')
+def first_answers(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_head(run.now_s, _SUCCESS, first))
+    run.record(run.flow.on_data(run.now_s, b'whole', first))
+    run.record(run.flow.on_end(run.now_s, first))
+
+
+@then('the caller gets the complete answer')
+def gets_answer(context):
+    (answer,) = context.run.actions_of(_FINAL_ACTIONS)
+    assert isinstance(answer, ReplyFull), answer
+    assert (answer.status, answer.body) == (200, b'whole'), answer
+    both_closed(context)
+
+
+@then('it has not ended')
+def not_ended(context):
+    assert not context.run.actions_of(_FINAL_ACTIONS)
+    assert not context.run.flow.is_over
+
+
+@then('the caller gets events 1 to 4 once and the end')
+def gets_all_events(context):
+    run = context.run
+    got_events(context, 4)
+    (final,) = run.actions_of(_FINAL_ACTIONS)
+    assert isinstance(final, ReplyEnd), final
+    both_closed(context)
+
+
+@then('the first attempt is closed')
+def first_closed(context):
+    closed = context.run.actions_of(CloseAttempt)
+    assert [each.attempt.number for each in closed] == [1], closed
+
+
+@then('both attempts are closed')
+def both_closed(context):
+    run = context.run
+    closed = [each.attempt.number for each in run.actions_of(CloseAttempt)]
+    assert sorted(closed) == list(range(1, run.flow.attempt_count + 1)), closed
+
+
+def _first_attempt(context):
+    return context.run.actions_of(SendAttempt)[0].attempt
+
+
 @when('its reservation is refused')
 def reservation_refused(context):
     run = context.run
@@ -491,6 +620,7 @@
         self.caller_has_left = False
         self.last_answered = 0
         self.event_number = 0
+        self.standby_numbers = {}
 
     def step(self):
         run, random = self.run, self.random
@@ -504,12 +634,62 @@
         elif random.random() < 0.03:
             self.caller_has_left = True
             run.record(run.flow.on_caller_gone(run.now_s))
+        else:
+            self._receive(is_unanswered, sent)
+
+    def _receive(self, is_unanswered, sent):
+        standby = self._standby()
+        if standby and self.random.random() < 0.3:
+            self._continue_standby(standby)
         elif is_unanswered:
             self.last_answered = sent[-1].attempt.number
             self._answer_attempt(sent[-1].attempt)
         elif sent:
             self._continue_answer()
 
+    def _standby(self):
+        """Return an attempt that is open beside the current one, if any."""
+        run = self.run
+        closed = {each.attempt for each in run.actions_of(CloseAttempt)}
+        for sent in run.actions_of(SendAttempt):
+            attempt = sent.attempt
+            if attempt not in closed and attempt is not run.flow.attempt:
+                return attempt
+        return None
+
+    def _continue_standby(self, attempt):
+        run, random = self.run, self.random
+        draw = random.random()
+        if draw < 0.2:
+            run.record(
+                run.flow.on_failed(
+                    run.now_s,
+                    Fault.broke_off,
+                    'cut',
+                    is_sent=True,
+                    attempt=attempt,
+                )
+            )
+        elif draw < 0.4:
+            run.record(run.flow.on_head(run.now_s, _FAILED, attempt))
+        elif draw < 0.5:
+            run.record(run.flow.on_end(run.now_s, attempt))
+        else:
+            self._send_standby_events(attempt)
+
+    def _send_standby_events(self, attempt):
+        run, random = self.run, self.random
+        forwarded = b''.join(each.data for each in run.actions_of(ReplyData))
+        numbers = [int(each) for each in _EVENT_ID.findall(forwarded)]
+        last = numbers[-1] if numbers else attempt.resume_after or 0
+        number = self.standby_numbers.get(attempt, last)
+        number += random.choice((1, 1, 1, 1, 0, 2))
+        self.standby_numbers[attempt] = number
+        run.record(run.flow.on_head(run.now_s, _SUCCESS, attempt))
+        run.record(run.flow.on_data(run.now_s, event(number), attempt))
+        if run.flow.attempt is attempt:
+            self.event_number = number
+
     def _check_limits(self, is_unanswered, sent):
         count_before = len(self.run.actions)
         self.run.record(self.run.flow.on_timer(self.run.now_s))
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 from time import monotonic, sleep
 
 from behave import given, then, when
@@ -111,6 +112,41 @@
         fleet.fault(fleet.plain[number % 2], fault='')
 
 
+@when(
+    'an engine pauses for {pause_s:g} seconds in a stream and all others are '
+    'full'
+)
+def engine_pauses(context, pause_s):
+    fleet = context.fleet
+    for port in fleet.engines:
+        fleet.fault(port, fault='stall', delay_s=pause_s)
+    context.request = fleet.next_id()
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            fleet.send_request,
+            'a0',
+            '/draft/x',
+            context.request,
+            **_STREAM_HEADERS,
+        )
+        fleet.wait_until(
+            lambda: fleet.runs(fleet.engines, context.request),
+            'the stream has begun',
+        )
+        for port in fleet.engines:
+            if not fleet.runs([port], context.request):
+                fleet.fault(port, fault='full')
+        context.answer = answer.result()
+
+
+@then('the stream arrives complete from that engine')
+def stream_from_engine(context):
+    answer, fleet = context.answer, context.fleet
+    assert answer.is_complete, answer
+    assert (answer.status, answer.body) == (200, _FULL_STREAM), answer
+    assert fleet.runs(fleet.engines, context.request) == 1
+
+
 @then('a charge by GET ran once if its endpoint resets a reused connection')
 def reset_charge_ran_once(context):
     for port in context.fleet.plain:
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -27,6 +27,8 @@
 _READY_S: Final = 20.0
 _POLL_S: Final = 0.05
 _PORTS_PER_INSTANCE: Final = 4
+#: Most addresses that an instance lists.
+_MAX_LISTED: Final = 64
 _STANDINS: Final = 'standins'
 #: Log lines that only a fault of the program itself causes.
 _PROGRAM_ERROR: Final = re.compile('Traceback|^ERROR|invariant_breach')
@@ -329,11 +331,17 @@
         all_addresses = {self.caller_address(name) for name in self.instances}
         for name in self.instances:
             self.wait_until(
-                lambda asked=name: set(self.directory(asked)) == all_addresses,
+                lambda asked=name: self._lists_enough(asked, all_addresses),
                 f'{name} lists all instances',
                 _READY_S,
             )
 
+    def _lists_enough(self, name: str, all_addresses: set[str]) -> bool:
+        """Return whether an instance lists all, or as many as it ever does."""
+        listed = set(self.directory(name))
+        expected = min(_MAX_LISTED, len(all_addresses))
+        return listed <= all_addresses and len(listed) == expected
+
     def _add_proxies(self, ports: list[int]) -> None:
         for name, instance_ports in self.instances.items():
             self.store_proxies[name] = Proxy(ports.pop(), self.store.port)
