Hold each body once, and count it until its answer is complete

Cause: a body was held by the request's assembler, the call and the encoded request until the answer was complete, and the limit on held bytes covered incomplete requests only.

Change: the assembler gives its body away, the client sends the parts of a request without joining them, and bodies count until their answers are complete. Small requests may use a reserve beyond the limit.

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -1,5 +1,6 @@
 """Open connections to outside addresses, reused between exchanges."""
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import inf
 from socket import MSG_PEEK, socket
@@ -51,7 +52,7 @@
 class PeerConnection:
     """One TCP connection and the exchange that runs on it.
 
-    :param unsent: bytes of the request that the socket has not accepted yet.
+    :param unsent: parts of the request that the socket has not accepted yet.
     :param keeps_alive: whether the request allows a persistent connection.
     :param reading: whether the client watches it for input.
     :param reused: whether an earlier exchange finished on it.
@@ -63,7 +64,7 @@
     sock: socket
     address: Address
     transfer: Transfer | None = None
-    unsent: memoryview = field(default_factory=lambda: memoryview(b''))
+    unsent: deque[memoryview] = field(default_factory=deque)
     connecting: bool = True
     keeps_alive: bool = False
     reading: bool = False
@@ -73,6 +74,14 @@
     reserved_until_s: float = 0
     idle_since_s: float = 0
 
+    def drop_sent(self, count: int) -> None:
+        """Drop the first ``count`` bytes of what is unsent."""
+        unsent = self.unsent
+        while unsent and count >= len(unsent[0]):
+            count -= len(unsent.popleft())
+        if count:
+            unsent[0] = unsent[0][count:]
+
     def is_open(self) -> bool:
         """Return whether an idle connection can still be used.
 
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -7,6 +7,7 @@
 
 import re
 from collections import deque
+from collections.abc import Iterator
 from errno import EINPROGRESS
 from ipaddress import ip_address
 from math import inf
@@ -175,7 +176,7 @@
         transfer.parser = AnswerParser(exchange.method)
         http = h11.Connection(h11.CLIENT)
         try:
-            connection.unsent = memoryview(_encode_request(http, exchange))
+            connection.unsent = deque(_encode_request(http, exchange))
         except h11.LocalProtocolError as error:
             self._fail(connection, ErrorKind.bad_request, str(error))
             return
@@ -193,7 +194,7 @@
             self._stop_writing(connection)
             return
         try:
-            sent_bytes = connection.sock.send(connection.unsent)
+            sent_bytes = connection.sock.sendmsg(connection.unsent)
         except BlockingIOError:
             sent_bytes = 0
         except OSError as error:
@@ -204,7 +205,7 @@
         if sent_bytes:
             transfer.sent = True
             transfer.last_activity_s = monotonic()
-            connection.unsent = connection.unsent[sent_bytes:]
+            connection.drop_sent(sent_bytes)
         if not connection.unsent:
             self._stop_writing(connection)
         elif not self._poller.isWriting(connection.sock):
@@ -614,25 +615,25 @@
     return inf
 
 
-def _encode_request(http: h11.Connection, exchange: Exchange) -> bytes:
+def _encode_request(
+    http: h11.Connection, exchange: Exchange
+) -> Iterator[memoryview]:
+    """Yield the parts of a request; the body is not copied."""
     headers = [(header.name, header.value) for header in exchange.headers]
     if not any(name == 'host' for name, _ in headers):
         headers.insert(0, ('host', str(exchange.address)))
     if exchange.body or exchange.method in _BODY_METHODS:
         headers.append(('content-length', str(len(exchange.body))))
-    return b''.join(
-        (
-            http.send(
-                h11.Request(
-                    method=exchange.method,
-                    target=exchange.path,
-                    headers=headers,
-                )
-            ),
-            http.send(h11.Data(data=exchange.body)) if exchange.body else b'',
-            http.send(h11.EndOfMessage()),
-        )
+    head = h11.Request(
+        method=exchange.method, target=exchange.path, headers=headers
     )
+    yield memoryview(http.send(head))
+    if exchange.body:
+        for part in http.send_with_data_passthrough(
+            h11.Data(data=exchange.body)
+        ):
+            yield memoryview(part)
+    http.send(h11.EndOfMessage())
 
 
 def _may_retry(connection: PeerConnection, transfer: Transfer) -> bool:
--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -39,6 +39,11 @@
 _FREE_FRAMING_BYTES: Final = 16_384
 _BODY_BYTES_PER_FRAMING_BYTE: Final = 8
 
+#: Largest request that may use the reserve, and the reserve's fraction of the
+#: limit on all held bytes.
+_SMALL_REQUEST_BYTES: Final = 65_536
+_RESERVE_DIVISOR: Final = 4
+
 _HEAD_END: Final = re.compile(rb'\r?\n\r?\n')
 _FRAMING_FIELD: Final = re.compile(
     rb'\n(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)', re.IGNORECASE
@@ -189,6 +194,9 @@
         failure = self._check_body()
         if failure is not None:
             return failure
+        # The request has the only copy of a body that may be large.
+        body = bytes(self._body)
+        self._body = bytearray()
         request = self._request
         target = request.target.decode('ascii')
         path, _, query = _strip_origin(target).partition('?')
@@ -204,7 +212,7 @@
                 (name.decode('ascii'), value.decode('latin-1'))
                 for name, value in request.headers
             ),
-            bytes(self._body),
+            body,
             int(request.http_version[-1:]),
             _wants_close(request),
         )
@@ -218,6 +226,7 @@
     :param number: identifies the request in the event of its time limit.
     :param began_s: monotonic time of the request's first byte.
     :param is_answering: whether the request is complete and being answered.
+    :param held_bytes: bytes of the request that count against the limit.
     :param was_pipelined: whether more input came before the answer was
         complete.
     """
@@ -306,7 +315,7 @@
             self._start_timer(sock, state, self._limits.request_s)
         outcome = state.assembler.feed(data)
         self._set_held_bytes(state, state.assembler.held_bytes)
-        if self._held_bytes > self._limits.buffered_bytes:
+        if self._exceeds_limit(state):
             outcome = Failure(ErrorKind.overloaded)
         if isinstance(outcome, Failure):
             self._refuse(sock, outcome)
@@ -319,7 +328,8 @@
         self, sock: socket, state: _RequestState, request: CompleteRequest
     ) -> None:
         self._timers.cancel(state.timer)
-        self._set_held_bytes(state, 0)
+        # The body is held until the answer is complete.
+        self._set_held_bytes(state, len(request.body))
         state.is_answering = True
         state.was_pipelined = state.assembler.has_trailing_data
         self.fire(request_completed(sock, request, state.began_s))
@@ -386,6 +396,17 @@
             self._timers.cancel(state.timer)
             self._set_held_bytes(state, 0)
 
+    def _exceeds_limit(self, state: _RequestState) -> bool:
+        """Return whether a request is refused for the bytes that are held.
+
+        Small requests may use a reserve, so that large ones don't keep them
+        out.
+        """
+        limit_bytes = self._limits.buffered_bytes
+        is_small = state.held_bytes <= _SMALL_REQUEST_BYTES
+        reserve_bytes = limit_bytes // _RESERVE_DIVISOR if is_small else 0
+        return self._held_bytes > limit_bytes + reserve_bytes
+
     def _set_held_bytes(self, state: _RequestState, held_bytes: int) -> None:
         self._held_bytes += held_bytes - state.held_bytes
         state.held_bytes = held_bytes
--- a/bergamotturn/version/settings.py
+++ b/bergamotturn/version/settings.py
@@ -47,7 +47,8 @@
 
     :param header_bytes: maximum size of a request's headers.
     :param body_bytes: maximum size of a request's body.
-    :param buffered_bytes: maximum bytes held for incomplete requests.
+    :param buffered_bytes: maximum bytes held for requests that are incomplete
+        or being answered.
     :param request_s: maximum time until a request is complete.
     :param idle_s: how long a connection without a request is kept open;
         ``request_s`` if it is none.
--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -88,6 +88,15 @@
     Then at least 4 of them get "overloaded"
     And the process never held more than 40 MB above its start
 
+  Scenario: Many large bodies whose calls are being answered
+    Guards against a process that is killed for its memory, with all its calls, since only incomplete bodies count.
+    When 12 calls to "silent" with bodies of 400000 bytes are sent
+    Then at least 4 of them get "overloaded"
+    And a small call is answered
+    And the process never held more than 40 MB above its start
+    When their callers leave
+    Then a call with a body of 400000 bytes is answered
+
   Scenario: Slow senders
     Guards against a connection that is occupied for ever by a caller that stops
     sending, or sends a byte now and then.
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -265,6 +265,46 @@
     assert growth_bytes < size_mb * 1_000_000, growth_bytes
 
 
+@when('{count:d} calls to "silent" with bodies of {size:d} bytes are sent')
+def large_calls(context, count, size):
+    context.callers = []
+    for _ in range(count):
+        caller = _Caller(context)
+        caller.send(_large_chat('silent', size))
+        context.callers.append(caller)
+
+
+@when('their callers leave')
+def callers_leave(context):
+    for caller in context.callers:
+        caller.sock.close()
+
+
+@then('a small call is answered')
+def small_answered(context):
+    caller = _Caller(context)
+    caller.send(_chat('echo'))
+    status, _, body = caller.read_answer()
+    assert status == 200, (status, body)
+
+
+@then('a call with a body of {size:d} bytes is answered')
+def large_answered(context, size):
+    def is_answered():
+        caller = _Caller(context)
+        caller.send(_large_chat('echo', size))
+        return caller.read_answer()[0] == 200
+
+    _wait_until(is_answered)
+
+
+def _large_chat(model, size):
+    """Return a chat request with a field that the listener ignores."""
+    messages = [{'role': 'user', 'content': 'hello'}]
+    content = {'model': model, 'messages': messages, 'note': 'x' * size}
+    return _post(json.dumps(content).encode())
+
+
 @when('{number:d} connections each send {length:d} bytes of a longer body')
 def incomplete_bodies(context, number, length):
     context.callers = [_Caller(context) for _ in range(number)]
