HTTP client: send fields outside of ASCII, and bound the idle time of peers

Seen by the review, without a case. What callers saw: a request with a header outside of ASCII, or whose endpoint announced a Keep-Alive time-out of 400 digits, got 504 at its time limit.

Cause: errors other than the expected ones (UnicodeEncodeError, OverflowError) left the client, and nothing reported the exchange's end.

Change: fields are passed on byte by byte; of the time-out nine digits are read. A field that has no bytes in latin-1 fails the exchange.

--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -69,7 +69,7 @@
 #: connection, so that a request is not sent while the peer closes it.
 _KEEP_ALIVE_FRACTION: Final = 0.7
 _KEEP_ALIVE_HEADER: Final = 'keep-alive'
-_KEEP_ALIVE_TIMEOUT: Final = re.compile(r'timeout=([0-9]+)')
+_KEEP_ALIVE_TIMEOUT: Final = re.compile('timeout=([0-9]{1,9})')
 
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
@@ -177,7 +177,7 @@
         http = h11.Connection(h11.CLIENT)
         try:
             connection.unsent = deque(_encode_request(http, exchange))
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
             self._fail(connection, ErrorKind.bad_request, str(error))
             return
         connection.keeps_alive = http.our_state is h11.DONE
@@ -619,11 +619,15 @@
     http: h11.Connection, exchange: Exchange
 ) -> Iterator[memoryview]:
     """Yield the parts of a request; the body is not copied."""
-    headers = [(header.name, header.value) for header in exchange.headers]
-    if not any(name == 'host' for name, _ in headers):
-        headers.insert(0, ('host', str(exchange.address)))
+    # Callers may send any byte above 127 in a field; it is passed on as it is.
+    headers = [
+        (header.name.encode('ascii'), header.value.encode('latin-1'))
+        for header in exchange.headers
+    ]
+    if not any(name == b'host' for name, _ in headers):
+        headers.insert(0, (b'host', str(exchange.address).encode()))
     if exchange.body or exchange.method in _BODY_METHODS:
-        headers.append(('content-length', str(len(exchange.body))))
+        headers.append((b'content-length', b'%d' % len(exchange.body)))
     head = h11.Request(
         method=exchange.method, target=exchange.path, headers=headers
     )
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -85,6 +85,19 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n\n   | 2           |
       | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nmixed   | 2           |
 
+  Scenario: A field with bytes outside of ASCII
+    Guards against a request that is never sent and gets no answer until its time limit.
+    Given a peer with the answer "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" before it closes
+    When a "GET" with the field "Åse" is sent to the peer
+    Then the peer's answer is "whole"
+    And the peer got the field "Åse" in one byte each
+
+  Scenario: A peer announces an endless idle time
+    Guards against an exchange that ends without a report because of a number that is no time.
+    Given a peer with the answer "HTTP/1.1 200 OK\r\nKeep-Alive: timeout={400 digits}\r\nContent-Length: 5\r\n\r\nwhole" before it closes
+    When a "GET" is sent to the peer
+    Then the peer's answer is "whole"
+
   Scenario: A peer that sends one byte at a time
     Guards against a slow peer that is taken for a silent one, or whose bytes are reported late.
     Given a peer that answers one byte every 0.05 s
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -278,6 +278,7 @@
 @given('a peer with the answer "{answer}" before it closes')
 def literal_peer(context, answer):
     literal = answer.encode().replace(rb'\r\n', b'\r\n')
+    literal = literal.replace(b'{400 digits}', b'9' * 400)
     _start_peer(context, partial(_answer_once, literal))
 
 
@@ -299,6 +300,18 @@
     _start_peer(context, partial(_stop_answering, threading.Barrier(count)))
 
 
+@when('a "{method}" with the field "{text}" is sent to the peer')
+def send_field(context, method, text):
+    exchange = _send(context, method, headers=(Header('x-name', text),))
+    context.reports = _wait_for_outcome(context, exchange)
+
+
+@then('the peer got the field "{text}" in one byte each')
+def got_field(context, text):
+    _, head = context.peer.requests[0]
+    assert text.encode('latin-1') in head, head
+
+
 @when('a "{method}" is sent to the peer that {kind} repeated')
 def send_repeatable(context, method, kind):
     options = {'is_repeatable': True} if kind == 'may be' else {}
