Pass targets on unchanged, and ignore odd numbers and parts

What callers saw: /look/y? reached the engine as /look/y. A Request-Deadline, Token-Count or Last-Event-Id of more than 4,300 digits left the request without an answer (ValueError of int), and so would such a Server-Load. A row of another part than the empty one was taken by the feed, though scans don't read it.

Change: a query keeps its question mark; numbers above 18 digits count as absent; rows of other parts are ignored.

--- a/bergamotturn/connection/caller_routes.py
+++ b/bergamotturn/connection/caller_routes.py
@@ -255,13 +255,12 @@
         timeout_s = _timeout_s(request, service.deadline_s)
         if timeout_s is None:
             return _bad_timeout()
-        query = f'?{request.query}' if request.query else ''
         return ServiceCall(
             call_id=call_id,
             workspace=workspace.name,
             service=service.name,
             method=request.method,
-            path=f'/{path}{query}',
+            path=f'/{path}{request.query}',
             headers=_service_headers(request),
             body=request.body,
             idempotency_key=request.header('idempotency-key'),
--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -65,6 +65,7 @@
     """A request that has been received in full.
 
     :param path: path of the target, still percent-encoded.
+    :param query: with its question mark; empty without one.
     :param headers: names in lower case.
     :param closes: whether the caller wants the connection closed after the
         answer.
@@ -199,7 +200,7 @@
         self._body = bytearray()
         request = self._request
         target = request.target.decode('ascii')
-        path, _, query = _strip_origin(target).partition('?')
+        path, separator, query = _strip_origin(target).partition('?')
         if not path.startswith('/'):
             return Failure(
                 ErrorKind.bad_request, 'The request target is not a path.'
@@ -207,7 +208,7 @@
         return CompleteRequest(
             request.method.decode('ascii'),
             path,
-            query,
+            separator + query,
             tuple(
                 (name.decode('ascii'), value.decode('latin-1'))
                 for name, value in request.headers
--- a/bergamotturn/platform/caller_format.py
+++ b/bergamotturn/platform/caller_format.py
@@ -1,5 +1,6 @@
 """Parses callers' requests in the platform's header format."""
 
+import re
 from typing import Final, final
 
 from ..connection.exchange import Header
@@ -20,6 +21,8 @@
 #: Parts that are read; the engine gets all of them.
 _MAX_SHARED_PARTS: Final = 64
 _MS_PER_S: Final = 1000.0
+#: A number that fits into 64 bits. Python refuses to parse thousands of digits.
+_NUMBER: Final = re.compile('[0-9]{1,18}')
 
 #: Headers that belong to the caller's connection, or that bergamotturn sets.
 _NOT_FORWARDED: Final = frozenset(
@@ -59,15 +62,12 @@
         headers = dict(request.headers)
         wait_ms = _parse_number(headers.get(_DEADLINE, ''))
         prompt, _, output = headers.get(_TOKEN_COUNT, '').partition(',')
-        target = request.path
-        if request.query:
-            target = f'{request.path}?{request.query}'
         return CallerRequest(
             call_id=headers.get(_CALL_ID, ''),
             host=headers.get('host', ''),
             method=request.method,
             path=request.path,
-            target=target,
+            target=request.path + request.query,
             api_key=headers.get(_API_KEY, ''),
             wait_s=None if wait_ms is None else wait_ms / _MS_PER_S,
             headers=tuple(
@@ -92,6 +92,6 @@
 
 def _parse_number(text: str) -> int | None:
     stripped = text.strip()
-    if not (stripped.isascii() and stripped.isdigit()):
+    if not _NUMBER.fullmatch(stripped):
         return None
     return int(stripped)
--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -40,6 +40,8 @@
 _LEAVING_VALUES: Final = MappingProxyType({'1': True, '0': False})
 #: A decimal number below a million.
 _DECIMAL: Final = re.compile(r'[0-9]{1,6}(?:\.[0-9]{0,32})?|\.[0-9]{1,32}')
+#: A number that fits into 64 bits. Python refuses to parse thousands of digits.
+_NUMBER: Final = re.compile('[0-9]{1,18}')
 _MS_PER_S: Final = 1000.0
 #: Highest priority number that engines accept; 0 is the most urgent.
 _MAX_PRIORITY: Final = 9
@@ -301,7 +303,7 @@
     parts = [part.strip() for part in text.split(',')]
     if len(parts) != len(LoadReport.__struct_fields__):
         return None
-    if not all(part.isascii() and part.isdigit() for part in parts):
+    if not all(_NUMBER.fullmatch(part) for part in parts):
         return None
     return LoadReport(*map(int, parts))
 
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -49,10 +49,13 @@
 class _RowBody(msgspec.Struct):
     """A row.
 
+    :param part: part of the table; rows of others than the empty one are not
+        ours.
     :param ver: version of the complete store at which the row was written.
     """
 
     key: str
+    part: str = ''
     ver: int = 0
     value: bytes = b''
     deleted: bool = False
@@ -185,6 +188,7 @@
     return tuple(
         Row(f'{table}/{row.key}', row.ver, row.value, row.deleted)
         for row in parsed_rows
+        if not row.part
     )
 
 
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -85,6 +85,32 @@
     And it gets the workspace of the API key and the remaining time, and no API key
     And it gets no header of the caller's connection
 
+  Scenario Outline: The target of a request is passed on as it came
+    Guards against a path or query that an engine gets changed.
+    Then the target <target> reaches an engine unchanged
+
+    Examples:
+      | target    |
+      | /look/y   |
+      | /look/y?  |
+      | /look/y?? |
+      | /look?a=b |
+
+  Scenario Outline: Numbers of thousands of digits are ignored
+    Guards against an error while a header is parsed, which leaves its request without an answer.
+    Then a field <name> of 5000 digits counts as absent
+    And a load report of 5000 digits is ignored
+
+    Examples:
+      | name             |
+      | request-deadline |
+      | token-count      |
+      | last-event-id    |
+
+  Scenario: Rows of another part of a table are ignored
+    Guards against a row of another part that replaces the configuration until the next scan.
+    Then rows of another part of a table are ignored
+
   Scenario Outline: The parts of a prompt that others may share are read
     Guards against the own part of a request among its shared parts, and against an unbounded list.
     Then the prompt prefix <prefix> has the shared parts <parts>
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -10,12 +10,20 @@
 from circuits import Component, handler
 
 from bergamotturn.connection.exchange import Address, Header
-from bergamotturn.connection.input_guard import CompleteRequest
+from bergamotturn.connection.input_guard import (
+    CompleteRequest,
+    RequestAssembler,
+)
 from bergamotturn.connection.peer_messages import (
     OrderState,
     decode_envelope,
 )
-from bergamotturn.connection.store_events import Row, RowScan, StoreStatus
+from bergamotturn.connection.store_events import (
+    Row,
+    RowFollow,
+    RowScan,
+    StoreStatus,
+)
 from bergamotturn.decoding import decode_json
 from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.platform.caller_format import PlatformCallerFormat
@@ -39,6 +47,7 @@
     ServingWorkspace,
     key_digest,
 )
+from bergamotturn.version.settings import Limits
 from features.support.component_loop import turn
 from features.support.relay_samples import (
     ENGINE_SERVICE,
@@ -169,6 +178,55 @@
     two_entries(context, f'{{"service": "s", "note": {brackets}')
 
 
+@then('the target {target} reaches an engine unchanged')
+def target_unchanged(context, target):
+    assembler = RequestAssembler(Limits())
+    head = f'GET {target} HTTP/1.1\r\nHost: one\r\n\r\n'
+    request = assembler.feed(head.encode())
+    assert PlatformCallerFormat().read(request).target == target
+
+
+@then('a field {name} of 5000 digits counts as absent')
+def long_number(context, name):
+    request = _request(((name, '9' * 5000),))
+    read = PlatformCallerFormat().read(request)
+    plain = PlatformCallerFormat().read(_request(()))
+    for field in msgspec.structs.fields(type(read)):
+        if field.name != 'headers':
+            pair = getattr(read, field.name), getattr(plain, field.name)
+            assert pair[0] == pair[1], (field.name, pair)
+
+
+@then('a load report of 5000 digits is ignored')
+def long_load(context):
+    head = PlatformEndpointFormat().read_head(
+        relay_call(route()),
+        HTTPStatus.OK,
+        (Header('server-load', f'1,{"9" * 5000},8'),),
+    )
+    assert head.load is None
+
+
+@then('rows of another part of a table are ignored')
+def other_part(context):
+    rows = [
+        {'table': 'op', 'part': part, 'key': f'k{part}', 'value': '', 'ver': 1}
+        for part in ('', 'other')
+    ]
+    body = json.dumps({'ver': 1, 'rows': rows}).encode()
+    follow = RowFollow(
+        operation_id=1,
+        owner='test',
+        timeout_s=1,
+        prefix='op/',
+        since_version=0,
+        wait_s=1,
+    )
+    table = PlatformTable(Address('10.0.0.9', 80))
+    outcome = table.outcome(follow, HTTPStatus.OK, body)
+    assert [row.row_key for row in outcome.rows] == ['op/k'], outcome
+
+
 @then('a {content} that is nested too deeply is refused')
 def nested_content(context, content):
     nested = b'{"note":%b' % (b'[' * _TOO_DEEP)
@@ -469,7 +527,7 @@
     return CompleteRequest(
         method='POST',
         path='/p/x',
-        query='q=1',
+        query='?q=1',
         headers=headers,
         body=b'body',
         minor_version=1,
