Refuse a configuration without routes or services

What callers saw: after a newer row without routes each request got 404, until the next version.

Cause: routes and services had defaults, so that a row with neither passed as a configuration that serves nothing.

The soak writes such a row among its invalid ones.

Evidence: 'Changes by the operator take effect within two seconds' failed on the parent (404) and passes; so do five examples of 'An invalid configuration is refused with a reason'.

--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -26,6 +26,8 @@
 #: The platform's names of route kinds.
 _STREAM_KIND: Final = 'streaming'
 _RETRYABLE_KIND: Final = 'safe'
+_POSITIVE: Final = msgspec.Meta(gt=0)
+_NotNegative = Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _JsonObject(msgspec.Struct, frozen=True, rename='camel'):
@@ -35,7 +37,7 @@
 @final
 class _TargetJson(_JsonObject, frozen=True):
     service: str
-    weight: float = 1
+    weight: _NotNegative = 1
 
 
 @final
@@ -56,9 +58,9 @@
     kind: str
     service: str = ''
     split: tuple[_TargetJson, ...] = ()
-    timeout_ms: float = 0
-    target_latency_ms: float = 0
-    gap_aim_ms: float = 0
+    timeout_ms: _NotNegative = 0
+    target_latency_ms: _NotNegative = 0
+    gap_aim_ms: _NotNegative = 0
     attempts: int = 1
     priority: int = 0
     public: bool = False
@@ -82,7 +84,7 @@
     slots: int
     kv_tokens: int = msgspec.field(name='kvTokens')
     step_ms: float
-    read_per_s: Annotated[float, msgspec.Meta(gt=0)]
+    read_per_s: Annotated[float, _POSITIVE]
     per_seq_ms: float = 0
     context_per_k: float = 0
     pairs_per_m: float = 0
@@ -103,10 +105,10 @@
 
 @final
 class _LimitsJson(_JsonObject, frozen=True):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: Annotated[int, _POSITIVE]
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)]
+    header_timeout_ms: Annotated[float, _POSITIVE]
+    idle_timeout_ms: Annotated[float, _POSITIVE]
 
 
 @final
@@ -118,9 +120,11 @@
 
 @final
 class _ConfigurationJson(_JsonObject, frozen=True):
+    """A configuration in full; one without routes would serve nothing."""
+
     version: int
-    routes: tuple[_RouteJson, ...] = ()
-    services: tuple[_ServiceJson, ...] = ()
+    routes: tuple[_RouteJson, ...]
+    services: tuple[_ServiceJson, ...]
     limits: _LimitsJson | None = None
     tenants: tuple[_TenantJson, ...] = ()
 
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -17,6 +17,11 @@
       | {"version": "x"}                     |
       | {"version": 3, "routes": [{}]}       |
       | not JSON                             |
+      | {"version": 3}                       |
+      | {"version": 3, "routes": []}         |
+      | {"version": 3, "services": []}       |
+      | {"version": 3, "services": [], "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe", "service": "x", "timeoutMs": -1}]} |
+      | {"version": 3, "services": [], "routes": [], "limits": {"maxHeaderBytes": 0, "maxBodyBytes": 9, "headerTimeoutMs": 9, "idleTimeoutMs": 9}} |
       | {"version": 3, "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
 
   Scenario Outline: Content that is nested too deeply is refused
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -43,6 +43,7 @@
     Given a relay fleet
     Then a revoked key is refused everywhere within 2 seconds
     And a configuration that cannot be read changes nothing
+    And a newer configuration without routes changes nothing
     And a leaving endpoint gets no requests after 2 seconds
     And an evacuated data centre gets no requests after 2 seconds, and requests again when it is back in service
 
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -283,6 +283,18 @@
         )
 
 
+@then('a newer configuration without routes changes nothing')
+def without_routes(context):
+    fleet = context.fleet
+    fleet.put_raw('op', 'config', '{"version": 4}')
+    sleep(_PROPAGATION_LIMIT_S)
+    for name in fleet.instances:
+        answer = fleet.send_request(name, '/look/1')
+        assert answer.status == 200, answer
+    fleet.put_configuration(5)
+    sleep(_PROPAGATION_LIMIT_S)
+
+
 @then('a leaving endpoint gets no requests after 2 seconds')
 def leaving(context):
     fleet = context.fleet
--- a/features/support/soak/route_changes.py
+++ b/features/support/soak/route_changes.py
@@ -92,9 +92,13 @@
 
     def put_invalid(self, random: Random) -> None:
         """Write a row that is no configuration, then the newest one again."""
-        content = random.choice(
-            ('{"version": ', '[' * 4096, '{"version": "x"}')
+        invalid = (
+            '{"version": ',
+            '[' * 4096,
+            '{"version": "x"}',
+            f'{{"version": {self._version + 1}}}',
         )
+        content = random.choice(invalid)
         self._fleet.put_raw('op', 'config', content)
         self._put()
 
