Relay flow: one place that returns to the standby, and its reasons explained

Read again as a newcomer. RelayFlow._replace_by_standby does what two methods did by themselves; a parameter that nothing read is gone; comments say what the standby is, why reserved memory rules one out, and when a failure is of an attempt that was closed. Behaviour is unchanged.

--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -323,6 +323,7 @@
             monotonic(), endpoint_id, action.fault
         )
         ENDPOINT_FAULTS.labels(action.fault.value).inc()
+        # A failure whose cause shows later is of an attempt that was closed.
         sent = pending.sent.get(action.attempt.number)
         after_s = monotonic() - sent.sent_s if sent else None
         log_message(
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -47,6 +47,7 @@
     def __init__(self, call: RelayCall, router: RequestRouter) -> None:
         """Start without an attempt."""
         super().__init__(call, router)
+        #: A silent attempt that stays open while another endpoint is asked.
         self._standby: AttemptProgress | None = None
 
     def on_head(
@@ -91,7 +92,7 @@
             return self._on_standby_failed(
                 standby, Fault.broke_off, 'stream ended too early'
             )
-        return [*self._return_to_standby(now_s), *super().on_end(now_s)]
+        return [*self._return_to_standby(), *super().on_end(now_s)]
 
     def on_failed(
         self,
@@ -140,7 +141,11 @@
         return standby if is_standby else None
 
     def _leave_attempt(self, reason: str) -> list[RelayAction]:
-        """Keep a silent attempt as the standby, and close any other."""
+        """Keep a silent attempt as the standby, and close any other.
+
+        One with reserved memory is closed too: a request has room for one set
+        of reservations.
+        """
         attempt = self._progress.attempt
         if reason != Fault.silent.value or attempt is None:
             return self._close_attempt(reason)
@@ -154,11 +159,7 @@
         """End the request, or wait for the standby in place of a failure."""
         if self._standby is None or not isinstance(final_action, ReplyFailure):
             return [*self._close_standby('over'), *super()._end(final_action)]
-        actions = self._close_attempt(final_action.reason)
-        self._progress = self._standby
-        self._standby = None
-        self.wake_s = self.call.deadline_s
-        return actions
+        return self._replace_by_standby(final_action.reason)
 
     def _on_failure_answer(
         self, now_s: float, head: EndpointAnswerHead
@@ -167,7 +168,7 @@
         actions = super()._on_failure_answer(now_s, head)
         if actions or self._standby is None:
             return actions
-        return self._return_to_standby(now_s)
+        return self._return_to_standby()
 
     def _on_standby_data(
         self, now_s: float, standby: AttemptProgress, data: bytes
@@ -178,12 +179,12 @@
             if len(standby.body) + len(data) <= MAX_BUFFERED_BYTES:
                 standby.body += data
                 return []
-            returned = self._return_to_standby(now_s)
+            returned = self._return_to_standby()
             return [*returned, *self.on_data(now_s, data)]
         events, fault_detail = self._position.read(standby.stream, data)
         if any(event.is_progress for event in events):
             return [
-                *self._return_to_standby(now_s),
+                *self._return_to_standby(),
                 *self._forward_events(now_s, events, fault_detail),
             ]
         if fault_detail:
@@ -202,14 +203,24 @@
         )
         return [report, *self._close_standby(fault.value)]
 
-    def _return_to_standby(self, now_s: float) -> list[RelayAction]:
-        """Make the standby the current attempt again."""
-        actions = self._close_attempt('earlier_attempt_goes_on')
+    def _return_to_standby(self) -> list[RelayAction]:
+        """Close the current attempt, since the standby goes on."""
+        actions = self._replace_by_standby('earlier_attempt_goes_on')
+        self._place_again_until_s = None
+        return [*actions, ReportSuccess(self._progress.attempt)]
+
+    def _replace_by_standby(self, reason: str) -> list[RelayAction]:
+        """Make the standby the current attempt again.
+
+        No other endpoint is asked any more until it has sent an event.
+
+        :param reason: why the current attempt is closed, for logs.
+        """
+        actions = self._close_attempt(reason)
         self._progress = self._standby
         self._standby = None
-        self._place_again_until_s = None
         self.wake_s = self.call.deadline_s
-        return [*actions, ReportSuccess(self._progress.attempt)]
+        return actions
 
     def _close_standby(self, reason: str) -> list[RelayAction]:
         standby = self._standby
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -69,6 +69,7 @@
         self.attempt_count = 0
         self.event_count = 0
         self._router = router
+        #: The attempt under way; without one, its attempt is None.
         self._progress = AttemptProgress()
         #: Monotonic time until which the request waits for a permit; None if it
         #: does not wait.
@@ -163,7 +164,10 @@
         return actions
 
     def _leave_attempt(self, reason: str) -> list[RelayAction]:
-        """Stop waiting for the attempt under way, as another one follows."""
+        """End the attempt under way before another one is placed.
+
+        A subclass may keep it open instead.
+        """
         return self._close_attempt(reason)
 
     def _report_failure(self, fault: Fault, detail: str) -> list[RelayAction]:
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -24,6 +24,8 @@
 _NOT_RUN_STATUSES: Final = frozenset((408, 421, 429, 503))
 _MAX_RUNS: Final = 2
 _DENIED_STATUSES: Final = frozenset((401, 403, 404))
+#: History of the routes that no change removes.
+_ALWAYS_THERE: Final = RouteHistory([(0, 'first')])
 _FIRST_KEYS: Final = frozenset(('key-w', 'key-2', 'key-v'))
 
 
@@ -65,7 +67,7 @@
         yield f'{call}: refused although always allowed'
         return
     from_s = call.sent_s - _PROPAGATION_S - _MARGIN_S
-    history = configurations.routes.get(call.route, RouteHistory([(0, 'any')]))
+    history = configurations.routes.get(call.route, _ALWAYS_THERE)
     if None in history.allowed(from_s, call.ended_s):
         return
     if injector.revoked_s.get(call.key, inf) < call.ended_s:
