Ignore instances whose addresses can't be reached

What callers saw: nothing yet; found on the paths related to the odd entries of endpoints. A row of the instances' table without a host kept each message to several members from the ones after it, and a port above 64 bits could not be sent in a list of members.

Cause: pynng raises AddressInvalid when such an address is dialled, which left the loop over the receivers; addresses in rows had no range.

Change: a row with such an address names no member and is logged, and the peer link opens no connection to one that a peer announced.

--- a/bergamotturn/connection/exchange.py
+++ b/bergamotturn/connection/exchange.py
@@ -6,6 +6,7 @@
 """
 
 import re
+from ipaddress import ip_address
 from itertools import count
 from math import inf
 from typing import Final, final
@@ -52,6 +53,15 @@
         """Return the address as ``host:port``."""
         return f'{self.host}:{self.port}'
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether a connection to it can be tried."""
+        try:
+            ip_address(self.host)
+        except ValueError:
+            return False
+        return 0 < self.port <= _MAX_PORT
+
     @classmethod
     def parse(cls, text: str) -> 'Address':
         """Return the address written as ``host:port``.
--- a/bergamotturn/connection/peer_link.py
+++ b/bergamotturn/connection/peer_link.py
@@ -199,8 +199,9 @@
 
     def _link_to(self, instance: str) -> _Link | None:
         link = self._links.get(instance)
-        if link is None and instance in self._addresses:
-            link = _Link(self._addresses[instance])
+        address = self._addresses.get(instance)
+        if link is None and address is not None and address.is_usable:
+            link = _Link(address)
             self._links[instance] = link
         return link
 
--- a/bergamotturn/process/registration_task.py
+++ b/bergamotturn/process/registration_task.py
@@ -49,6 +49,11 @@
     caller: Address
     peer: Address
 
+    @property
+    def is_usable(self) -> bool:
+        """Return whether the instance can be reached at its addresses."""
+        return self.caller.is_usable and self.peer.is_usable
+
 
 @final
 class RegistrationTask(Component):
@@ -82,8 +87,10 @@
             if instance == self._instance:
                 self._row_version = row.row_version
                 self._is_registered = registration == self._registration
-            elif registration is not None:
+            elif registration is not None and registration.is_usable:
                 members.append(_member_update(instance, registration))
+            else:
+                log_message('registration_ignored', row_key=row.row_key)
         if members:
             self.fire(members_listed(members), 'membership')
 
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -47,6 +47,12 @@
     When the connection to the second one goes silent
     Then a new connection is made and a message arrives over it
 
+  Scenario: A member with an address that is none hides no other member
+    Guards against a message that does not reach the members after one whose address a peer announced wrongly.
+    Given two instances over loopback that see each other alive
+    When the first one learns of a member without a host, and sends a message to it and to the second one
+    Then the second one gets the message
+
   Scenario: Malformed messages are dropped and counted
     Guards against a peer whose malformed messages stop the process or fill its memory.
     Given two instances over loopback that see each other alive
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -13,9 +13,13 @@
 from prometheus_client import REGISTRY
 
 from bergamotturn.connection.exchange import Address
-from bergamotturn.connection.peer_link import PeerLink
-from bergamotturn.connection.peer_messages import MemberState
-from bergamotturn.process.events import place_order
+from bergamotturn.connection.peer_link import PEERS, PeerLink
+from bergamotturn.connection.peer_messages import (
+    MemberState,
+    PartsSound,
+    multicast_message,
+)
+from bergamotturn.process.events import members_listed, place_order
 from bergamotturn.process.membership_task import MembershipTask
 from bergamotturn.process.timers import Timers
 from features.simulated_fleet import Fleet, for_any, name_of
@@ -176,6 +180,31 @@
     context.proxy.silence()
 
 
+@when(
+    'the first one learns of a member without a host, and sends a message to '
+    'it and to the second one'
+)
+def odd_member(context):
+    first = context.first
+    own = first.members[0]
+    no_address = Address('', 80)
+    odd = msgspec.structs.replace(
+        own,
+        instance='0-odd',
+        peer_address=no_address,
+        caller_address=no_address,
+    )
+    first.fire(members_listed((odd,)), 'membership')
+    _wait_for(lambda: len(first.members) == 3)
+    message = PartsSound(parts=('part',))
+    first.fire(multicast_message(('0-odd', 'second'), message), PEERS)
+
+
+@then('the second one gets the message')
+def message_arrives(context):
+    _wait_for(lambda: PartsSound(parts=('part',)) in context.second.messages)
+
+
 @then('a new connection is made and a message arrives over it')
 def new_connection(context):
     _wait_for(lambda: context.proxy.accepted > context.accepted)
@@ -207,6 +236,11 @@
         super().__init__()
         self.members = ()
         self.orders = ()
+        self.messages = []
+
+    @handler('peer_message', channel='*')
+    def _on_peer_message(self, envelope):
+        self.messages.append(envelope.message)
 
     @handler('members_changed', channel='*')
     def _on_members_changed(self, view):
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -1,5 +1,6 @@
 """Steps for copies of the platform's tables."""
 
+import json
 from random import Random
 from threading import RLock
 
@@ -285,19 +286,51 @@
     store = _FakeTable()
     context.starting = []
     for name in ('a', 'b'):
-        store_component = _HoldingStore(store)
-        timers = Timers().register(store_component)
-        settings = WatchSettings('mirror', INSTANCES_TABLE, reread_s=60)
-        choice = FollowerChoice(name, 'a')
-        MirrorTask([settings], timers, choice).register(store_component)
-        RegistrationTask(_member(name), timers).register(store_component)
-        context.starting.append(store_component)
+        context.starting.append(_start_registration(name, store))
     for store_component in context.starting:
         turn(store_component, RLock(), 0.3)
         assert store_component.writes
         assert not store_component.listed
 
 
+@given('a table of instances with a sound row and one with {oddity}')
+def odd_instance(context, oddity):
+    context.store = _FakeTable()
+    good = {'host': '10.0.0.2', 'port': 80}
+    for name, row in (
+        ('odd', _ODD_REGISTRATIONS[oddity]),
+        ('sound', {'data_centre': 'a', 'caller': good, 'peer': good}),
+    ):
+        content = row if isinstance(row, bytes) else json.dumps(row).encode()
+        context.store.put(f'{INSTANCES_TABLE}{name}', content)
+
+
+@when('an instance starts')
+def instance_starts(context):
+    context.component = _start_registration('a', context.store)
+    turn(context.component, RLock(), 0.3)
+
+
+@then('it learns of the sound one only')
+def sound_one_learned(context):
+    assert context.component.listed == ['sound'], context.component.listed
+
+
+def _odd_registration(host, port):
+    address = {'host': '10.0.0.3', 'port': 80}
+    odd = {'host': host, 'port': port}
+    return {'data_centre': 'a', 'caller': address, 'peer': odd}
+
+
+_ODD_REGISTRATIONS = {
+    'no host': _odd_registration('', 80),
+    'a host that is none': _odd_registration('10.0.0\0', 80),
+    'a port of 20 digits': _odd_registration('10.0.0.3', 10**19),
+    'port 0': _odd_registration('10.0.0.3', 0),
+    'a nested field': b'{"note":%b' % (b'[' * 4096),
+}
+
+
 @when('both have written their rows')
 def both_written(context):
     for store_component in context.starting:
@@ -312,6 +345,16 @@
     assert first.listed == ['b'] or second.listed == ['a']
 
 
+def _start_registration(name, store):
+    store_component = _HoldingStore(store)
+    timers = Timers().register(store_component)
+    settings = WatchSettings('mirror', INSTANCES_TABLE, reread_s=60)
+    choice = FollowerChoice(name, 'a')
+    MirrorTask([settings], timers, choice).register(store_component)
+    RegistrationTask(_member(name), timers).register(store_component)
+    return store_component
+
+
 def _member(name):
     address = Address('10.0.0.1', 1)
     return MemberUpdate(
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -30,6 +30,20 @@
     When one answer has a row removed and written again, and another one written and removed
     Then the change has each row once, as it is at the end
 
+  Scenario Outline: An odd row of the instances' table names no member
+    Guards against a row of another writer that ends all messages to the instances after it, or the list of members.
+    Given a table of instances with a sound row and one with <oddity>
+    When an instance starts
+    Then it learns of the sound one only
+
+    Examples:
+      | oddity             |
+      | no host            |
+      | a host that is none |
+      | a port of 20 digits |
+      | port 0             |
+      | a nested field     |
+
   Scenario: Instances that start together find each other
     Guards against members that never learn of each other because all of them read the table of instances before any had written
     its row.
