Relay flow: report no success of an endpoint that is still silent

If the other endpoint refused the content of a request whose head wasn't passed on, the flow returned to the silent endpoint and reported it as successful, which ended its row of failures.

Evidence: 'A plain call waits for its silent endpoint ...' failed on the parent and passes.

--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -168,7 +168,7 @@
         actions = super()._on_failure_answer(now_s, head)
         if actions or self._standby is None:
             return actions
-        return self._return_to_standby()
+        return self._replace_by_standby('failed')
 
     def _on_standby_data(
         self, now_s: float, standby: AttemptProgress, data: bytes
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -162,6 +162,7 @@
       | no other engine is left               |
       | the next engine breaks off            |
       | the next engine fails                 |
+      | the next engine answers with a client error |
 
   Scenario: An engine that pauses goes on before another one has begun
     Guards against events that come twice, and against an engine that works on a stream that another one answers.
@@ -221,6 +222,15 @@
     And its first endpoint answers 200
     Then the caller gets the complete answer
 
+  Scenario: A plain call waits for its silent endpoint after another one refused its content
+    Guards against a silent endpoint that counts as one that answered, and gets more work at once.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And the next engine answers with a client error
+    Then no endpoint is reported as successful
+    When its first endpoint answers 200
+    Then the caller gets the complete answer
+
   Scenario: A silent engine is waited for when no other may be asked
     Occurs under: bursts of long prompts, whose prefill delays streams for seconds. Guards against cutting off an answer
     that is only late, and against ejecting engines that are only busy, which overloads the others.
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -18,6 +18,7 @@
     ReplyFull,
     ReplyHead,
     ReportFailure,
+    ReportSuccess,
     ReserveMemory,
     SendAttempt,
 )
@@ -348,6 +349,16 @@
     context.run.receive_head(_FAILED)
 
 
+@then('no endpoint is reported as successful')
+def no_success(context):
+    assert not context.run.actions_of(ReportSuccess)
+
+
+@when('the next engine answers with a client error')
+def next_refuses_content(context):
+    context.run.receive_head(EndpointAnswerHead(HeadKind.failure, 400))
+
+
 @when('the next engine sends event {number:d}')
 def next_sends(context, number):
     run = context.run
@@ -420,6 +431,8 @@
 def not_ended(context):
     assert not context.run.actions_of(_FINAL_ACTIONS)
     assert not context.run.flow.is_over
+    # The silent engine has answered nothing since its first events.
+    assert len(context.run.actions_of(ReportSuccess)) == 1
 
 
 @then('the caller gets events 1 to 4 once and the end')
