Let no entry of an unknown service take over an address

What callers saw: nothing yet; found on the paths related to the odd entries. An entry of a service that no configuration names, with a later start at the address of a sound endpoint, hid that endpoint, though such an entry names no endpoint to use.

Cause: the newest start at an address won, whatever its service.

Change: entries of unknown services take no address over. A real endpoint of such a service answers 421 to what is meant for the one before it.

Evidence: with the condition taken out, the example 'letters' of 'An entry of a service that no configuration names ...' fails; it passes with it.

--- a/bergamotturn/process/endpoints/address_owners.py
+++ b/bergamotturn/process/endpoints/address_owners.py
@@ -4,6 +4,7 @@
 endpoint may have taken over the address.
 """
 
+from collections.abc import Container
 from typing import final
 
 from ...connection.exchange import Address
@@ -14,13 +15,19 @@
 
 @final
 class AddressOwners:
-    """The entry of the endpoint that started last at each address."""
+    """The entry of the endpoint that started last at each address.
 
-    __slots__ = ('_newest',)
+    :ivar services: names of the services in the configuration, ``None`` before
+        there is one. An entry of any other service may be wrong in its other
+        fields too, and takes no address over.
+    """
+
+    __slots__ = ('_newest', 'services')
 
     def __init__(self) -> None:
         """Start without addresses."""
         self._newest: dict[Address, EndpointEntry] = {}
+        self.services: Container[str] | None = None
 
     def add(self, entry: EndpointEntry) -> None:
         """Record a new or changed entry."""
@@ -40,4 +47,6 @@
     def is_replaced(self, entry: EndpointEntry) -> bool:
         """Return whether an endpoint that started later has the address."""
         newest = self._newest.get(entry.address)
-        return newest is not None and newest.born_unix_ms > entry.born_unix_ms
+        if newest is None or newest.born_unix_ms <= entry.born_unix_ms:
+            return False
+        return self.services is None or newest.service in self.services
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -70,7 +70,7 @@
         self._known: dict[str, KnownEndpoint] = {}
         self._removed = RemovedEndpoints()
         self._out_of_service: frozenset[str] = frozenset()
-        self._addresses = AddressOwners()
+        self.addresses = AddressOwners()
 
     def entries(self) -> Iterable[EndpointEntry]:
         """Return the entries of all known endpoints."""
@@ -107,14 +107,14 @@
         elif entry.born_unix_ms < known.entry.born_unix_ms:
             return False
         else:
-            self._addresses.remove(known.entry)
+            self.addresses.remove(known.entry)
             if entry.born_unix_ms > known.entry.born_unix_ms:
                 known.health = EndpointHealth()
                 known.is_leaving = False
                 known.paused_until_s = float('-inf')
                 self.rate_limits.forget(entry.endpoint_id)
             known.entry = entry
-        self._addresses.add(entry)
+        self.addresses.add(entry)
         return True
 
     def remove(self, endpoint_id: str) -> None:
@@ -122,7 +122,7 @@
         known = self._known.pop(endpoint_id, None)
         if known is None:
             return
-        self._addresses.remove(known.entry)
+        self.addresses.remove(known.entry)
         for forgotten in self._removed.add(known):
             self.load_table.forget_endpoint(forgotten)
             self.rate_limits.forget(forgotten)
@@ -287,7 +287,7 @@
         if entry.endpoint_id in tried:
             excluded.tried += 1
             return False
-        if self._addresses.is_replaced(entry):
+        if self.addresses.is_replaced(entry):
             excluded.replaced += 1
             return False
         if self._is_within_cold_limit(now_s, service, known):
--- a/bergamotturn/process/relay_tasks/endpoint_registry.py
+++ b/bergamotturn/process/relay_tasks/endpoint_registry.py
@@ -150,6 +150,7 @@
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         self._index = ServingIndex(configuration)
+        self._table.addresses.services = self._index.services
         CONFIGURATION_VERSION.set(configuration.version_number)
 
     @handler('endpoints_changed', channel='*')
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -58,6 +58,18 @@
     When a new endpoint is listed at the address of the first
     Then the first is not chosen and the new one is
 
+  Scenario Outline: An entry of a service that no configuration names takes no address over
+    Guards against a sound endpoint that is hidden by one odd entry of another writer.
+    Given 6 known endpoints
+    And a configuration with the service "<service>" only
+    When an entry of the service "strange" is listed at the address of the first, with a later start
+    Then <count> are left to choose from
+
+    Examples:
+      | service | count |
+      | letters | 6     |
+      | strange | 5     |
+
   Scenario: A replaced endpoint is ejected until it restarts
     Guards against requests that all reach another endpoint at its address, and against an ejection that outlasts its
     restart.
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -158,6 +158,21 @@
     ]
 
 
+@given('a configuration with the service "{service}" only')
+def only_service(context, service):
+    context.endpoints.addresses.services = {service}
+
+
+@when(
+    'an entry of the service "{service}" is listed at the address of the '
+    'first, with a later start'
+)
+def listed_with_service(context, service):
+    taken = context.endpoints.entry('e-0').address
+    odd = entry('odd', service=service, address=taken, born_unix_ms=9000)
+    assert context.endpoints.put(odd)
+
+
 @when('a new endpoint is listed at the address of the first')
 def listed_at_address(context):
     taken = context.endpoints.entry('e-0').address
