--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -31,6 +31,15 @@
     When an engine pauses for 1.2 seconds in a stream and all others are full
     Then the stream arrives complete from that engine
 
+  @known_red
+  Scenario: An engine pauses in a stream that needs several engines' memory while all others are full
+    Guards against a stream that gets neither its rest nor a refusal: the attempt at its sound engine was closed, with
+    its reserved memory released, before another engine had taken it.
+    Given a relay fleet with 6 engines
+    When an engine pauses for 1.2 seconds in a stream of 400000 tokens and all others are full
+    Then the stream arrives complete from that engine
+    And no engine holds reserved memory
+
   Scenario: A caller that knows no chunks sees that a stream broke off
     Guards against an answer that ends with its connection and looks complete although it broke off halfway.
     Given a relay fleet
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -18,7 +18,16 @@
 
 @given('a relay fleet')
 def relay_fleet(context):
-    context.fleet = RelayFleet()
+    _start_fleet(context, RelayFleet())
+
+
+@given('a relay fleet with {count:d} engines')
+def larger_relay_fleet(context, count):
+    _start_fleet(context, RelayFleet(engines=count))
+
+
+def _start_fleet(context, fleet):
+    context.fleet = fleet
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
 
@@ -117,6 +126,19 @@
     'full'
 )
 def engine_pauses(context, pause_s):
+    _pause_in_stream(context, pause_s, _STREAM_HEADERS)
+
+
+@when(
+    'an engine pauses for {pause_s:g} seconds in a stream of {tokens:d} tokens '
+    'and all others are full'
+)
+def engine_pauses_in_long_stream(context, pause_s, tokens):
+    headers = {**_STREAM_HEADERS, 'Token_Count': f'{tokens},100'}
+    _pause_in_stream(context, pause_s, headers)
+
+
+def _pause_in_stream(context, pause_s, headers):
     fleet = context.fleet
     for port in fleet.engines:
         fleet.fault(port, fault='stall', delay_s=pause_s)
@@ -127,7 +149,7 @@
             'a0',
             '/draft/x',
             context.request,
-            **_STREAM_HEADERS,
+            **headers,
         )
         fleet.wait_until(
             lambda: fleet.runs(fleet.engines, context.request),
@@ -147,6 +169,17 @@
     assert fleet.runs(fleet.engines, context.request) == 1
 
 
+@then('no engine holds reserved memory')
+def no_memory_reserved(context):
+    fleet = context.fleet
+    fleet.wait_until(
+        lambda: not any(
+            fleet.facts(port)['reserved'] for port in fleet.engines
+        ),
+        'all reserved memory is released',
+    )
+
+
 @then('a charge by GET ran once if its endpoint resets a reused connection')
 def reset_charge_ran_once(context):
     for port in context.fleet.plain:
