Relay flow: do not ask an engine again that already got the request

What callers saw: nothing yet; found by the random timelines once they drew requests with reserved memory.

Cause: a refused reservation cleared the set of engines that the request had been placed on, including those it had been sent to. One that still worked on the request, or had failed with it, could get it a second time.

Change: only the engine of the refused reservation may be asked again.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -67,8 +67,8 @@
         self._rejections += 1
         if self._rejections >= _MAX_REJECTIONS:
             return self._stop_retrying('no_memory')
-        # Another division of the prompt may use the same engines.
-        self._tried.clear()
+        # Another division of the prompt may use the same engine.
+        self._tried.discard(attempt.plan.entry.endpoint_id)
         return [*self._close_attempt('no_memory'), *self._place(now_s)]
 
     def on_head(
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -313,3 +313,11 @@
     Given a stream that needs reserved memory
     When its reservation is refused
     Then all of its memory is released and other engines are asked
+
+  Scenario: An engine that got a request is not asked again after a refused reservation
+    Guards against a request that runs twice at the same engine, where its second attempt may also get an answer that
+    the engine sends to the first.
+    Given a stream with reserved memory that has received 2 events
+    When nothing is received for 1 second
+    And its reservation is refused
+    Then other engines are asked than the first
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -124,7 +124,8 @@
 
 
 @given(
-    'a resumable stream at one of {engines:d} engines that has received {count:d} events'
+    'a resumable stream at one of {engines:d} engines that has received '
+    '{count:d} events'
 )
 def stream_at_engines(context, engines, count):
     context.run = _RelayRun(route(max_endpoints=engines))
@@ -659,6 +660,14 @@
     assert not context.run.actions_of(SendAttempt)
 
 
+@then('other engines are asked than the first')
+def others_asked(context):
+    asked = context.run.last_actions[-1]
+    assert isinstance(asked, ReserveMemory), context.run.last_actions
+    first = _first_attempt(context).plan.entry.endpoint_id
+    assert asked.attempt.plan.entry.endpoint_id != first
+
+
 def _check_memory(run):
     """Check that memory was released once for each attempt that asked."""
     asked = [each.attempt.number for each in run.actions_of(ReserveMemory)]
@@ -680,6 +689,7 @@
     router = _Router(
         random.randint(0, 7),
         random.choice((0, 2, 5, 100)),
+        needs_reservations=is_stream and random.random() < 0.3,
     )
     run = _RelayRun(call_route, router)
     timeline = _RandomTimeline(run, random)
