Relay flow: wait for a silent engine up to the time limit

What callers saw: a request whose engine paused within the last 50 ms before its time limit ended with a failure or a closed connection before that limit.

Cause: the silence led to a retry, for which no time was left, so that the request was ended at once.

Change: the attempt is kept if no time is left for another one.

Evidence: 'An engine that pauses shortly before the time limit' fails on the parent and passes.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -197,7 +197,7 @@
         """Retry at another endpoint, or keep waiting if that is not allowed."""
         self._has_reached_endpoint = True
         runs = self._possible_runs + (self._progress.head is None)
-        if not self._may_run_again(now_s, runs):
+        if self._is_too_late(now_s) or not self._may_run_again(now_s, runs):
             # The engine may only be slow, and a late answer is better than
             # none. Ejecting it would overload the others and slow them too.
             self.wake_s = self.call.deadline_s
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -255,6 +255,14 @@
     And nothing is received for 20 seconds
     Then it has ended once, with deadline_exceeded
 
+  Scenario: An engine that pauses shortly before the time limit
+    Guards against ending a request before its time limit because no time is left for another attempt.
+    Given a resumable stream that has received 2 events
+    When nothing is received until 0.03 seconds before its time limit
+    Then it has not ended
+    When the first engine sends events 3 and 4 and ends
+    Then the caller gets events 1 to 4 once and the end
+
   Scenario: A plain call whose silent endpoint answers after all
     Guards against a call that fails although its endpoint answers in time.
     Given a repeatable call
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -390,6 +390,13 @@
     context.run.record(context.run.flow.on_timer(context.run.now_s))
 
 
+@when('nothing is received until {seconds:g} seconds before its time limit')
+def nothing_until_limit(context, seconds):
+    run = context.run
+    run.now_s = run.flow.call.deadline_s - seconds
+    run.record(run.flow.on_timer(run.now_s))
+
+
 @when('the next {count:d} engines are full')
 def next_are_full(context, count):
     for _ in range(count):
