Relay flow: count a silent attempt as one possible run, and as none if it did not run

What callers saw: a stream was cut off when its engine broke off after it had been silent before its first event, although the route allowed another engine. A repeatable request whose endpoints had all said that they did not run it ended with 502 in place of 503 if one of them had been silent before.

Cause: the silence and the later head of one attempt were counted as two runs, and a run was not taken back when its endpoint said that there was none.

Change: the flow keeps the attempts that may have run, in place of their number.

Evidence: 'An engine that was silent before its answer began breaks off' and 'A silent endpoint says that it did not run the request' fail on the parent. 30,000 random timelines pass.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -80,8 +80,9 @@
         self._progress.head = head
         self._has_reached_endpoint = True
         if head.kind in {HeadKind.not_run, HeadKind.moved}:
+            self._possible_runs.discard(self._progress.attempt)
             return self._on_rejected(now_s, head)
-        self._possible_runs += 1
+        self._possible_runs.add(self._progress.attempt)
         if head.kind is HeadKind.unrecognised:
             return self._on_attempt_failed(
                 now_s,
@@ -144,8 +145,7 @@
             return []
         if is_sent:
             self._has_reached_endpoint = True
-            if self._progress.head is None:
-                self._possible_runs += 1
+            self._possible_runs.add(self._progress.attempt)
             return self._on_attempt_failed(now_s, fault, detail)
         self._unreachable_count += 1
         reports = self._report_failure(fault, detail)
@@ -196,8 +196,10 @@
     def _on_silence(self, now_s: float) -> Sequence[RelayAction]:
         """Retry at another endpoint, or keep waiting if that is not allowed."""
         self._has_reached_endpoint = True
-        runs = self._possible_runs + (self._progress.head is None)
-        if self._is_too_late(now_s) or not self._may_run_again(now_s, runs):
+        runs = self._possible_runs | {self._progress.attempt}
+        if self._is_too_late(now_s) or not self._may_run_again(
+            now_s, len(runs)
+        ):
             # The engine may only be slow, and a late answer is better than
             # none. Ejecting it would overload the others and slow them too.
             self.wake_s = self.call.deadline_s
@@ -225,7 +227,9 @@
     ) -> Sequence[RelayAction]:
         """Retry at another endpoint, or forward the failure unchanged."""
         is_server_error = head.status >= _FIRST_SERVER_ERROR
-        if is_server_error and self._may_run_again(now_s, self._possible_runs):
+        if is_server_error and self._may_run_again(
+            now_s, len(self._possible_runs)
+        ):
             self._unattributed_failures.append(self._progress.attempt)
             return self._retry(now_s, 'failed')
         if self._is_head_forwarded:
@@ -237,7 +241,7 @@
         self, now_s: float, fault: Fault, detail: str
     ) -> Sequence[RelayAction]:
         reports = self._report_failure(fault, detail)
-        if self._may_run_again(now_s, self._possible_runs):
+        if self._may_run_again(now_s, len(self._possible_runs)):
             return [*reports, *self._retry(now_s, fault.value)]
         if now_s >= self.call.deadline_s:
             return [*reports, *self._expire(detail)]
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -64,6 +64,8 @@
         standby.head = head
         if head.kind is HeadKind.success:
             return []
+        if head.kind in {HeadKind.not_run, HeadKind.moved}:
+            self._possible_runs.discard(attempt)
         return self._standbys.close(standby, head.kind.value)
 
     def on_data(
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -78,8 +78,8 @@
         #: Attempts that an endpoint answered with a failure whose cause may be
         #: the request or the endpoint.
         self._unattributed_failures: list[Attempt] = []
-        #: Number of endpoints that may have run the request.
-        self._possible_runs = 0
+        #: Attempts whose endpoints may have run the request.
+        self._possible_runs: set[Attempt] = set()
         self._rejections = 0
         #: Number of unreachable endpoints in a row, and the monotonic time at
         #: which the search for a reachable one began.
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -263,6 +263,27 @@
     When the first engine sends events 3 and 4 and ends
     Then the caller gets events 1 to 4 once and the end
 
+  Scenario: An engine that was silent before its answer began breaks off
+    Guards against a stream that is cut off because a run of one engine counted as two, and the route allows two.
+    Given a resumable stream without an answer
+    When nothing is received for 2 seconds
+    And the next 4 engines are full
+    And the first engine sends events 1 and 2 and breaks off
+    Then it is sent to an engine that was not asked before and resumes after event 2
+
+  Scenario Outline: A silent endpoint says that it did not run the request
+    Guards against a 502, after which callers do not retry what may run once only, for a request that no endpoint ran.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And <first>
+    And <second>
+    Then it is refused with overloaded
+
+    Examples:
+      | first                                        | second                                       |
+      | the next 4 engines are full                  | its first endpoint says that it did not run it |
+      | its first endpoint says that it did not run it | the next 4 engines are full                  |
+
   Scenario: A plain call whose silent endpoint answers after all
     Guards against a call that fails although its endpoint answers in time.
     Given a repeatable call
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -509,6 +509,37 @@
     run.record(run.flow.on_end(run.now_s, first))
 
 
+@given('a resumable stream without an answer')
+def stream_without_answer(context):
+    context.run = _RelayRun(route())
+
+
+@when('the first engine sends events 1 and 2 and breaks off')
+def first_begins_late(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_head(run.now_s, _SUCCESS, first))
+    run.record(run.flow.on_data(run.now_s, event(1) + event(2), first))
+    first_breaks_off(context)
+
+
+@when('its first endpoint says that it did not run it')
+def first_did_not_run(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_head(run.now_s, _NOT_RUN, first))
+
+
+@then(
+    'it is sent to an engine that was not asked before and resumes after event '
+    '{number:d}'
+)
+def resumed_at_new_engine(context, number):
+    run = context.run
+    sent = run.last_actions[-1]
+    assert isinstance(sent, SendAttempt), run.last_actions
+    assert sent.attempt.resume_after == number
+    assert len(set(run.router.placed)) == len(run.router.placed)
+
+
 @then('the caller gets the complete answer')
 def gets_answer(context):
     (answer,) = context.run.actions_of(_FINAL_ACTIONS)
