Relay: send a request whose service the configuration dropped meanwhile

What callers saw: nothing yet. A request that waits for reserved memory while a change of the configuration drops its service would have got a 504 at its time limit, without having been sent.

Cause: the wire format read the number of connections of a service that was None, and the error left the request without an attempt and without an end.

Change: without a service, one idle connection is kept.

Evidence: 'A request is sent to an endpoint whose service ...' failed with an AttributeError on the parent.

--- a/bergamotturn/connection/endpoint_wire_format.py
+++ b/bergamotturn/connection/endpoint_wire_format.py
@@ -18,12 +18,13 @@
         self,
         call: RelayCall,
         attempt: Attempt,
-        service: ServedService,
+        service: ServedService | None,
         left_s: float,
         owner: str,
     ) -> Exchange:
         """Return the exchange that sends ``call`` to an endpoint.
 
+        :param service: None if the configuration no longer has it.
         :param left_s: remaining time for the endpoint's answer.
         :param owner: circuits channel to which the exchange is reported.
         """
--- a/bergamotturn/platform/engine_format.py
+++ b/bergamotturn/platform/engine_format.py
@@ -106,7 +106,7 @@
         self,
         call: RelayCall,
         attempt: Attempt,
-        service: ServedService,
+        service: ServedService | None,
         left_s: float,
         owner: str,
     ) -> Exchange:
@@ -187,7 +187,9 @@
         """Return the id of an attempt's reservations at all endpoints."""
         return _reservation_id(call, attempt)
 
-    def _idle_connections(self, service: ServedService) -> int:
+    def _idle_connections(self, service: ServedService | None) -> int:
+        if service is None:
+            return 1
         share = service.max_connections * _IDLE_SHARE / self.instances
         return max(1, int(share))
 
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -24,6 +24,11 @@
       | {"version": 3, "services": [], "routes": [], "limits": {"maxHeaderBytes": 0, "maxBodyBytes": 9, "headerTimeoutMs": 9, "idleTimeoutMs": 9}} |
       | {"version": 3, "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
 
+  Scenario: A request is sent to an endpoint whose service the configuration has dropped meanwhile
+    Guards against a request that is neither sent nor refused before its time limit, because a change of the
+    configuration came while it waited for memory.
+    Then a request to an endpoint of a dropped service is sent on one connection
+
   Scenario Outline: Content that is nested too deeply is refused
     Guards against a RecursionError that ends the handling of all other content of the same answer or message.
     Then a <content> that is nested too deeply is refused
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -523,6 +523,15 @@
     )
 
 
+@then('a request to an endpoint of a dropped service is sent on one connection')
+def sends_to_dropped_service(context):
+    exchange = PlatformEndpointFormat().attempt(
+        relay_call(route()), Attempt(1, Plan(entry=entry('i-1'))), None, 5, 'r'
+    )
+    assert exchange.address == entry('i-1').address
+    assert exchange.idle_connections == 1
+
+
 def _request(headers):
     return CompleteRequest(
         method='POST',
