Relay: release the memory of a silent attempt whose engine is gone

When an engine crashes without closing its connections, what a request had reserved at other engines stayed reserved until the request's time limit.

Cause: a silent attempt keeps its reservations, and nothing told a pause from the end of the engine.

An attempt that fell silent ends when its engine has sent neither data nor an answer to a renewal for 3 s. A sound engine that pauses for a second or two answers the next renewal.

--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -12,12 +12,11 @@
 from ...request.calls import reply_failed
 from ...request.relay.call import EndpointNotice, RelayCall
 from ...request.relay.flow import RelayFlow
-from ..endpoints.entry import EndpointEntry
 from ..endpoints.health import Fault
 from ..endpoints.quarantined_part import QuarantinedPart
 from ..events import ShutdownPhase
 from .pending_relay import PendingRelay, ReservationCall
-from .reservations import ReservationState
+from .reservations import ReservationSet, ReservationState
 from .runner import SECONDS_DIGITS, RelayRunner
 
 __all__ = ('RelayTask',)
@@ -129,10 +128,36 @@
         if pending is None or number not in pending.reservation_sets:
             return
         reservation_set = pending.reservation_sets[number]
+        if self._drop_if_gone(pending, reservation_set):
+            return
         if reservation_set.start_renewal(monotonic()):
             self._send_reserve_calls(pending, reservation_set)
         self._schedule_renewal(pending, reservation_set)
 
+    def _drop_if_gone(
+        self, pending: PendingRelay, reservation_set: ReservationSet
+    ) -> bool:
+        """End a silent attempt whose engine answers no renewal either.
+
+        What it reserved at other engines is free again before its request ends.
+
+        :returns: whether the attempt was ended.
+        """
+        now_s, attempt = monotonic(), reservation_set.attempt
+        if not pending.flow.is_silent(attempt):
+            return False
+        if not reservation_set.is_engine_gone(now_s):
+            return False
+        actions = pending.flow.on_failed(
+            now_s,
+            Fault.silent,
+            'no answer to renewals',
+            is_sent=True,
+            attempt=attempt,
+        )
+        self._perform_all(pending, actions)
+        return True
+
     @handler('exchange_head')
     def _on_exchange_head(
         self, exchange: Exchange, status: int, headers: tuple[Header, ...]
@@ -170,9 +195,14 @@
         pending, attempt = self._exchanges.get(
             exchange.exchange_id, (None, None)
         )
-        if pending is not None:
-            actions = pending.flow.on_data(monotonic(), data, attempt)
-            self._perform_all(pending, actions)
+        if pending is None:
+            return
+        now_s = monotonic()
+        reservation_set = pending.reservation_sets.get(attempt.number)
+        if reservation_set is not None:
+            reservation_set.last_sign_s = now_s
+        actions = pending.flow.on_data(now_s, data, attempt)
+        self._perform_all(pending, actions)
 
     @handler('exchange_data_batch')
     def _on_exchange_data_batch(self, parts: Iterable[ExchangePart]) -> None:
@@ -183,6 +213,8 @@
     def _on_exchange_end(self, exchange: Exchange) -> None:
         call = self._reservation_calls.pop(exchange.exchange_id, None)
         if call is not None:
+            if call.reservation_set.is_of_runner(call.reservation):
+                call.reservation_set.last_sign_s = monotonic()
             is_granted = self._wire.is_reserved(call.status)
             self._on_reservation_answer(call, is_granted=is_granted)
             return
@@ -222,6 +254,8 @@
         attempt = reservation_set.attempt
         if attempt.number not in call.pending.reservation_sets:
             return
+        if self._drop_if_gone(call.pending, reservation_set):
+            return
         if not reservation_set.record_answer(
             call.reservation, is_granted=is_granted
         ):
@@ -245,24 +279,20 @@
 
     def _eject_address(self, pending: PendingRelay, address: str) -> None:
         """Eject the helper at ``address`` that an answer reports as faulty."""
-        for entry in self._table.entries():
-            if str(entry.address) == address:
-                self._eject_helper(pending, entry)
-
-    def _eject_helper(
-        self, pending: PendingRelay, entry: EndpointEntry
-    ) -> None:
         fault = Fault.broke_off
-        for_s = self._table.record_failure(
-            monotonic(), entry.endpoint_id, fault
-        )
-        log_message(
-            'co_reader_failed',
-            request=pending.flow.call.call_id,
-            endpoint=entry.endpoint_id,
-            alone_for_s=round(for_s, SECONDS_DIGITS),
-        )
-        self._broadcast_suspicion(entry.endpoint_id, for_s, fault.value)
+        for entry in self._table.entries():
+            if str(entry.address) != address:
+                continue
+            for_s = self._table.record_failure(
+                monotonic(), entry.endpoint_id, fault
+            )
+            log_message(
+                'co_reader_failed',
+                request=pending.flow.call.call_id,
+                endpoint=entry.endpoint_id,
+                alone_for_s=round(for_s, SECONDS_DIGITS),
+            )
+            self._broadcast_suspicion(entry.endpoint_id, for_s, fault.value)
 
 
 def _fault_of(failure: Failure, sent: bool) -> Fault:
--- a/bergamotturn/process/relay_tasks/reservations.py
+++ b/bergamotturn/process/relay_tasks/reservations.py
@@ -17,6 +17,10 @@
 #: Renewals within the hold time of a reservation. It survives the loss of
 #: three of four calls.
 _RENEWALS_PER_HOLD: Final = 4
+#: Time without a sign of life after which the engine of a silent attempt counts
+#: as gone. A sound engine may pause for a second or two; reserved memory has to
+#: be free 4 s after the end of the work at the engine.
+_MAX_SILENCE_S: Final = 3.0
 
 
 @final
@@ -53,6 +57,7 @@
     __slots__ = (
         '_hold_s',
         'attempt',
+        'last_sign_s',
         'name',
         'next_renewal_s',
         'renewal_timer',
@@ -74,6 +79,8 @@
         self._hold_s = hold_s
         #: Monotonic time of the next renewal.
         self.next_renewal_s = now_s + hold_s / _RENEWALS_PER_HOLD
+        #: Monotonic time of the last bytes of the engine that runs the request.
+        self.last_sign_s = now_s
         #: Timer of the next renewal.
         self.renewal_timer = 0
         self.reservations = [Reservation(plan.entry, plan.own_kv_tokens)]
@@ -103,6 +110,14 @@
         self.state = ReservationState.granted
         return True
 
+    def is_of_runner(self, reservation: Reservation) -> bool:
+        """Return whether ``reservation`` is at the engine that runs it."""
+        return reservation is self.reservations[0]
+
+    def is_engine_gone(self, now_s: float) -> bool:
+        """Return whether an engine that was silent at first sends nothing."""
+        return now_s - self.last_sign_s >= _MAX_SILENCE_S
+
     def start_renewal(self, now_s: float) -> bool:
         """Return whether a renewal is due, and schedule the next one if so."""
         if now_s < self.next_renewal_s:
--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -273,6 +273,7 @@
         if progress:
             self.event_count += progress
             self._progress.events += progress
+            self._progress.is_silent = False
             gap_limit_s = _event_gap_limit_s(self.call.route)
             self.wake_s = min(self.call.deadline_s, now_s + gap_limit_s)
             replies = [
--- a/bergamotturn/request/relay/attempt_progress.py
+++ b/bergamotturn/request/relay/attempt_progress.py
@@ -19,6 +19,8 @@
     :param is_sent: whether it was sent, thus needs no reservation any more.
     :param head: head of its answer, once that has arrived.
     :param body: buffered body of a plain answer.
+    :param is_silent: whether its endpoint was silent for too long and has not
+        gone on.
     :param events: events of its answer that have arrived.
     """
 
@@ -27,6 +29,7 @@
     head: EndpointAnswerHead | None = None
     body: bytearray = field(default_factory=bytearray)
     stream: EventStream = field(default_factory=EventStream)
+    is_silent: bool = False
     events: int = 0
     is_prefilled: bool = False
     is_decoding_reported: bool = False
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -114,6 +114,11 @@
             return self._on_standby_failed(standby, fault, detail)
         return super().on_failed(now_s, fault, detail, is_sent=is_sent)
 
+    def is_silent(self, attempt: Attempt) -> bool:
+        """Return whether an open attempt waits for a silent endpoint."""
+        progress = self._standbys.find(attempt) or self._progress
+        return progress.attempt is attempt and progress.is_silent
+
     def on_timer(self, now_s: float) -> Sequence[RelayAction]:
         """Handle a time limit that has passed."""
         if self.is_over or now_s < self.call.deadline_s:
@@ -137,9 +142,12 @@
         return [*closed, *super().on_caller_gone(now_s)]
 
     def _leave_attempt(self, reason: str) -> list[RelayAction]:
-        """Keep a silent attempt as a standby, and close any other."""
+        """Keep an attempt that fell silent as a standby, and close others."""
         if reason != Fault.silent.value or self._progress.attempt is None:
             return self._close_attempt(reason)
+        if self._progress.is_silent:
+            return self._close_attempt(reason)
+        self._progress.is_silent = True
         self._standbys.add(self._progress)
         self._progress = AttemptProgress()
         return []
@@ -151,7 +159,9 @@
                 *self._standbys.close_all('over'),
                 *super()._end(final_action),
             ]
-        return self._wait_for_standby(final_action.reason)
+        return self._replace_by_standby(
+            self._standbys.latest, final_action.reason
+        )
 
     def _on_failure_answer(
         self, now_s: float, head: EndpointAnswerHead
@@ -160,7 +170,7 @@
         actions = super()._on_failure_answer(now_s, head)
         if actions or not self._standbys:
             return actions
-        return self._wait_for_standby('failed')
+        return self._replace_by_standby(self._standbys.latest, 'failed')
 
     def _forward_events(
         self, now_s: float, events: Sequence[StreamEvent], fault_detail: str
@@ -221,10 +231,6 @@
             ReportSuccess(self._progress.attempt),
         ]
 
-    def _wait_for_standby(self, reason: str) -> list[RelayAction]:
-        """Wait for the standbys, since no other endpoint takes the request."""
-        return self._replace_by_standby(self._standbys.latest, reason)
-
     def _replace_by_standby(
         self, standby: AttemptProgress, reason: str
     ) -> list[RelayAction]:
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -39,6 +39,13 @@
     Then the stream arrives complete from that engine
     And no engine holds reserved memory
 
+  Scenario: The engine of a stream that needs several engines' memory goes silent for good
+    Guards against memory that stays reserved at the other engines until the time limit of a request that its engine
+    has dropped.
+    Given a relay fleet with 6 engines behind proxies
+    When the engine of a stream of 400000 tokens is cut off and all others are full
+    Then the memory at the other engines is released within 4 seconds
+
   Scenario: A caller that knows no chunks sees that a stream broke off
     Guards against an answer that ends with its connection and looks complete although it broke off halfway.
     Given a relay fleet
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -10,10 +10,13 @@
 
 from features.standins.users_platform import event
 from features.support.relay_fleet import HOST_NAME, RelayFleet
+from features.support.soak.proxy import LoopThread
 
 _FULL_STREAM = b''.join(event(number) for number in range(1, 6))
 _STREAM_HEADERS = {'Token_Count': '1000,100', 'Model_Id': 'm'}
 _PROPAGATION_LIMIT_S = 2.0
+#: Longer than any request waits.
+_LONG_PAUSE_S = 8.0
 
 
 @given('a relay fleet')
@@ -26,6 +29,13 @@
     _start_fleet(context, RelayFleet(engines=count))
 
 
+@given('a relay fleet with {count:d} engines behind proxies')
+def relay_fleet_with_proxies(context, count):
+    loop = LoopThread()
+    context.add_cleanup(loop.stop)
+    _start_fleet(context, RelayFleet(engines=count, loop=loop))
+
+
 def _start_fleet(context, fleet):
     context.fleet = fleet
     context.fleet.__enter__()
@@ -161,6 +171,50 @@
         context.answer = answer.result()
 
 
+@when(
+    'the engine of a stream of {tokens:d} tokens is cut off and all others are '
+    'full'
+)
+def engine_cut_off(context, tokens):
+    fleet = context.fleet
+    for port in fleet.engines:
+        fleet.fault(port, fault='stall', delay_s=_LONG_PAUSE_S)
+    request = fleet.next_id()
+    headers = {**_STREAM_HEADERS, 'Token_Count': f'{tokens},100'}
+    caller = threading.Thread(
+        target=fleet.send_request,
+        args=('a0', '/draft/x', request),
+        kwargs=headers,
+    )
+    caller.start()
+    context.add_cleanup(caller.join)
+    fleet.wait_until(
+        lambda: fleet.runs(fleet.engines, request), 'the stream has begun'
+    )
+    # The first events arrive.
+    sleep(0.2)
+    (context.cut_off,) = (
+        port for port in fleet.engines if fleet.runs([port], request)
+    )
+    proxy = fleet.endpoint_proxies[context.cut_off]
+    proxy.drops_to_target = True
+    proxy.drops_from_target = True
+    for port in set(fleet.engines) - {context.cut_off}:
+        fleet.fault(port, fault='full')
+
+
+@then('the memory at the other engines is released within {limit_s:d} seconds')
+def other_memory_released(context, limit_s):
+    fleet = context.fleet
+    others = set(fleet.engines) - {context.cut_off}
+
+    def holders():
+        return [port for port in others if fleet.facts(port)['reserved']]
+
+    assert holders(), 'no memory was reserved'
+    fleet.wait_until(lambda: not holders(), 'the memory is released', limit_s)
+
+
 @then('the stream arrives complete from that engine')
 def stream_from_engine(context):
     answer, fleet = context.answer, context.fleet
