HTTP client: wait for a sound peer that pauses before it reads a large body

What callers saw: a request with a body of some 100 KB, thus with a long prompt, got 502 or went to a second engine if its sound engine read nothing for more than a second, and the first engine counted as broken off.

Cause: the limit of 1 s on the acknowledgement of bytes (TCP_USER_TIMEOUT) also ends a connection whose peer acknowledges only probes of its full window.

Change: for bodies that don't fit into a peer's first window the limit is 3 s until the first byte of the answer; from then on it is 1 s again. A lost link is still noticed, and the silence of the engine by the request's own limits.

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -25,6 +25,8 @@
         sent a byte.
     :param sent: whether any byte of the request was sent.
     :param answered: whether any byte of an answer was received.
+    :param may_be_unread: whether the peer may not have read the body yet,
+        which is longer than its kernel takes.
     :param is_retry: whether this is the second attempt.
     :param has_head: whether the head of the answer was reported.
     :param head_bytes: bytes received until the head of the answer is complete.
@@ -40,6 +42,7 @@
     last_activity_s: float = 0
     sent: bool = False
     answered: bool = False
+    may_be_unread: bool = False
     is_retry: bool = False
     has_head: bool = False
     head_bytes: bytes = b''
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -74,6 +74,13 @@
 _BODY_METHODS: Final = frozenset(('POST', 'PUT', 'PATCH'))
 
 
+#: The kernel of a peer takes this much of a body before the peer reads it.
+_MAX_UNREAD_BYTES: Final = 32_768
+#: Least time that a peer may leave a longer body unread. While it does, it
+#: acknowledges probes only, which counts against the limit on acknowledgements.
+_MIN_UNREAD_S: Final = 3.0
+
+
 class _connect_timeout(Event):
     """Fail ``transfer`` if it is still connecting."""
 
@@ -182,6 +189,11 @@
             return
         connection.keeps_alive = http.our_state is h11.DONE
         transfer.last_activity_s = monotonic()
+        if self._unacknowledged_s and len(exchange.body) > _MAX_UNREAD_BYTES:
+            transfer.may_be_unread = True
+            _limit_unacknowledged(
+                connection.sock, max(_MIN_UNREAD_S, self._unacknowledged_s)
+            )
         transfer.limit_timer = self._timers.call_after(
             exchange.silence_timeout_s, _silence_timeout(transfer), self.channel
         )
@@ -336,6 +348,9 @@
             return
         transfer.answered = True
         transfer.last_activity_s = monotonic()
+        if transfer.may_be_unread:
+            transfer.may_be_unread = False
+            _limit_unacknowledged(connection.sock, self._unacknowledged_s)
         if not received:
             self._report(connection, transfer, transfer.parser.close())
         elif transfer.stale_answer is not None:
@@ -598,14 +613,18 @@
     sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
     sock.setsockopt(SOL_SOCKET, SO_KEEPALIVE, 1)
     if unacknowledged_s:
-        limit_ms = int(unacknowledged_s * _MS_PER_S)
-        sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms)
+        _limit_unacknowledged(sock, unacknowledged_s)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPIDLE, _KEEPALIVE_INTERVAL_S)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
         sock.setsockopt(IPPROTO_TCP, TCP_KEEPCNT, _MAX_LOST_KEEPALIVES)
     return sock
 
 
+def _limit_unacknowledged(sock: socket, limit_s: float) -> None:
+    limit_ms = int(limit_s * _MS_PER_S)
+    sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, limit_ms)
+
+
 def _keep_alive_s(headers: tuple[Header, ...]) -> float:
     """Return for how long the connection may stay idle and be reused."""
     for header in headers:
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -116,6 +116,24 @@
     When a "POST" is sent to the peer with body_bytes = 6000000
     Then the peer's answer is "6000000"
 
+  Scenario Outline: A peer pauses before it reads a large body
+    Guards against giving up a sound peer that reads nothing for a second or so: its kernel acknowledges all that fits
+    into its window, and the request may already be running.
+    Given a peer that pauses 1.5 s before it reads and echoes the length of the body
+    When a "POST" of <size> bytes is sent to the peer by a client that waits 1 s for acknowledgements
+    Then the peer's answer is "<size>"
+
+    Examples:
+      | size    |
+      | 300000  |
+      | 6000000 |
+
+  Scenario: A small body to a peer that pauses before it reads
+    Guards against a limit on the acknowledgement of bytes that ends the wait for a sound peer.
+    Given a peer that pauses 1.5 s before it reads and echoes the length of the body
+    When a "POST" of 20000 bytes is sent to the peer by a client that waits 1 s for acknowledgements
+    Then the peer's answer is "20000"
+
   Scenario: A follow-up on the connection of an earlier exchange
     Guards against work that is sent to another process than the status request before it.
     Given a peer that keeps connections
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -195,6 +195,12 @@
     sock.sendall(_answer(str(len(body))))
 
 
+def _echo_length_after_pause(peer, sock, number):
+    time.sleep(1.5)
+    body = peer.read_request(sock)
+    sock.sendall(_answer(str(len(body))))
+
+
 def _answer_with_keep_alive(peer, sock, number):
     while peer.read_request(sock, number) is not None:
         sock.sendall(_answer('kept'))
@@ -261,6 +267,9 @@
         _answer_byte_by_byte, bytes(2_000_000)
     ),
     'reads slowly and echoes the length of the body': _echo_length,
+    'pauses 1.5 s before it reads and echoes the length of the body': (
+        _echo_length_after_pause
+    ),
     'keeps connections': _answer_with_keep_alive,
     'closes after each answer without saying so': partial(
         _answer_once, _answer('once')
@@ -330,6 +339,17 @@
     )
 
 
+@when(
+    'a "{method}" of {size:d} bytes is sent to the peer by a client that waits '
+    '{limit_s:g} s for acknowledgements'
+)
+def send_body(context, method, size, limit_s):
+    _start_client(context, unacknowledged_s=limit_s)
+    context.reports = _wait_for_outcome(
+        context, _send(context, method, body=bytes(size))
+    )
+
+
 @when('a follow-up "{method}" is sent to the peer on the first connection')
 def send_follow_up(context, method):
     first = context.exchanges[0].exchange_id
