Poller: let a signal end the wait that it arrives just before

What callers saw: an idle process that got SIGTERM took no notice of it before its next timer or message, and with none due it never ended. The daemons have timers, so that they were late by up to the next one.

Cause: Python runs a signal's handler between two instructions. If the signal arrives after the last instruction before epoll_wait, the call is not interrupted, and nothing else ends it.

Change: the poller's control pipe is the wake-up descriptor of the process, so that the signal itself makes the poll return.

--- a/bergamotturn/connection/poller.py
+++ b/bergamotturn/connection/poller.py
@@ -1,7 +1,12 @@
 """The socket poller of the process."""
 
+import os
+import signal
+import threading
+from contextlib import suppress
 from typing import Final, final
 
+from circuits import handler
 from circuits.core.events import generate_events
 from circuits.core.pollers import EPoll
 
@@ -34,6 +39,24 @@
         self._read = _DescriptorSet(self._read)
         self._write = _DescriptorSet(self._write)
         self._unpolled_turns = 0
+        # A full pipe wakes the poll as well as one more byte.
+        os.set_blocking(self._ctrl_send, False)
+
+    def resume(self) -> None:
+        """End the wait of the poll."""
+        with suppress(BlockingIOError):
+            super().resume()
+
+    @handler('started', channel='*')
+    def _on_started(self, *_: object) -> None:
+        """Let signals end the wait of the poll.
+
+        Python runs a signal's handler between two instructions of the main
+        thread. Without this a signal that arrives between the last instruction
+        and the system call would wait until the poll ends.
+        """
+        if threading.current_thread() is threading.main_thread():
+            signal.set_wakeup_fd(self._ctrl_send, warn_on_full_buffer=False)
 
     def _generate_events(self, event: generate_events) -> None:
         """Poll the sockets; skip some polls while events are queued."""
--- a/features/entries.feature
+++ b/features/entries.feature
@@ -26,3 +26,8 @@
     Guards against a process that the signal kills at once, or that never ends.
     Given a process that runs the shutdown task with short limits
     Then after two SIGTERMs it goes through all phases and exits with 0
+
+  Scenario: SIGTERM ends the wait of an idle process
+    Guards against a signal that arrives just before the wait for events and takes effect only after it.
+    Given a process that runs the shutdown task with short limits
+    Then after a SIGTERM that interrupts no system call it goes through all phases and exits with 0
--- a/features/steps/entries_steps.py
+++ b/features/steps/entries_steps.py
@@ -5,6 +5,7 @@
 import sys
 from random import Random
 from threading import Timer
+from time import sleep
 
 from behave import given, then
 from hypothesis import strategies as st
@@ -25,6 +26,7 @@
 
 _CHOICE = EntryChoice('entry-000', 'west-0')
 _COUNT = 4
+_UNTIL_WAIT_S = 0.2
 _FOR_ANY_VIEW = for_any(
     150,
     st.lists(st.integers(0, 3), min_size=1, max_size=9),
@@ -32,8 +34,13 @@
     st.sets(st.integers(0, 2)),
     st.integers(0, 999),
 )
-# Runs only the shutdown task, with a leaving phase of 2 seconds.
+# Runs only the shutdown task, with a leaving phase of 2 seconds. A line of
+# input makes another thread than that of the event loop receive a SIGTERM.
 _PROCESS = """
+import signal
+import sys
+from threading import Thread, get_ident
+
 from circuits import Component, handler
 from bergamotturn.connection.poller import SocketPoller
 from bergamotturn.process.shutdown import Shutdown
@@ -45,6 +52,11 @@
     def _on_phase(self, phase):
         print(phase if isinstance(phase, str) else 'started', flush=True)
 
+def receive_signal():
+    if sys.stdin.readline():
+        signal.pthread_kill(get_ident(), signal.SIGTERM)
+
+Thread(target=receive_signal, daemon=True).start()
 root = Phases()
 # Without a poller, circuits waits on a lock that its signal handler takes.
 SocketPoller().register(root)
@@ -159,7 +171,10 @@
 @given('a process that runs the shutdown task with short limits')
 def start_process(context):
     context.process = subprocess.Popen(
-        (sys.executable, '-c', _PROCESS), stdout=subprocess.PIPE, text=True
+        (sys.executable, '-c', _PROCESS),
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
     )
     context.add_cleanup(context.process.kill)
     # Fails the scenario instead of blocking it when the process never ends.
@@ -179,6 +194,18 @@
     assert context.process.returncode == 0
 
 
+@then(
+    'after a SIGTERM that interrupts no system call it goes through all phases '
+    'and exits with 0'
+)
+def wakes_up(context):
+    # The event loop waits by then.
+    sleep(_UNTIL_WAIT_S)
+    output, _ = context.process.communicate('signal\n')
+    assert output.split() == ['leaving', 'draining', 'ended'], output
+    assert context.process.returncode == 0
+
+
 def _members(states):
     return [
         replace(own_update(number), state=state)
