Relay flow: count an attempt that an earlier one overtook as a possible run

What callers saw: nothing wrong in the answer, but the request ran at three engines on a route that allows two. An engine paused, a second one was asked, the first went on and paused again, and a third one was asked.

Cause: the attempt at the second engine was closed before the head of its answer came, and only attempts with a head, a failure or silence counted as possible runs.

Change: returning to an earlier attempt counts the one that is closed, if it was sent and has no answer. One that said that it did not run still does not count.

Evidence: relay_flow.feature "An engine pauses twice" fails before (a third engine is asked after the second pause) and passes after; all 59 scenarios of the feature pass.

--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -223,6 +223,9 @@
     def _return_to_standby(self, standby: AttemptProgress) -> list[RelayAction]:
         """Close all other attempts, since ``standby`` goes on."""
         reason = 'earlier_attempt_goes_on'
+        if self._progress.is_sent and self._progress.head is None:
+            # Its endpoint may be at work on the request.
+            self._possible_runs.add(self._progress.attempt)
         actions = self._replace_by_standby(standby, reason)
         self._place_again_until_s = None
         return [
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -213,6 +213,18 @@
     Then the caller gets events 1 to 4 once and the end
     And both attempts are closed
 
+  Scenario: An engine pauses twice
+    Guards against a request that runs at more engines than its route allows: an attempt that was closed because an
+    earlier one went on did not count.
+    Given a resumable stream that has received 2 events
+    When nothing is received for 1 second
+    And the first engine goes on with event 3
+    And nothing is received for 1 second
+    Then it was sent to 2 engines in all
+    When the first engine goes on with event 4
+    And the first engine ends
+    Then the caller gets events 1 to 4 once and the end
+
   Scenario: Another engine goes on before the one that pauses
     Guards against events that come twice, and against an engine that works on a stream that another one answers.
     Given a resumable stream that has received 2 events
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -472,6 +472,24 @@
     run.record(run.flow.on_end(run.now_s, attempt))
 
 
+@when('the first engine goes on with event {number:d}')
+def first_sends_event(context, number):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_data(run.now_s, event(number), first))
+
+
+@when('the first engine ends')
+def first_ends(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(run.flow.on_end(run.now_s, first))
+
+
+@then('it was sent to {count:d} engines in all')
+def sent_to_engines(context, count):
+    sent = context.run.actions_of(SendAttempt)
+    assert len(sent) == count, sent
+
+
 @when('the first engine sends half of event 3')
 def first_sends_half(context):
     run, first = context.run, _first_attempt(context)
