Relay flow: pass on what an endpoint answered while another one was silent

What callers saw: a plain call failed although its whole answer came, if that answer had neither a length nor chunks and its endpoint had been silent before. And a call got 502 or 504 in place of an endpoint's 4xx that came while another endpoint was silent and never went on.

Cause: the end of a late answer was judged by its events, which a plain answer has none of. A failure that came beside a silent attempt was discarded with its attempt, or with the silent one.

Change: only streams are judged by events. A failure is read to its end and kept, and given if no other endpoint answers.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -22,7 +22,12 @@
 from .event_stream import StreamEvent
 from .flow_state import RelayState
 
-__all__ = ('DECODING_EVENTS', 'MAX_BUFFERED_BYTES', 'AttemptFlow')
+__all__ = (
+    'DECODING_EVENTS',
+    'FIRST_SERVER_ERROR',
+    'MAX_BUFFERED_BYTES',
+    'AttemptFlow',
+)
 
 #: Largest answer of a plain call that is buffered until it is complete, so
 #: that the request can be retried if the answer breaks off. Larger answers are
@@ -45,6 +50,8 @@
 _MIN_EVENT_GAP_LIMIT_S: Final = 0.6
 #: Limit for the gap between events if the route has no objective for it.
 _DEFAULT_EVENT_GAP_LIMIT_S: Final = 2.0
+#: Lowest status of a failure that another endpoint may not have.
+FIRST_SERVER_ERROR: Final = 500
 #: Events after which an endpoint has survived the begin of an answer.
 DECODING_EVENTS: Final = 2
 
@@ -226,7 +233,7 @@
         self, now_s: float, head: EndpointAnswerHead
     ) -> Sequence[RelayAction]:
         """Retry at another endpoint, or forward the failure unchanged."""
-        is_server_error = head.status >= _FIRST_SERVER_ERROR
+        is_server_error = head.status >= FIRST_SERVER_ERROR
         if is_server_error and self._may_run_again(
             now_s, len(self._possible_runs)
         ):
@@ -314,9 +321,6 @@
         ]
 
 
-_FIRST_SERVER_ERROR: Final = 500
-
-
 def _event_gap_limit_s(route: Route) -> float:
     gap_s = route.gap_objective_s
     if not gap_s:
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -26,10 +26,16 @@
     Attempt,
     RelayAction,
     ReplyFailure,
+    ReplyFull,
     ReportFailure,
     ReportSuccess,
 )
-from .attempt_flow import DECODING_EVENTS, MAX_BUFFERED_BYTES, AttemptFlow
+from .attempt_flow import (
+    DECODING_EVENTS,
+    FIRST_SERVER_ERROR,
+    MAX_BUFFERED_BYTES,
+    AttemptFlow,
+)
 from .attempt_progress import AttemptProgress
 from .call import EndpointAnswerHead, HeadKind, RelayCall
 from .event_stream import StreamEvent
@@ -50,6 +56,8 @@
         """Start without an attempt."""
         super().__init__(call, router)
         self._standbys = Standbys()
+        #: Failure answer of an endpoint, given if no other one answers.
+        self._fallback: ReplyFull | None = None
 
     def on_head(
         self,
@@ -64,6 +72,8 @@
         standby.head = head
         if head.kind is HeadKind.success:
             return []
+        if _refuses_content(head) and not self._is_head_forwarded:
+            return []
         if head.kind in {HeadKind.not_run, HeadKind.moved}:
             self._possible_runs.discard(attempt)
         return self._standbys.close(standby, head.kind.value)
@@ -85,12 +95,15 @@
     ) -> Sequence[RelayAction]:
         """Handle the end of a complete answer."""
         standby = self._standbys.find(attempt)
+        if standby is None and self._standbys and _has_failed(self._progress):
+            self._fallback = _full_answer(self._progress)
+            return self._replace_by_standby(self._standbys.latest, 'failed')
         if standby is None:
             return super().on_end(now_s)
-        is_broken = standby.head is None or standby.stream.partial_event
-        if is_broken or (
-            standby.head.is_close_delimited and not standby.events
-        ):
+        if _has_failed(standby):
+            self._fallback = _full_answer(standby)
+            return self._standbys.close(standby, 'failed')
+        if _is_broken(self.call, standby):
             return self._on_standby_failed(
                 standby, Fault.broke_off, 'stream ended too early'
             )
@@ -154,23 +167,26 @@
 
     def _end(self, final_action: RelayAction) -> list[RelayAction]:
         """End the request, or wait for a standby in place of a failure."""
-        if not self._standbys or not isinstance(final_action, ReplyFailure):
-            return [
-                *self._standbys.close_all('over'),
-                *super()._end(final_action),
-            ]
-        return self._replace_by_standby(
-            self._standbys.latest, final_action.reason
-        )
+        if isinstance(final_action, ReplyFailure):
+            if self._standbys:
+                return self._replace_by_standby(
+                    self._standbys.latest, final_action.reason
+                )
+            if self._fallback is not None and not self._is_head_forwarded:
+                final_action = self._fallback
+        return [
+            *self._standbys.close_all('over'),
+            *super()._end(final_action),
+        ]
 
     def _on_failure_answer(
         self, now_s: float, head: EndpointAnswerHead
     ) -> Sequence[RelayAction]:
-        """Retry, forward the failure, or wait for a standby instead."""
+        """Retry, or read the failure, which is given if no standby goes on."""
         actions = super()._on_failure_answer(now_s, head)
-        if actions or not self._standbys:
-            return actions
-        return self._replace_by_standby(self._standbys.latest, 'failed')
+        if not actions and self._standbys:
+            self.wake_s = self.call.deadline_s
+        return actions
 
     def _forward_events(
         self, now_s: float, events: Sequence[StreamEvent], fault_detail: str
@@ -192,10 +208,13 @@
     ) -> Sequence[RelayAction]:
         if standby.head is None:
             return []
-        if not self.call.route.is_stream:
+        is_failure = standby.head.kind is HeadKind.failure
+        if is_failure or not self.call.route.is_stream:
             if len(standby.body) + len(data) <= MAX_BUFFERED_BYTES:
                 standby.body += data
                 return []
+            if is_failure:
+                return self._standbys.close(standby, 'failed')
             returned = self._return_to_standby(standby)
             return [*returned, *self.on_data(now_s, data)]
         events, fault_detail = self._position.read(standby.stream, data)
@@ -248,3 +267,29 @@
         self._progress = standby
         self.wake_s = self.call.deadline_s
         return actions
+
+
+def _refuses_content(head: EndpointAnswerHead) -> bool:
+    return head.kind is HeadKind.failure and head.status < FIRST_SERVER_ERROR
+
+
+def _has_failed(progress: AttemptProgress) -> bool:
+    """Return whether the answer is a failure, which may be passed on."""
+    head = progress.head
+    return head is not None and head.kind is HeadKind.failure
+
+
+def _is_broken(call: RelayCall, progress: AttemptProgress) -> bool:
+    """Return whether the end of an answer comes too early."""
+    if progress.head is None:
+        return True
+    if not call.route.is_stream:
+        return False
+    if progress.stream.partial_event:
+        return True
+    return progress.head.is_close_delimited and not progress.events
+
+
+def _full_answer(progress: AttemptProgress) -> ReplyFull:
+    head = progress.head
+    return ReplyFull(head.status, head.headers, bytes(progress.body))
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -362,3 +362,31 @@
     When nothing is received for 1 second
     And its reservation is refused
     Then other engines are asked than the first
+
+  Scenario Outline: A plain call whose silent endpoint ends its answer with the connection
+    Guards against discarding a complete answer because the answers of another endpoint came in between.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And <others>
+    And its first endpoint answers 200 and ends the answer with the connection
+    Then the caller gets the complete answer
+
+    Examples:
+      | others                        |
+      | no other engine has answered  |
+      | the next 3 engines are full   |
+
+  Scenario Outline: An endpoint refuses the content of a plain call while another one is silent
+    Guards against a failure in place of an answer that an endpoint gave, because another endpoint never goes on.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And <answer>
+    And <end>
+    Then the caller gets the refusal of its content
+
+    Examples:
+      | answer                                    | end                                 |
+      | the second endpoint refuses its content   | nothing is received for 20 seconds  |
+      | the second endpoint refuses its content   | the first engine breaks off         |
+      | its first endpoint refuses its content    | nothing is received for 20 seconds  |
+      | its first endpoint refuses its content    | the next 4 engines are full         |
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -527,6 +527,77 @@
     run.record(run.flow.on_end(run.now_s, first))
 
 
+@when('no other engine has answered')
+def none_answered(context):
+    assert len(context.run.actions_of(SendAttempt)) == 2
+
+
+@when('its first endpoint answers 200 and ends the answer with the connection')
+def first_answers_close_delimited(context):
+    run, first = context.run, _first_attempt(context)
+    head = EndpointAnswerHead(HeadKind.success, 200, is_close_delimited=True)
+    run.record(run.flow.on_head(run.now_s, head, first))
+    run.record(run.flow.on_data(run.now_s, b'whole', first))
+    run.record(run.flow.on_end(run.now_s, first))
+
+
+@when('its first endpoint refuses its content')
+def first_refuses_content(context):
+    _refuse_content(context.run, _first_attempt(context))
+
+
+@when('the second endpoint refuses its content')
+def second_refuses_content(context):
+    run = context.run
+    _refuse_content(run, run.actions_of(SendAttempt)[1].attempt)
+
+
+def _refuse_content(run, attempt):
+    head = EndpointAnswerHead(HeadKind.failure, 400)
+    run.record(run.flow.on_head(run.now_s, head, attempt))
+    closed = {each.attempt for each in run.actions_of(CloseAttempt)}
+    if attempt not in closed:
+        run.record(run.flow.on_data(run.now_s, b'refused', attempt))
+        run.record(run.flow.on_end(run.now_s, attempt))
+
+
+@then('the caller gets the refusal of its content')
+def gets_refusal(context):
+    (answer,) = context.run.actions_of(_FINAL_ACTIONS)
+    assert isinstance(answer, ReplyFull), answer
+    assert (answer.status, answer.body) == (400, b'refused'), answer
+
+
+@when('its first endpoint turns out to be unreachable')
+def first_unreachable(context):
+    run, first = context.run, _first_attempt(context)
+    run.record(
+        run.flow.on_failed(
+            run.now_s,
+            Fault.unreachable,
+            'no connection within the connect timeout',
+            is_sent=False,
+            attempt=first,
+        )
+    )
+
+
+@when('the next engine is full, and more are left')
+def next_full_more_left(context):
+    context.run.router.endpoints = 12
+    context.run.receive_head(_NOT_RUN)
+
+
+@when(
+    'an endpoint says that it did not run it {seconds:g} seconds before its '
+    'time limit'
+)
+def not_run_before_limit(context, seconds):
+    run = context.run
+    run.now_s = run.flow.call.deadline_s - seconds
+    run.receive_head(_NOT_RUN)
+
+
 @given('a resumable stream without an answer')
 def stream_without_answer(context):
     context.run = _RelayRun(route())
