Relay flow: let neither old rejections nor unsent attempts end a request

What callers saw: a stream whose engine had paused while all others were full was cut off when the engine broke off later and the next one was full as well. A request that no endpoint ran ended with 502 or 504 in place of 503, if a connection to a silent endpoint turned out not to exist, or if the last endpoint refused it shortly before the time limit.

Cause: the number of rejections was never reset, and an attempt that did not reach its endpoint or was refused went on to count as sent.

Change: progress of the answer resets the rejections; attempts that are known not to have run count as not sent.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -88,6 +88,7 @@
         self._has_reached_endpoint = True
         if head.kind in {HeadKind.not_run, HeadKind.moved}:
             self._possible_runs.discard(self._progress.attempt)
+            self._progress.is_sent = False
             return self._on_rejected(now_s, head)
         self._possible_runs.add(self._progress.attempt)
         if head.kind is HeadKind.unrecognised:
@@ -154,6 +155,8 @@
             self._has_reached_endpoint = True
             self._possible_runs.add(self._progress.attempt)
             return self._on_attempt_failed(now_s, fault, detail)
+        self._possible_runs.discard(self._progress.attempt)
+        self._progress.is_sent = False
         self._unreachable_count += 1
         reports = self._report_failure(fault, detail)
         if self._is_too_late(now_s):
@@ -281,6 +284,7 @@
             self.event_count += progress
             self._progress.events += progress
             self._progress.is_silent = False
+            self._rejections = 0
             gap_limit_s = _event_gap_limit_s(self.call.route)
             self.wake_s = min(self.call.deadline_s, now_s + gap_limit_s)
             replies = [
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -124,6 +124,8 @@
         """
         standby = self._standbys.find(attempt)
         if standby is not None:
+            if not is_sent:
+                self._possible_runs.discard(attempt)
             return self._on_standby_failed(standby, fault, detail)
         return super().on_failed(now_s, fault, detail, is_sent=is_sent)
 
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -390,3 +390,27 @@
       | the second endpoint refuses its content   | the first engine breaks off         |
       | its first endpoint refuses its content    | nothing is received for 20 seconds  |
       | its first endpoint refuses its content    | the next 4 engines are full         |
+
+  Scenario: The time limit of a connection passes in the same turn as that of its attempt
+    Guards against a 502, after which callers do not retry what may run once only, for a request that no endpoint got.
+    Given a repeatable call
+    When nothing is received for 1 second
+    And its first endpoint turns out to be unreachable
+    And the next 4 engines are full
+    Then it is refused with overloaded
+
+  Scenario: An engine breaks off long after a pause in which all others were full
+    Guards against a stream that is cut off at the first full engine because others were full at an earlier pause.
+    Given a resumable stream at one of 3 engines that has received 2 events
+    When nothing is received for 1 second
+    And the next 4 engines are full
+    And the first engine goes on with event 3
+    And the first engine breaks off
+    And the next engine is full, and more are left
+    Then the stream is sent to another engine
+
+  Scenario: All endpoints are full shortly before the time limit
+    Guards against a 504, after which callers do not retry what may run once only, for a request that no endpoint ran.
+    Given a request that may run only once
+    When an endpoint says that it did not run it 0.03 seconds before its time limit
+    Then it is refused with deadline_unreachable
