Relay flow: check the retry budget again when a retry is sent

What callers saw: nothing; a service got more retries than its budget allows when many requests lost their engine at once.

Cause: the budget was checked when the silence was noticed, and the retry was counted when it was sent, which is later for requests that wait for reserved memory or a permit in between.

Change: a retry is sent only if there is budget left at that moment.

'Many streams fall silent at once, and wait before they are sent again' (2): 20 retries with a budget of 4 before, 4 now.

--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -132,6 +132,12 @@
         return []
 
     def _send(self, now_s: float) -> list[RelayAction]:
+        # Other requests may have used up the retry budget while this one waited
+        # for memory or a permit.
+        if self._progress.attempt.is_retry and not self._router.may_retry(
+            now_s, self.call
+        ):
+            return self._stop_retrying('repeat_budget_used_up')
         self._progress.is_sent = True
         self.wake_s = min(
             self.call.deadline_s,
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -414,3 +414,20 @@
     Given a request that may run only once
     When an endpoint says that it did not run it 0.03 seconds before its time limit
     Then it is refused with deadline_unreachable
+
+  Scenario: Many streams fall silent at once
+    Guards against more retries than the budget allows.
+    Given 20 resumable streams at a service with a retry budget of 4
+    When all of them fall silent at once
+    Then 4 of them are sent again
+
+  Scenario Outline: Many streams fall silent at once, and wait before they are sent again
+    Guards against more retries than the budget allows: each stream found budget left before the others were sent.
+    Given 20 resumable streams at a service with a retry budget of 4
+    When all of them fall silent at once and wait for <what>
+    Then 4 of them are sent again
+
+    Examples:
+      | what            |
+      | reserved memory |
+      | permits         |
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -8,6 +8,7 @@
 from bergamotturn.connection.exchange import Header
 from bergamotturn.errors import ErrorKind, answer_for
 from bergamotturn.process.endpoints.health import Fault
+from bergamotturn.process.endpoints.retry_budget import RetryBudget
 from bergamotturn.process.placement.plan import Plan, PrefillHelper, Refusal
 from bergamotturn.request.relay.actions import (
     CloseAttempt,
@@ -74,6 +75,28 @@
         )
 
 
+class _BudgetRouter(_Router):
+    """Router with a retry budget that it shares with other requests."""
+
+    def __init__(self, budget):
+        super().__init__(endpoints=12)
+        self.budget = budget
+        self.is_limited = False
+
+    def place(self, now_s, call, tried):
+        if not self.is_limited:
+            return super().place(now_s, call, tried)
+        return Refusal(
+            kind=ErrorKind.overloaded,
+            retry_after_s=0.2,
+            recheck_s=0.01,
+            reason='rate_limited',
+        )
+
+    def may_retry(self, now_s, call):
+        return self.budget.retries_left(now_s, call.service) > 0
+
+
 class _RelayRun:
     """A relayed request and the actions that its flow returned."""
 
@@ -598,6 +621,58 @@
     run.receive_head(_NOT_RUN)
 
 
+@given(
+    '{count:d} resumable streams at a service with a retry budget of {left:d}'
+)
+def streams_with_budget(context, count, left):
+    context.budget = RetryBudget(ratio=0, window_s=5, slack_retries=left / 0.7)
+    context.runs = []
+    for _ in range(count):
+        run = _RelayRun(route(), _BudgetRouter(context.budget))
+        run.receive_head(_SUCCESS)
+        run.receive_events(1, 2)
+        context.runs.append(run)
+    assert context.budget.retries_left(0, 'letters') == left
+
+
+@when('all of them fall silent at once')
+@when('all of them fall silent at once and wait for {what}')
+def all_fall_silent(context, what=''):
+    for run in context.runs:
+        run.router.needs_reservations = what == 'reserved memory'
+        run.router.is_limited = what == 'permits'
+        _go_on_at(context, run, 1)
+    for run in context.runs:
+        run.router.is_limited = False
+        if run.last_actions and isinstance(run.last_actions[-1], ReserveMemory):
+            run.answer_reservation(is_granted=True)
+            _note_retries(context, run)
+        else:
+            _go_on_at(context, run, 1.02)
+
+
+def _go_on_at(context, run, now_s):
+    run.now_s = now_s
+    run.record(run.flow.on_timer(now_s))
+    _note_retries(context, run)
+
+
+def _note_retries(context, run):
+    for action in run.last_actions:
+        if isinstance(action, SendAttempt) and action.attempt.is_retry:
+            context.budget.note_retry(run.now_s, 'letters')
+
+
+@then('{count:d} of them are sent again')
+def sent_again(context, count):
+    attempts = [
+        each.attempt
+        for run in context.runs
+        for each in run.actions_of(SendAttempt)
+    ]
+    assert sum(attempt.is_retry for attempt in attempts) == count, attempts
+
+
 @given('a resumable stream without an answer')
 def stream_without_answer(context):
     context.run = _RelayRun(route())
