Reserved memory: release it again if the engine handled the release first

What callers saw: less room for long prompts; memory stayed reserved for a whole hold time after its request had ended.

Cause: calls to an engine run on different connections and may be handled in another order than they were sent, so that a release could come before the reservation or renewal that it was to undo.

Change: if a reservation or renewal is granted after its memory was released, it is released once more.

--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -253,6 +253,9 @@
         reservation_set = call.reservation_set
         attempt = reservation_set.attempt
         if attempt.number not in call.pending.reservation_sets:
+            if is_granted:
+                # The engine may have handled the release before this call.
+                self._send_release_call(reservation_set, call.reservation)
             return
         if self._drop_if_gone(call.pending, reservation_set):
             return
--- a/bergamotturn/process/relay_tasks/reservation_manager.py
+++ b/bergamotturn/process/relay_tasks/reservation_manager.py
@@ -13,7 +13,7 @@
 from ..timers import Timers
 from .notice_registry import NoticeRegistry
 from .pending_relay import PendingRelay, ReservationCall
-from .reservations import ReservationSet
+from .reservations import Reservation, ReservationSet
 
 __all__ = ('ReservationManager', 'renewal_due')
 
@@ -100,7 +100,12 @@
             state=reservation_set.state.value,
         )
         for reservation in reservation_set.reservations:
-            exchange = self._wire.release(
-                reservation.entry, reservation_set.name, self.channel
-            )
-            self.fire(start_exchange(exchange), HTTP_CLIENT)
+            self._send_release_call(reservation_set, reservation)
+
+    def _send_release_call(
+        self, reservation_set: ReservationSet, reservation: Reservation
+    ) -> None:
+        exchange = self._wire.release(
+            reservation.entry, reservation_set.name, self.channel
+        )
+        self.fire(start_exchange(exchange), HTTP_CLIENT)
