Soak: find requests that are given up although nothing failed

The soak sent prompts of 1,000 tokens only, its engines paused only after the second event, and a call without an answer broke no check.

Stand-ins: an engine reserves memory for a limited time and refuses or cuts off requests without it.

Large prompts stop at the end of the faults, since they may occupy all engines: every other call after the recovery must succeed, as before.

Checks (lost.py), where only pauses, full engines, changes of the configuration, SIGHUP and SIGTERM came: a call without a whole answer is LOST; a 502 or 504 is reported if a run was cut off that would have ended in time, and a 413 if the engines together can hold the prompt.

`--pauses` draws only such events, overlapping.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -23,6 +23,16 @@
       | seed   | seconds |
       | 5      | 10      |
 
+  Scenario Outline: A short run in which nothing fails loses no request
+    Guards against requests that are given up before what replaces them is certain: streams of any length and plain
+    calls whose sound endpoint pauses, while others are full or pause too, the configuration changes, and instances
+    are reloaded and stopped.
+    Then the soak of <seconds> seconds with pauses and seed <seed> breaks no promise
+
+    Examples: Seed of each run of the checks
+      | seed   | seconds |
+      | 1      | 10      |
+
   Scenario Outline: Seeds that failed keep all promises
     Guards against faults that were found once.
     Then the soak of <seconds> seconds with seed <seed> breaks no promise
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -111,10 +111,14 @@
     calls: int = 0
     set_s: float = field(default_factory=monotonic)
 
+    def is_active(self) -> bool:
+        """Return whether the time of the fault is not over."""
+        return monotonic() <= self.set_s + self.for_s
+
     def for_next_call(self) -> str:
         """Count a call and return the fault for it, or an empty string."""
         self.calls += 1
-        if self.calls % self.every or monotonic() > self.set_s + self.for_s:
+        if self.calls % self.every or not self.is_active():
             return ''
         self.count -= 1
         return self.fault if self.count >= 0 else ''
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -17,6 +17,11 @@
 - ``unframed``: the answer has neither a length nor chunks and ends with its
   connection. ``unframed_cut`` closes it inside the third event of a stream,
   ``unframed_reset`` resets it after the last byte.
+- ``pause``: a sound endpoint pauses for 0.9 to 1.6 s: once or twice in an
+  answer, before it answers an order, or while it reads a part of a prompt.
+
+An order reserves memory for a limited time. A request that needs it is refused
+when it is not there, and is cut off when it expires.
 
 All answers have the header fields in ``headers`` of the fault.
 """
@@ -27,12 +32,23 @@
 import sys
 from base64 import b64decode, b64encode
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http import HTTPStatus
 from time import monotonic, time
 from typing import Any, Final, final
 
 import msgspec
 from aiohttp import web
 
+from .engine_memory import EngineMemory
+from .pauses import (
+    BEFORE_HEAD,
+    PAUSE,
+    draw_helper_pause_s,
+    draw_order_pauses_s,
+    draw_pauses_s,
+)
 from .serving import FaultyService, Listener, json_answer, read_body, run
 
 __all__ = (
@@ -40,6 +56,7 @@
     'UsersEndpoint',
     'UsersStore',
     'event',
+    'helpers',
     'main',
     'shared_parts',
 )
@@ -69,6 +86,9 @@
         self._compacted_version = 0
         self._changed = asyncio.Event()
         self._calls: Counter[str] = Counter()
+        #: Endpoints by the address in their entry, also after it lapsed.
+        self._endpoint_ids: dict[str, str] = {}
+        self._endpoints: dict[str, 'UsersEndpoint'] = {}
         super().__init__(
             port,
             web.post('/_rows', self._put_rows),
@@ -79,6 +99,14 @@
             web.post('/api/rows-tx', self._run_transaction),
         )
 
+    def register(self, endpoint_id: str, endpoint: 'UsersEndpoint') -> None:
+        """Let other endpoints find ``endpoint`` by its address."""
+        self._endpoints[endpoint_id] = endpoint
+
+    def endpoint_at(self, address: str) -> 'UsersEndpoint | None':
+        """Return the endpoint with ``address`` in its entry."""
+        return self._endpoints.get(self._endpoint_ids.get(address, ''))
+
     def replace_server(self, old_id: str, new_id: str) -> None:
         """Replace an endpoint's entry by that of its next start."""
         old = self._rows.get((_SERVERS, old_id), {'value': ''})
@@ -98,6 +126,8 @@
         """Write or delete rows, as the operator and the endpoints do."""
         for row in await read_body(request, list[dict[str, Any]]):
             content = row.get('content')
+            if row['table'] == _SERVERS and content is not None:
+                self._endpoint_ids[content['address']] = row['key']
             value = row.get('value') or msgspec.json.encode(content).decode()
             self._write(
                 row['table'],
@@ -232,15 +262,16 @@
         :param store: where it replaces its entry when it restarts.
         """
         self._store = store
-        self._first_id = f'i-{port}'
-        self._id = self._first_id
+        self.first_id = f'i-{port}'
+        self._id = self.first_id
         self._crashes: list[dict[str, Any]] = []
         self._restart_task: asyncio.Task[None] | None = None
         self._arrivals: list[dict[str, Any]] = []
         self._runs: Counter[str] = Counter()
         self._requests: list[dict[str, Any]] = []
         self._interrupted_count = 0
-        self._reserved_tokens: dict[str, int] = {}
+        self.memory = EngineMemory()
+        store.register(self.first_id, self)
         super().__init__(
             port,
             web.get('/_facts', self._show_facts),
@@ -255,7 +286,7 @@
                 'runs': self._runs,
                 'seen': self._requests,
                 'cut_off': self._interrupted_count,
-                'reserved': self._reserved_tokens,
+                'reserved': self.memory.reserved_tokens,
                 'arrivals': self._arrivals,
                 'crashes': self._crashes,
             }
@@ -263,11 +294,19 @@
 
     async def _handle_order(self, request: web.Request) -> web.Response:
         order = await read_body(request)
+        arrived_s = asyncio.get_running_loop().time()
+        before_s, after_s = 0, 0
+        if self.pauses():
+            drawn = f'{order["operation"]}/{order["id"]}/{int(arrived_s)}'
+            before_s, after_s = draw_order_pauses_s(drawn, self.first_id)
+        await asyncio.sleep(before_s)
+        status = HTTPStatus.OK
         if order['operation'] == 'release':
-            self._reserved_tokens.pop(order['id'], None)
+            self.memory.release(order['id'])
         else:
-            self._reserved_tokens[order['id']] = order['tokens']
-        return json_answer({'free': 1})
+            status = self.memory.reserve(order, arrived_s)
+        await asyncio.sleep(after_s)
+        return json_answer({'free': 1}, status)
 
     async def _handle_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
@@ -288,21 +327,14 @@
                 },
             )
         fault = self.fault.for_next_call()
-        if fault == 'full':
-            answer = web.Response(
-                status=503, headers=self._answer_headers(request)
-            )
-            answer.headers.pop('Server-Stamp')
-            answer.headers['Not-Executed'] = '1'
-            return answer
+        refusal = self._refuse(request, fault)
+        if refusal is not None:
+            return refusal
         await request.read()
-        self._runs[headers['Request-Id']] += 1
-        fields = {name.lower(): text for name, text in headers.items()}
-        self._requests.append(
-            {**fields, 'path': request.path_qs, 'at_s': monotonic()}
-        )
-        if fault == 'silent':
-            await asyncio.sleep(_SILENT_S)
+        pauses_s = self._pauses_of(request, fault)
+        run_record = self._record_run(request, pauses_s)
+        if 'Token-Count' not in headers:
+            await asyncio.sleep(pauses_s.get(BEFORE_HEAD, 0))
         if fault == 'reset':
             request.transport.abort()
         if fault == 'second':
@@ -313,15 +345,127 @@
         if fault.startswith('unframed'):
             return await self._send_unframed(request, fault)
         if 'Token-Count' in headers:
-            return await self._send_stream(request, fault)
+            answer = await self._run_stream(request, fault, pauses_s)
+            _note_answered(request, run_record)
+            return answer
+        _note_answered(request, run_record)
         body = f'done by {self._id}'.encode()
         return web.Response(
             body=body.ljust(LARGE_BYTES) if fault == 'large' else body,
             headers=self._answer_headers(request),
         )
 
+    def _refuse(self, request: web.Request, fault: str) -> web.Response | None:
+        """Return a refusal if the endpoint is full or memory is missing."""
+        faulty_address = self._faulty_helper(request)
+        if fault != 'full' and faulty_address is None:
+            return None
+        refusal = web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE,
+            headers=self._answer_headers(request),
+        )
+        refusal.headers.pop('Server-Stamp')
+        refusal.headers['Not-Executed'] = '1'
+        if faulty_address:
+            refusal.headers['At-Server'] = faulty_address
+        return refusal
+
+    def _faulty_helper(self, request: web.Request) -> str | None:
+        """Return the address of a helper that is gone or lacks memory.
+
+        It is empty if this engine itself lacks memory, and None if all is well.
+        """
+        for address, ticket in helpers(request):
+            helper = self._store.endpoint_at(address)
+            if helper is None or not helper.is_up:
+                return address
+            if ticket and ticket not in helper.memory.reserved_tokens:
+                return address
+        needed = self._unreserved_tokens(request)
+        return None if self.memory.has_room(needed) else ''
+
+    def _unreserved_tokens(self, request: web.Request) -> int:
+        needed = _total_tokens(request.headers.get('Token-Count', ''))
+        for address, ticket in helpers(request):
+            helper = self._store.endpoint_at(address)
+            needed -= helper.memory.reserved_tokens.get(ticket, 0)
+        return needed
+
+    def _pauses_of(self, request: web.Request, fault: str) -> dict[int, float]:
+        """Return the pauses in an answer, by their point."""
+        name = request.headers['Request-Id']
+        pauses_s: dict[int, float] = {}
+        if fault == 'silent':
+            return {BEFORE_HEAD: _SILENT_S}
+        if fault == 'stall':
+            pauses_s[2] = self.fault.delay_s
+        if fault == PAUSE:
+            pauses_s = draw_pauses_s(name, self.first_id)
+            if 'Token-Count' not in request.headers:
+                return {BEFORE_HEAD: max(pauses_s.values())}
+        called = (
+            self._store.endpoint_at(address) for address, _ in helpers(request)
+        )
+        helper_pauses_s = [
+            draw_helper_pause_s(name, helper.first_id)
+            for helper in called
+            if helper is not self and helper.pauses()
+        ]
+        first = int(request.headers.get('Last-Event-Id', '0'))
+        longest_s = max(helper_pauses_s, default=0)
+        pauses_s[first] = pauses_s.get(first, 0) + longest_s
+        return pauses_s
+
+    def _record_run(
+        self, request: web.Request, pauses_s: dict[int, float]
+    ) -> dict[str, Any]:
+        self._runs[request.headers['Request-Id']] += 1
+        fields = {name.lower(): text for name, text in request.headers.items()}
+        now_s = monotonic()
+        first = int(fields.get('last-event-id', '0'))
+        sending_s = (_EVENT_COUNT - first) * _EVENT_INTERVAL_S
+        pausing_s = sum(
+            pause_s
+            for point, pause_s in pauses_s.items()
+            if point == BEFORE_HEAD or point >= first
+        )
+        run_record = {
+            **fields,
+            'path': request.path_qs,
+            'at_s': now_s,
+            'would_end_s': now_s + sending_s + pausing_s,
+        }
+        self._requests.append(run_record)
+        return run_record
+
+    async def _run_stream(
+        self, request: web.Request, fault: str, pauses_s: dict[int, float]
+    ) -> web.StreamResponse:
+        """Send a stream on the memory that the request needs."""
+        with self._used_memory(request):
+            await asyncio.sleep(pauses_s.get(BEFORE_HEAD, 0))
+            return await self._send_stream(request, fault, pauses_s)
+
+    @contextmanager
+    def _used_memory(self, request: web.Request) -> Iterator[None]:
+        transport = request.transport
+        if transport is None:
+            raise ConnectionResetError('the caller disconnected')
+        self.memory.run(transport, self._unreserved_tokens(request))
+        engines = [self]
+        for address, ticket in helpers(request):
+            helper = self._store.endpoint_at(address)
+            engines.append(helper)
+            if ticket:
+                helper.memory.use(ticket, transport)
+        try:
+            yield
+        finally:
+            for engine in engines:
+                engine.memory.end(transport)
+
     async def _send_stream(
-        self, request: web.Request, fault: str
+        self, request: web.Request, fault: str, pauses_s: dict[int, float]
     ) -> web.StreamResponse:
         answer = web.StreamResponse(
             headers={
@@ -340,9 +484,8 @@
                 if fault == 'cut' and number > 2:
                     await answer.write(b'id: 3\nda')
                     request.transport.abort()
-                if fault == 'stall' and number == 3:
-                    await asyncio.sleep(self.fault.delay_s)
-                await asyncio.sleep(interval_s)
+                pause_s = pauses_s.get(number - 1, 0)
+                await asyncio.sleep(interval_s + pause_s)
                 await answer.write(event(number))
         except ConnectionError:
             self._interrupted_count += 1
@@ -414,12 +557,21 @@
 
     async def _restart(self, after_s: float) -> None:
         await asyncio.sleep(after_s)
-        old_id, self._id = self._id, f'{self._first_id}-{len(self._crashes)}'
-        self._reserved_tokens.clear()
+        old_id, self._id = self._id, f'{self.first_id}-{len(self._crashes)}'
+        self.memory.release_all()
         await self.listener.start()
         self._restart_task = None
         self._store.replace_server(old_id, self._id)
 
+    @property
+    def is_up(self) -> bool:
+        """Return whether the endpoint listens."""
+        return self._restart_task is None
+
+    def pauses(self) -> bool:
+        """Return whether the endpoint pauses now."""
+        return self.fault.fault == PAUSE and self.fault.is_active()
+
     def _answer_headers(self, request: web.Request) -> dict[str, str]:
         return {
             'Server-Stamp': f'stamp-{self._id}',
@@ -440,12 +592,31 @@
     return f'id: {number}\ndata: event {number}\n\n'.encode()
 
 
+def helpers(request: web.Request) -> list[tuple[str, str]]:
+    """Return the address and the reservation of each helper of a request."""
+    entries = request.headers.get('Helpers', '').split(',')
+    split = (entry.strip().partition('/') for entry in entries if entry)
+    return [(address, ticket) for address, _, ticket in split]
+
+
 def shared_parts(prefix: str) -> list[str]:
     """Return the ids of all prompt parts but the last."""
     entries = prefix.split(',')[:-1]
     return [entry.partition(':')[0].strip() for entry in entries]
 
 
+def _note_answered(request: web.Request, run_record: dict[str, Any]) -> None:
+    """Note that the whole answer is sent, unless its connection is closed."""
+    transport = request.transport
+    if transport is not None and not transport.is_closing():
+        run_record['answered_s'] = monotonic()
+
+
+def _total_tokens(token_count: str) -> int:
+    counts = token_count.split(',')
+    return sum(int(count) for count in counts if count.strip().isdecimal())
+
+
 def _longest_answer(token_count: str) -> int:
     """Return the number of events in which the output limit is reached."""
     return int(token_count.partition(',')[2]) // _EVENT_TOKENS
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -15,6 +15,14 @@
     _run_soak(seconds, seed, RunSize(with_changes=True))
 
 
+@then(
+    'the soak of {seconds:d} seconds with pauses and seed {seed:d} breaks no '
+    'promise'
+)
+def soak_with_pauses(context, seconds, seed):
+    _run_soak(seconds, seed, RunSize(engines=6, only_pauses=True))
+
+
 @then('the soak of {seconds:d} seconds with seed {seed:d} breaks no promise')
 def soak(context, seconds, seed):
     _run_soak(seconds, seed, RunSize())
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -406,6 +406,13 @@
         'resumable': True,
         'service': 'letters',
     }
+    long_stream = {
+        **stream,
+        'name': 'review',
+        'prefix': '/review/',
+        'timeoutMs': 15_000,
+        'targetLatencyMs': 3000,
+    }
     safe = {
         'name': 'look',
         'host': HOST_NAME,
@@ -429,7 +436,7 @@
     }
     return {
         'version': version,
-        'routes': [stream, safe, charge],
+        'routes': [stream, long_stream, safe, charge],
         'services': [
             {'name': 'letters', 'maxConnections': 300, 'engine': engine},
             {'name': 'ledger', 'maxConnections': 100},
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -3,8 +3,10 @@
 ``python -m features.support.soak [--seeds N] [--seed S] [--seconds T]`` runs
 N consecutive seeds that start at S, or at a random one, and prints a line for
 each. ``--instances``, ``--engines``, ``--plain`` and ``--callers`` set the
-size; with ``--changes`` routes change and endpoints say that they leave. The
-exit code is 1 when a check failed; the logs of such a run are kept.
+size; with ``--changes`` routes change and endpoints say that they leave. With
+``--pauses`` nothing fails: sound endpoints pause, endpoints are full, routes
+and keys change, and instances get SIGHUP and SIGTERM. The exit code is 1 when
+a check failed; the logs of such a run are kept.
 """
 
 import argparse
@@ -34,6 +36,7 @@
             f'--{name}', type=int, default=getattr(default, name)
         )
     parser.add_argument('--changes', action='store_true')
+    parser.add_argument('--pauses', action='store_true')
     options = parser.parse_args()
     size = RunSize(
         options.instances,
@@ -41,6 +44,7 @@
         options.plain,
         options.callers,
         with_changes=options.changes,
+        only_pauses=options.pauses,
     )
     first = options.seed
     if first is None:
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -8,6 +8,7 @@
 from types import MappingProxyType
 from typing import Final, final
 
+from features.standins.pauses import PAUSE
 from features.support.relay_fleet import RelayFleet
 
 from .proxy import Proxy
@@ -19,6 +20,10 @@
 _MIN_FAULT_S: Final = 0.3
 #: Changes of routes for each other fault of a kind.
 _ROUTE_CHANGES: Final = 8
+#: Pauses of sound endpoints, and full engines, for each planned change.
+_PAUSES: Final = 5
+#: Time in which answers begin before their engines are full.
+_PAUSE_BEFORE_S: Final = (0.3, 1.2)
 #: Maximum time of a graceful stop, with a margin for a busy machine.
 _MAX_STOP_S: Final = 12.0
 
@@ -75,18 +80,26 @@
     """Injects random faults and undoes them when their time is over."""
 
     def __init__(
-        self, fleet: RelayFleet, seed: int, *, with_changes: bool = False
+        self,
+        fleet: RelayFleet,
+        seed: int,
+        *,
+        with_changes: bool = False,
+        only_pauses: bool = False,
     ) -> None:
         """Initialise without an active fault.
 
         :param with_changes: whether routes change and engines say that they
             leave, beside the faults.
+        :param only_pauses: whether sound endpoints pause, endpoints are full
+            and planned changes come, in place of the faults.
         """
         self._fleet = fleet
         self._random = Random(seed)
         self._unavailable: set[str] = set()
         self._stopping: dict[str, float] = {}
         self._with_changes = with_changes
+        self._only_pauses = only_pauses
         self.configurations = Configurations(fleet)
         #: When API keys were revoked.
         self.revoked_s: dict[str, float] = {}
@@ -103,39 +116,51 @@
     def inject_next(self) -> None:
         """Inject the next fault; each kind comes once before any repeats."""
         if not self._undrawn:
-            self._undrawn = [
-                self._kill,
-                self._pause,
-                self._stop,
-                self._send_hangup,
-                self._store_fault,
-                self._store_link_fault,
-                self._endpoint_fault,
-                self._endpoint_link_fault,
-                self._peer_link_fault,
-                self._leave,
-                self._evacuate,
-                self._revoke,
-                self._compact,
-            ]
-            if self._with_changes:
-                self._undrawn += [
-                    *(self._change_route for _ in range(_ROUTE_CHANGES)),
-                    self._put_invalid,
-                    self._put_older,
-                    self._say_leaving,
-                    self._lapse,
-                    self._stall,
-                ]
+            self._undrawn = self._kinds()
             self._random.shuffle(self._undrawn)
         fault = self._undrawn.pop()()
         if fault is not None:
             self.injected.append(fault)
 
+    def _kinds(self) -> list[Callable[[], Fault | None]]:
+        planned = [self._stop, self._send_hangup, self._revoke]
+        if self._only_pauses:
+            return [
+                *planned,
+                *(self._change_route for _ in range(2)),
+                *(self._pause_endpoints for _ in range(_PAUSES)),
+                *(self._fill_engines for _ in range(_PAUSES)),
+                *(self._pause_then_fill for _ in range(_PAUSES)),
+            ]
+        kinds = [
+            *planned,
+            self._kill,
+            self._pause,
+            self._store_fault,
+            self._store_link_fault,
+            self._endpoint_fault,
+            self._endpoint_link_fault,
+            self._peer_link_fault,
+            self._leave,
+            self._evacuate,
+            self._compact,
+        ]
+        if not self._with_changes:
+            return kinds
+        return [
+            *kinds,
+            *(self._change_route for _ in range(_ROUTE_CHANGES)),
+            self._put_invalid,
+            self._put_older,
+            self._say_leaving,
+            self._lapse,
+            self._stall,
+        ]
+
     def undo_expired(self) -> None:
         """Undo faults whose time is over, and restart stopped instances."""
         now_s = monotonic()
-        for fault in self.injected:
+        for fault in tuple(self.injected):
             if fault.undo is not None and fault.ends_s <= now_s:
                 undo, fault.undo = fault.undo, None
                 undo()
@@ -282,6 +307,38 @@
             'endpoint', kind, lambda: self._fleet.fault(port, fault='')
         )
 
+    def _pause_endpoints(self) -> Fault:
+        """Let some sound endpoints pause once or twice in each answer."""
+        ports = [*self._fleet.engines, *self._fleet.plain]
+        paused = self._random.sample(ports, self._random.randint(1, len(ports)))
+        return self._fault_at(paused, 'sound_pause', PAUSE)
+
+    def _fill_engines(self) -> Fault:
+        """Let some engines, all but one, or all say that they are full."""
+        ports = self._fleet.engines
+        most = len(ports) - 1
+        count = self._random.choice(
+            (most, len(ports), self._random.randint(1, most))
+        )
+        return self._fault_at(self._random.sample(ports, count), 'full', 'full')
+
+    def _pause_then_fill(self) -> Fault:
+        """Let all engines pause in answers that began before they are full."""
+        fault = self._fault_at(self._fleet.engines, 'sound_pause', PAUSE)
+        fault.ends_s = fault.began_s + self._random.uniform(*_PAUSE_BEFORE_S)
+        fault.undo = lambda: self.injected.append(self._fill_engines())
+        return fault
+
+    def _fault_at(self, ports: list[int], name: str, kind: str) -> Fault:
+        for port in ports:
+            self._fleet.fault(port, fault=kind)
+
+        def undo() -> None:
+            for port in ports:
+                self._fleet.fault(port, fault='')
+
+        return self._build_fault(name, str(len(ports)), undo)
+
     def _leave(self) -> Fault:
         port = self._random.choice(self._fleet.engines)
         born = self._starts.get(port, 1000)
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -13,12 +13,17 @@
 from .checks import find_violations
 from .faults import FaultInjector
 from .leaving import find_late_requests
+from .lost import find_lost
 from .proxy import LoopThread
 
 __all__ = ('RunResult', 'RunSize', 'run_seed')
 
 #: Number of added routes that callers use; some of them are removed by then.
 _CALLED_ROUTES: Final = 6
+#: Share of the load on these, and in a run in which only pauses come. There
+#: the routes to engines are to get most of it.
+_EXTRA_SHARE: Final = 0.5
+_PAUSED_EXTRA_SHARE: Final = 0.1
 _MEAN_PAUSE_S: Final = 0.15
 #: Minimum and maximum time between two faults: some faults overlap, others
 #: end before the next.
@@ -73,6 +78,8 @@
 
     :param with_changes: whether routes change and engines say that they
         leave, beside the faults.
+    :param only_pauses: whether sound endpoints pause, endpoints are full and
+        planned changes come, in place of the faults.
     """
 
     instances: int = 5
@@ -80,6 +87,7 @@
     plain: int = 3
     callers: int = 12
     with_changes: bool = False
+    only_pauses: bool = False
 
 
 def run_seed(
@@ -95,18 +103,26 @@
         loop=loop,
     )
     with fleet.running():
-        injector = FaultInjector(fleet, seed, with_changes=size.with_changes)
+        injector = FaultInjector(
+            fleet,
+            seed,
+            with_changes=size.with_changes,
+            only_pauses=size.only_pauses,
+        )
         configurations = injector.configurations
         callers = Callers(
             seed,
             fleet.directories(),
             lambda: [*configurations.keys, 'key-w'],
             lambda: list(configurations.routes)[-_CALLED_ROUTES:],
+            _PAUSED_EXTRA_SHARE if size.only_pauses else _EXTRA_SHARE,
         )
         running = loop.start(callers.run(size.callers, _MEAN_PAUSE_S))
         faults_ended_s = _inject_faults(
             injector, Random(f'gaps/{seed}'), seconds
         )
+        # Large prompts may occupy all engines, which refuse others then.
+        callers.sends_large = False
         sleep(_RECOVERY_S + _AFTER_RECOVERY_S)
         callers.is_stopping = True
         running.result(_RECOVERY_S + 10)
@@ -126,6 +142,7 @@
                 callers, injector, faults_ended_s + _RECOVERY_S
             ),
             *find_late_requests(fleet, injector),
+            *find_lost(callers.calls, seen, injector, size.engines),
             *fleet.program_errors(),
         ]
     loop.stop()
