Scenarios: endpoints that send bytes without end

Operators of similar systems saw a machine run out of memory, and fail the requests of other callers, because an engine never ended a head or a body. Single parsers were tested for this, complete instances were not.

The stand-in endpoints can send bytes without end in a head, in a body and after one.

--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -19,6 +19,8 @@
   ``unframed_reset`` resets it after the last byte.
 - ``pause``: a sound endpoint pauses for 0.9 to 1.6 s: once or twice in an
   answer, before it answers an order, or while it reads a part of a prompt.
+- those in :data:`ENDLESS`: bytes without end until the connection is closed.
+- ``slow``: a plain answer after ``delay_s``.
 
 An order reserves memory for a limited time. A request that needs it is refused
 when it is not there, and is cut off when it expires.
@@ -52,6 +54,7 @@
 from .serving import FaultyService, Listener, json_answer, read_body, run
 
 __all__ = (
+    'ENDLESS',
     'LARGE_BYTES',
     'UsersEndpoint',
     'UsersStore',
@@ -71,6 +74,21 @@
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 #: More than a socket buffers, and less than an instance buffers.
 LARGE_BYTES: Final = 6_000_000
+#: Answers without end: what follows the fields of a head, if the answer has
+#: one, and what is sent again and again.
+ENDLESS: Final = {
+    'endless_bytes': (None, b'x' * 65_536),
+    'endless_fields': (b'', b'x-more: 1\r\n' * 4096),
+    'endless_body': (b'\r\n', b'x' * 65_536),
+    'endless_chunks': (
+        b'Transfer-Encoding: chunked\r\n\r\n',
+        b'10000\r\n%b\r\n' % (b'x' * 65_536),
+    ),
+    'endless_tail': (b'Content-Length: 4\r\n\r\ndone', b'x' * 65_536),
+}
+#: Unsent bytes above which an endless answer waits for its reader.
+_UNSENT_BYTES: Final = 1_000_000
+_WRITE_PAUSE_S: Final = 0.01
 _SERVERS: Final = 'servers'
 _READ_ONLY_TABLES: Final = frozenset(('op', _SERVERS))
 
@@ -342,9 +360,9 @@
         deadly = set(parts).intersection(self.fault.parts)
         if fault == 'deadly' and deadly:
             return await self._crash_while_answering(request, min(deadly))
-        if fault.startswith('unframed'):
-            return await self._send_unframed(request, fault)
-        if 'Token-Count' in headers:
+        if fault in ENDLESS or fault.startswith('unframed'):
+            return await self._send_raw(request, fault)
+        if 'Token-Count' in request.headers:
             answer = await self._run_stream(request, fault, pauses_s)
             _note_answered(request, run_record)
             return answer
@@ -397,6 +415,8 @@
         pauses_s: dict[int, float] = {}
         if fault == 'silent':
             return {BEFORE_HEAD: _SILENT_S}
+        if fault == 'slow':
+            return {BEFORE_HEAD: self.fault.delay_s}
         if fault == 'stall':
             pauses_s[2] = self.fault.delay_s
         if fault == PAUSE:
@@ -491,22 +511,22 @@
             self._interrupted_count += 1
         return answer
 
+    async def _send_raw(
+        self, request: web.Request, fault: str
+    ) -> web.StreamResponse:
+        """Send an answer that the server library can't build."""
+        if fault in ENDLESS:
+            return await self._send_endless(request, fault)
+        return await self._send_unframed(request, fault)
+
     async def _send_unframed(
         self, request: web.Request, fault: str
     ) -> web.StreamResponse:
         """Send an answer that ends with its connection."""
         transport = request.transport
-        is_stream = 'Token-Count' in request.headers
-        content_type = 'text/event-stream' if is_stream else 'text/plain'
-        fields = {
-            'Content-Type': content_type,
-            **self._answer_headers(request),
-        }
-        lines = [f'{name}: {text}' for name, text in fields.items()]
-        transport.write(
-            '\r\n'.join(('HTTP/1.1 200 OK', *lines, '', '')).encode()
-        )
-        if is_stream:
+        transport.write(self._answer_head(request))
+        transport.write(b'\r\n')
+        if 'Token-Count' in request.headers:
             first = int(request.headers.get('Last-Event-Id', '0')) + 1
             for number in range(first, _EVENT_COUNT + 1):
                 await asyncio.sleep(_EVENT_INTERVAL_S)
@@ -525,6 +545,34 @@
         transport.close()
         return web.Response()
 
+    async def _send_endless(
+        self, request: web.Request, fault: str
+    ) -> web.StreamResponse:
+        """Send bytes until the caller closes the connection."""
+        transport = request.transport
+        fields, part = ENDLESS[fault]
+        if fields is not None:
+            transport.write(self._answer_head(request))
+            transport.write(fields)
+        while not transport.is_closing():
+            if transport.get_write_buffer_size() < _UNSENT_BYTES:
+                transport.write(part)
+            await asyncio.sleep(_WRITE_PAUSE_S)
+        return web.Response()
+
+    def _answer_head(self, request: web.Request) -> bytes:
+        """Return the status line and the fields but those of the framing."""
+        is_stream = 'Token-Count' in request.headers
+        content_type = 'text/event-stream' if is_stream else 'text/plain'
+        fields = {
+            'Content-Type': content_type,
+            **self._answer_headers(request),
+        }
+        lines = [f'{name}: {text}' for name, text in fields.items()]
+        return b''.join(
+            f'{line}\r\n'.encode() for line in ('HTTP/1.1 200 OK', *lines)
+        )
+
     async def _crash_while_answering(
         self, request: web.Request, part: str
     ) -> web.StreamResponse:
--- /dev/null
+++ b/features/steps/endless_bytes_steps.py
@@ -0,0 +1,151 @@
+"""Steps for endpoints that send bytes without end."""
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from itertools import cycle
+from time import monotonic, sleep
+
+from behave import then, when
+
+from bergamotturn.connection.exchange import Address
+from features.standins.users_platform import event
+from features.support.relay_fleet import HOST_NAME
+
+_STREAM = '/draft/x'
+_LOOKUP = '/look/x'
+_CHARGE = '/charge/x'
+_HEADERS = {
+    _STREAM: {'Token_Count': '1000,100', 'Model_Id': 'm'},
+    _LOOKUP: {},
+    _CHARGE: {},
+}
+#: Callers of each path, all at different instances.
+_CALLERS = 3
+_PAUSE_S = 0.02
+_TIMEOUT_S = 10
+_STREAM_BODY = b''.join(event(number) for number in range(1, 6))
+_REQUEST = (
+    f'POST {_LOOKUP} HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: {{name}}\r\n'
+    'Request-Deadline: 5000\r\nX-Api-Key: key-w\r\nContent-Length: 4\r\n\r\n'
+    'body'
+)
+
+
+@when(
+    'the busiest engine and a plain endpoint send {fault} to callers for '
+    '{for_s:g} seconds'
+)
+def send_beside_endless(context, fault, for_s):
+    fleet = context.fleet
+    _set_faults(context, (_busiest_engine(fleet), fleet.plain[0]), fault)
+    until_s = monotonic() + for_s
+    with ThreadPoolExecutor(len(_HEADERS) * _CALLERS) as callers:
+        sent = [
+            callers.submit(_call, fleet, name, path, until_s)
+            for path in _HEADERS
+            for name in fleet.instances
+        ]
+    context.answers = [each for calls in sent for each in calls.result()]
+    context.reached = {
+        request
+        for port in context.faulty
+        for request in fleet.facts(port)['runs']
+    }
+
+
+def _busiest_engine(fleet):
+    """Return the engine that most of some first streams reach."""
+    for name in fleet.instances:
+        answer = fleet.send_request(name, _STREAM, **_HEADERS[_STREAM])
+        assert _is_whole(_STREAM, answer), (name, answer)
+    return max(fleet.engines, key=lambda port: len(fleet.facts(port)['runs']))
+
+
+def _set_faults(context, ports, fault):
+    fleet = context.fleet
+    context.faulty = ports
+    context.start_mb = {name: fleet.peak_mb(name) for name in fleet.instances}
+    for port in ports:
+        fleet.fault(port, fault=fault)
+
+
+def _call(fleet, name, path, until_s):
+    """Call one path until ``until_s`` and return paths, ids and answers."""
+    calls = []
+    while monotonic() < until_s:
+        request = f'{name}{path}{len(calls)}'
+        answer = fleet.send_request(
+            name, path, request, timeout_s=_TIMEOUT_S, **_HEADERS[path]
+        )
+        calls.append((path, request, answer))
+        sleep(_PAUSE_S)
+    return calls
+
+
+@then('streams, lookups and charges reached these endpoints')
+def all_kinds_reached(context):
+    paths = {
+        path
+        for path, request, _ in context.answers
+        if request in context.reached
+    }
+    assert paths == set(_HEADERS), paths
+
+
+@then('each request that reached none of them is answered in full')
+def others_answered(context):
+    for path, request, answer in context.answers:
+        if request not in context.reached:
+            assert answer.status == 200, (request, answer)
+            assert _is_whole(path, answer), (request, answer)
+
+
+@then('no answer of these endpoints without an end looks complete')
+def none_looks_complete(context):
+    for path, request, answer in context.answers:
+        if request in context.reached and answer.is_complete:
+            is_final = answer.status in {502, 504} or _is_whole(path, answer)
+            assert is_final, (request, answer)
+
+
+def _is_whole(path, answer):
+    if path == _STREAM:
+        return answer.body == _STREAM_BODY
+    return answer.body == b'done' or answer.body.startswith(b'done by ')
+
+
+@then('no instance has ended or held more than {limit_mb:d} MB above its start')
+def memory_bounded(context, limit_mb):
+    fleet = context.fleet
+    for name in fleet.instances:
+        assert fleet.is_running(name), name
+        grown_mb = fleet.peak_mb(name) - context.start_mb[name]
+        assert grown_mb <= limit_mb, (name, grown_mb)
+
+
+@when(
+    '{count:d} callers that do not read call endpoints that send {fault} for '
+    '{for_s:g} seconds'
+)
+def call_without_reading(context, count, fault, for_s):
+    fleet = context.fleet
+    _set_faults(context, tuple(fleet.plain), fault)
+    names = cycle(fleet.instances)
+    connections = []
+    for number in range(count):
+        address = Address.parse(fleet.caller_address(next(names)))
+        connection = socket.create_connection((address.host, address.port))
+        context.add_cleanup(connection.close)
+        connection.sendall(_REQUEST.format(name=f'unread-{number}').encode())
+        connections.append(connection)
+    sleep(for_s)
+    reached = sum(len(fleet.facts(port)['runs']) for port in context.faulty)
+    assert reached >= count, reached
+
+
+@then('other callers are served by each instance')
+def others_served(context):
+    fleet = context.fleet
+    for name in fleet.instances:
+        answer = fleet.send_request(name, _STREAM, **_HEADERS[_STREAM])
+        assert _is_whole(_STREAM, answer), (name, answer)
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -4,6 +4,7 @@
 import fcntl
 import os
 import random
+import re
 import signal
 import socket
 import subprocess
@@ -25,6 +26,8 @@
 #: Option of ``prctl``: signal to send when the parent thread ends.
 _PR_SET_PDEATHSIG: Final = 1
 _LOG_TAIL_CHARACTERS: Final = 2000
+_PEAK_KB: Final = re.compile(r'VmHWM:\s+(\d+) kB')
+_KB_PER_MB: Final = 1024
 
 
 @final
@@ -73,6 +76,13 @@
         """Return the id of a process."""
         return self._processes[name].pid
 
+    def peak_mb(self, name: str) -> float:
+        """Return the most memory that a process has held."""
+        status = Path(f'/proc/{self.process_id(name)}/status').read_text()
+        found = _PEAK_KB.search(status)
+        assert found is not None, f'{name} has ended'
+        return int(found[1]) / _KB_PER_MB
+
     def kill(self, name: str) -> None:
         """Kill a process, also a suspended one, and wait for its end."""
         self._processes[name].kill()
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -252,6 +252,10 @@
         """Kill an instance."""
         self._processes.kill(name)
 
+    def peak_mb(self, name: str) -> float:
+        """Return the most memory that the process of an instance has held."""
+        return self._processes.peak_mb(name)
+
     def wait_end(self, name: str, timeout_s: float) -> int:
         """Wait until an instance exits by itself and return its exit code."""
         return self._processes.wait(name, timeout_s)
