Refuse entries of endpoints whose sequence is out of range

What callers saw: in a trial with odd entries of another writer at the address of a sound plain endpoint, many lookups and charges got 503. Ten of the odd entries had only the field sequence out of range or of another type. They weren't refused, and named ten more endpoints at that address.

Cause: the field isn't used, so it wasn't read or checked.

Change: the field is checked with the other numbers of an entry. An entry with an odd one names no endpoint. The range moves to decoding.py.

Evidence: the two new examples of platform_forms.feature "An invalid entry adds no endpoint" failed before.

--- a/bergamotturn/decoding.py
+++ b/bergamotturn/decoding.py
@@ -1,16 +1,24 @@
 """Decoding of bytes that another process wrote.
 
+Numbers beyond what every JSON implementation keeps exactly can't be passed on:
+messages to other instances have no room for more than 64 bits.
+
 msgspec reports invalid content as :exc:`msgspec.DecodeError`, but content that
 is nested too deeply as :exc:`RecursionError`, and text that is not UTF-8 in
 part as :exc:`UnicodeDecodeError`. The functions here raise
 :exc:`msgspec.DecodeError` for all of them.
 """
 
-from typing import Protocol, TypeVar
+from typing import Annotated, Final, Protocol, TypeVar
 
 import msgspec
 
-__all__ = ('decode', 'decode_json')
+__all__ = ('ExactInteger', 'ExactNumber', 'decode', 'decode_json')
+
+_MAX_INTEGER: Final = 9_007_199_254_740_991
+_IN_RANGE: Final = msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)
+ExactInteger = Annotated[int, _IN_RANGE]
+ExactNumber = Annotated[float, _IN_RANGE]
 
 _Decoded = TypeVar('_Decoded')
 _Decoded_co = TypeVar('_Decoded_co', covariant=True)
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -2,7 +2,7 @@
 
 from ipaddress import IPv4Address
 from time import monotonic
-from typing import Annotated, Final, final
+from typing import Final, final
 
 import msgspec
 from circuits import Component, handler
@@ -11,7 +11,7 @@
 from ..connection.exchange import Address
 from ..connection.peer_messages import OrderState, OrderUpdate
 from ..connection.store_events import Row
-from ..decoding import decode
+from ..decoding import ExactInteger, ExactNumber, decode
 from ..process.endpoints.entry import EndpointEntry
 from ..process.events import (
     endpoints_changed,
@@ -34,12 +34,6 @@
 _MS_PER_S: Final = 1000.0
 _READY: Final = 'ready'
 _LEAVING: Final = 'draining'
-#: Largest integer that every JSON implementation keeps exactly. Messages to
-#: other instances have no room for more than 64 bits.
-_MAX_INTEGER: Final = 9_007_199_254_740_991
-_IN_RANGE: Final = msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)
-_ExactInteger = Annotated[int, _IN_RANGE]
-_ExactNumber = Annotated[float, _IN_RANGE]
 
 
 @final
@@ -48,15 +42,17 @@
 
     :param born: Unix time of its start in milliseconds.
     :param cold_remaining_ms: time that it remains cold after the write.
+    :param sequence: number of the write, checked and otherwise unused.
     """
 
     service: str
     address: str
     zone: str
     state: str
-    slots: _ExactInteger = 1
-    cold_remaining_ms: _ExactNumber = 0
-    born: _ExactInteger = 0
+    slots: ExactInteger = 1
+    cold_remaining_ms: ExactNumber = 0
+    born: ExactInteger = 0
+    sequence: ExactNumber = 0
 
 
 _ENDPOINT_DECODER: Final = msgspec.json.Decoder(_EndpointJson)
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -74,6 +74,8 @@
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "born": 18446744073709551616} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "slots": 18446744073709551616} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "coldRemainingMs": 1e200} |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "sequence": 18446744073709551616} |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "sequence": 1e999} |
 
   Scenario: An entry that is nested too deeply hides no other entry
     Guards against an instance that starts without any endpoint because one entry of another writer is nested too deeply.
