HTTP client: pause and resume the reading of an answer

What callers saw: nothing yet; a caller that reads more slowly than an engine writes loses its answer, since nothing tells the engine's side to wait.

Cause: an exchange is read as fast as its peer sends.

Change: `pause_exchange` and `resume_exchange`. A paused exchange is not read, so that TCP holds its peer back. The pause doesn't count as silence of the peer, but counts towards the total timeout. Its connection alone is paused, and a pause ends with its exchange.

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -31,6 +31,7 @@
     :param has_head: whether the head of the answer was reported.
     :param head_bytes: bytes received until the head of the answer is complete.
     :param stale_answer: answer to an earlier request that is being skipped.
+    :param is_paused: whether its owner takes no more of the answer for now.
     :param keep_alive_s: how long the idle connection may be reused, as far as
         the answer limits it.
     """
@@ -47,6 +48,7 @@
     has_head: bool = False
     head_bytes: bytes = b''
     stale_answer: StaleAnswer | None = None
+    is_paused: bool = False
     keep_alive_s: float = inf
 
 
--- a/bergamotturn/connection/exchange.py
+++ b/bergamotturn/connection/exchange.py
@@ -27,6 +27,8 @@
     'exchange_failed',
     'exchange_head',
     'next_exchange_id',
+    'pause_exchange',
+    'resume_exchange',
     'start_exchange',
 )
 
@@ -142,6 +144,18 @@
     """Ask the HTTP client to abort the exchange with id ``exchange_id``."""
 
 
+class pause_exchange(Event):
+    """Ask the HTTP client to read no more of the answer to ``exchange_id``.
+
+    The time until :class:`resume_exchange` does not count as silence of the
+    peer, but counts towards the total timeout.
+    """
+
+
+class resume_exchange(Event):
+    """Ask the HTTP client to read on the answer to ``exchange_id``."""
+
+
 class exchange_head(Event):
     """Report ``exchange``, ``status`` and ``headers`` of the answer."""
 
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -228,16 +228,22 @@
             self._poller.removeWriter(connection.sock)
 
     def _start_reading(self, connection: PeerConnection) -> None:
-        if not connection.reading:
-            connection.reading = True
-            self._read_epoll.register(connection.sock, EPOLLIN)
+        transfer = connection.transfer
+        if connection.reading or (transfer and transfer.is_paused):
+            return
+        connection.reading = True
+        self._read_epoll.register(connection.sock, EPOLLIN)
+
+    def _stop_reading(self, connection: PeerConnection) -> None:
+        if connection.reading:
+            connection.reading = False
+            self._read_epoll.unregister(connection.sock)
 
     def _pause_reading(
         self, connection: PeerConnection, pause_s: float
     ) -> None:
         """Stop reading from ``connection`` for ``pause_s``."""
-        connection.reading = False
-        self._read_epoll.unregister(connection.sock)
+        self._stop_reading(connection)
         if not self._paused_reads:
             self._timers.call_after(pause_s, _read_pauses_ended(), self.channel)
         self._paused_reads.append((monotonic() + pause_s, connection))
@@ -509,6 +515,23 @@
         self._end_transfer(connection.transfer)
         self._close(connection)
 
+    @handler('pause_exchange')
+    def _on_pause_exchange(self, exchange_id: int) -> None:
+        connection = self._by_exchange.get(exchange_id)
+        if connection is not None:
+            connection.transfer.is_paused = True
+            self._stop_reading(connection)
+
+    @handler('resume_exchange')
+    def _on_resume_exchange(self, exchange_id: int) -> None:
+        connection = self._by_exchange.get(exchange_id)
+        if connection is None or not connection.transfer.is_paused:
+            return
+        connection.transfer.is_paused = False
+        connection.transfer.last_activity_s = monotonic()
+        if not connection.connecting:
+            self._start_reading(connection)
+
     @handler('_write')
     def _on_writable(self, sock: socket) -> None:
         connection = self._connections.get(sock)
@@ -574,6 +597,8 @@
         connection = self._by_exchange.get(exchange.exchange_id)
         if connection is None or connection.transfer is not transfer:
             return
+        if transfer.is_paused:
+            transfer.last_activity_s = monotonic()
         left_s = (
             transfer.last_activity_s + exchange.silence_timeout_s - monotonic()
         )
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -201,3 +201,24 @@
     Given a peer that answers one byte every 0.05 s without end
     When a "GET" is sent to the peer and cancelled after the answer's head
     Then the peer sees the connection close and nothing more is reported
+
+  Scenario: An exchange whose owner takes no more of the answer for a while
+    Guards against an answer that is read faster than it is passed on, a pause that is taken for the peer's silence, and
+    one that holds up other exchanges with the same peer.
+    Given a peer with an answer of 16000000 bytes on its first connection
+    When a "GET" is sent to the peer and paused for 1 s, with a silence timeout of 0.4 s
+    Then less than 500000 bytes were reported during the pause
+    And another "GET" to the peer was answered during the pause
+    And the first answer is complete with 16000000 bytes
+
+  Scenario Outline: A paused exchange that ends
+    Guards against a pause that keeps an exchange open, or that outlasts it on its connection.
+    Given a peer with an answer of 16000000 bytes on its first connection
+    When a "GET" is sent to the peer and paused until it <end>
+    Then 1 connections to the peer are closed
+    And a "GET" sent later is answered, though the first one is resumed now
+
+    Examples:
+      | end                         |
+      | is cancelled                |
+      | reaches its total timeout   |
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -18,6 +18,8 @@
     Header,
     cancel_exchange,
     next_exchange_id,
+    pause_exchange,
+    resume_exchange,
     start_exchange,
 )
 from bergamotturn.connection.http_client import HttpClient
@@ -29,16 +31,22 @@
 
 
 class _ReportRecorder(Component):
-    """Records the reports of the client."""
+    """Records the reports of the client.
+
+    :ivar pauses: whether exchanges are paused as soon as their answer begins.
+    """
 
     channel = 'owner'
 
     def __init__(self):
         super().__init__()
         self.reports = Queue()
+        self.pauses = False
 
     @handler('exchange_head', 'exchange_data', 'exchange_end')
     def _on_report(self, event, exchange, *rest):
+        if self.pauses and event.name == 'exchange_head':
+            self.fire(pause_exchange(exchange.exchange_id), 'http_client')
         self.reports.put((event.name, exchange.exchange_id, rest))
 
     @handler('exchange_failed')
@@ -518,3 +526,96 @@
 
 def _status(reports):
     return next(rest[0] for name, rest in reports if name == 'exchange_head')
+
+
+def _answer_first_at_length(length, peer, sock, number):
+    """Send ``length`` bytes on the first connection, short answers later."""
+    if number > 1:
+        _answer_with_keep_alive(peer, sock, number)
+        return
+    peer.read_request(sock, number)
+    sock.sendall(_answer('', length))
+    sock.sendall(bytes(length))
+
+
+@given('a peer with an answer of {length:d} bytes on its first connection')
+def long_first_answer(context, length):
+    _start_peer(context, partial(_answer_first_at_length, length))
+
+
+def _pause(context, method, **options):
+    """Send a request that is paused once its answer has begun."""
+    _start_client(context)
+    context.owner.pauses = True
+    exchange = _send(context, method, **options)
+    assert context.owner.reports.get(timeout=_HANG_S)[0] == 'exchange_head'
+    context.owner.pauses = False
+    return exchange
+
+
+@when(
+    'a "{method}" is sent to the peer and paused for {pause_s:g} s, with a '
+    'silence timeout of {silence_s:g} s'
+)
+def send_and_pause(context, method, pause_s, silence_s):
+    first = _pause(context, method, silence_timeout_s=silence_s)
+    second = _send(context, method)
+    time.sleep(pause_s)
+    queue = context.owner.reports
+    context.during_pause = [queue.get_nowait() for _ in range(queue.qsize())]
+    context.app.fire(resume_exchange(first.exchange_id), 'http_client')
+    context.reports = _reports_of(context, first)
+    context.second_reports = _reports_of(context, second)
+    names = {name for name, _ in context.reports}
+    if names.isdisjoint(('exchange_end', 'exchange_failed')):
+        context.reports += _wait_for_outcome(context, first)
+
+
+def _reports_of(context, exchange):
+    return [
+        (name, rest)
+        for name, exchange_id, rest in context.during_pause
+        if exchange_id == exchange.exchange_id
+    ]
+
+
+@then('less than {length:d} bytes were reported during the pause')
+def few_bytes(context, length):
+    reported = _content((name, rest) for name, _, rest in context.during_pause)
+    assert len(reported) < length, len(reported)
+
+
+@then('another "{method}" to the peer was answered during the pause')
+def answered_during_pause(context, method):
+    assert _content(context.second_reports) == b'kept', context.second_reports
+
+
+@then('the first answer is complete with {length:d} bytes')
+def long_answer_complete(context, length):
+    last, rest = context.reports[-1]
+    assert last == 'exchange_end', (last, rest)
+    assert len(_content(context.reports)) == length
+
+
+@when('a "{method}" is sent to the peer and paused until it {end}')
+def send_paused(context, method, end):
+    if end == 'is cancelled':
+        context.paused = _pause(context, method)
+        cancel = cancel_exchange(context.paused.exchange_id)
+        context.app.fire(cancel, 'http_client')
+        return
+    context.paused = _pause(context, method, total_timeout_s=0.5)
+    reports = _wait_for_outcome(context, context.paused)
+    assert reports[-1][0] == 'exchange_failed', reports[-1]
+    failure, _ = reports[-1][1]
+    assert failure.kind is ErrorKind.deadline_exceeded, failure
+
+
+@then(
+    'a "{method}" sent later is answered, though the first one is resumed now'
+)
+def answered_later(context, method):
+    resume = resume_exchange(context.paused.exchange_id)
+    context.app.fire(resume, 'http_client')
+    reports = _wait_for_outcome(context, _send(context, method))
+    assert _content(reports) == b'kept', reports
