Relay: wait with an engine's answer while its caller reads slowly

What callers saw: an answer of more than some 4 MB broke off if its caller read it more slowly than the engine wrote it.

Cause: the listener closes a connection whose pending output exceeds its limit, and nothing told the engine's side to wait.

Change: a connection with 4 MB pending is full, with less when the output of all connections fills up (an eighth of what is free, 64 KB at least). The listener then asks for a pause of the answer, and for its end once half is sent. The relay pauses the exchanges of all attempts of the request, also of one that is sent meanwhile; a pause ends with the request. A stream's engine is not taken for silent because of a pause. A caller that reads nothing is still closed by the stall limit or ended by its time limit. A connection is closed for its output at 6 MB, which leaves room for what is on its way when the pause begins.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -15,7 +15,12 @@
 from ..process.invariants import check_invariant
 from ..process.metrics import IN_FLIGHT
 from ..process.timers import Timers
-from ..request.calls import ReplyPart, caller_gone
+from ..request.calls import (
+    ReplyPart,
+    caller_gone,
+    pause_answer,
+    resume_answer,
+)
 from ..version.settings import Limits, TlsSettings
 from .exchange import Address, Header
 from .web_server import WebCall, WebServer
@@ -73,11 +78,8 @@
     overdue_timer: int
 
 
-class CallListener(WebServer):
-    """Keeps the submitted calls and returns their answers to the callers.
-
-    A listener derives from it, turns requests into calls in ``_serve`` and
-    passes each to :meth:`_submit`.
+class _OpenCalls(WebServer):
+    """Keeps the submitted calls that are not answered in full.
 
     :param call_prefix: prefix of the ids of all calls of this process.
     :cvar call_channels: channels of the components that serve calls.
@@ -102,6 +104,81 @@
         self._is_draining = False
         self._has_ended = False
 
+    def _next_call_id(self) -> str:
+        return f'{self._call_prefix}/{next(self._call_numbers)}'
+
+    def _submit(
+        self,
+        web_call: WebCall,
+        call_id: str,
+        deadline_s: float,
+        submission: Event,
+        channel: str,
+    ) -> None:
+        """Submit a call by firing ``submission`` on ``channel``."""
+        timer = self._timers.call_after(
+            max(0, deadline_s - monotonic()) + _OVERDUE_DELAY_S,
+            _call_late(call_id),
+            self.channel,
+        )
+        self._open_calls[call_id] = _OpenCall(call_id, web_call, timer)
+        self._report_in_flight()
+        self.fire(submission, channel)
+
+    def _on_caller_gone(self, call: WebCall) -> None:
+        for open_call in tuple(self._open_calls.values()):
+            if open_call.web_call is call:
+                self._remove_call(open_call.call_id)
+                self._notify_caller_gone(open_call.call_id)
+
+    def _remove_call(self, call_id: str) -> _OpenCall | None:
+        call = self._open_calls.pop(call_id, None)
+        if call is not None:
+            self._timers.cancel(call.overdue_timer)
+            self._report_in_flight()
+        return call
+
+    def _notify_caller_gone(self, call_id: str) -> None:
+        for channel in self.call_channels:
+            self.fire(caller_gone(call_id), channel)
+
+    def _report_in_flight(self) -> None:
+        in_flight = len(self._open_calls)
+        IN_FLIGHT.set(in_flight)
+        if self._has_ended:
+            # Includes requests that were received but are not calls yet.
+            in_flight = max(in_flight, self._server.unfinished)
+        elif self._is_draining:
+            # The end of an answer is lost if the process ends before its
+            # socket has accepted it.
+            in_flight += len(self._server.pending_output())
+        self.fire(in_flight_changed(in_flight), '*')
+
+    def _on_output_full(self, call: WebCall) -> None:
+        self._tell_source(call, pause_answer)
+
+    def _on_output_room(self, call: WebCall) -> None:
+        self._tell_source(call, resume_answer)
+
+    def _tell_source(
+        self, call: WebCall, notice: type[pause_answer | resume_answer]
+    ) -> None:
+        for open_call in self._open_calls.values():
+            if open_call.web_call is call:
+                for channel in self.call_channels:
+                    self.fire(notice(open_call.call_id), channel)
+
+
+class CallListener(_OpenCalls):
+    """Keeps the submitted calls and returns their answers to the callers.
+
+    A listener derives from it, turns requests into calls in ``_serve`` and
+    passes each to :meth:`_submit`.
+
+    :param call_prefix: prefix of the ids of all calls of this process.
+    :cvar call_channels: channels of the components that serve calls.
+    """
+
     @handler('shutdown_phase_changed')
     def _on_shutdown_phase(self, phase: str) -> None:
         self._is_draining = phase in {
@@ -205,60 +282,10 @@
         self._on_reply_failed(call_id, Failure(ErrorKind.deadline_exceeded))
         self._notify_caller_gone(call_id)
 
-    def _next_call_id(self) -> str:
-        return f'{self._call_prefix}/{next(self._call_numbers)}'
-
     def _fail_stream(self, web_call: WebCall, failure: Failure) -> None:
         """End an answer that has begun, so that it is seen as incomplete."""
         self._abort_stream(web_call)
 
-    def _submit(
-        self,
-        web_call: WebCall,
-        call_id: str,
-        deadline_s: float,
-        submission: Event,
-        channel: str,
-    ) -> None:
-        """Submit a call by firing ``submission`` on ``channel``."""
-        timer = self._timers.call_after(
-            max(0, deadline_s - monotonic()) + _OVERDUE_DELAY_S,
-            _call_late(call_id),
-            self.channel,
-        )
-        self._open_calls[call_id] = _OpenCall(call_id, web_call, timer)
-        self._report_in_flight()
-        self.fire(submission, channel)
-
-    def _on_caller_gone(self, call: WebCall) -> None:
-        for open_call in tuple(self._open_calls.values()):
-            if open_call.web_call is call:
-                self._remove_call(open_call.call_id)
-                self._notify_caller_gone(open_call.call_id)
-
-    def _remove_call(self, call_id: str) -> _OpenCall | None:
-        call = self._open_calls.pop(call_id, None)
-        if call is not None:
-            self._timers.cancel(call.overdue_timer)
-            self._report_in_flight()
-        return call
-
-    def _notify_caller_gone(self, call_id: str) -> None:
-        for channel in self.call_channels:
-            self.fire(caller_gone(call_id), channel)
-
-    def _report_in_flight(self) -> None:
-        in_flight = len(self._open_calls)
-        IN_FLIGHT.set(in_flight)
-        if self._has_ended:
-            # Includes requests that were received but are not calls yet.
-            in_flight = max(in_flight, self._server.unfinished)
-        elif self._is_draining:
-            # The end of an answer is lost if the process ends before its
-            # socket has accepted it.
-            in_flight += len(self._server.pending_output())
-        self.fire(in_flight_changed(in_flight), '*')
-
 
 def _log_interrupted(
     calls: Iterable[_OpenCall], unsent_bytes: Mapping[socket, int]
--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -24,7 +24,7 @@
 from ..version.settings import TlsSettings
 from .exchange import Address
 
-__all__ = ('GuardedServer',)
+__all__ = ('GuardedServer', 'output_drained')
 
 _READ_BYTES: Final = 65_536
 
@@ -32,9 +32,17 @@
 #: check after the limit, so at most a quarter of the limit late.
 _STALL_CHECKS: Final = 4
 
-#: Maximum pending output of one connection to which more may be added. A
+#: Pending output of one connection above which no more should be added.
+_FULL_BYTES: Final = 4_194_304
+
+#: A connection is full at the latest when its pending output is larger than
+#: what is free for all connections, divided by this.
+_FREE_SHARES: Final = 8
+
+#: Maximum pending output of one connection to which more may be added: what a
+#: full one may hold, and what is on its way until its source is paused. A
 #: single complete answer may be longer.
-_MAX_PENDING_BYTES: Final = 4_194_304
+_MAX_PENDING_BYTES: Final = 6_291_456
 
 #: How long the input of a refused connection is discarded while its caller
 #: reads the answer, in seconds.
@@ -51,6 +59,10 @@
 )
 
 
+class output_drained(Event):
+    """Report that the full connection ``sock`` has room for output again."""
+
+
 class _stall_check(Event):
     """Check whether the caller on ``sock`` still acknowledges output."""
 
@@ -70,6 +82,8 @@
         last stall check.
     :param last_progress_s: monotonic time of the last stall check at which
         ``acknowledged_bytes`` had changed.
+    :param is_full: whether nothing should be added until some of the pending
+        output is sent.
     :param is_watched: whether stall checks are scheduled.
     :param is_lingering: whether input is discarded until the connection ends.
     """
@@ -78,6 +92,7 @@
     written_bytes: int = 0
     acknowledged_bytes: int = 0
     last_progress_s: float = 0
+    is_full: bool = False
     is_watched: bool = False
     is_handshaking: bool = False
     is_lingering: bool = False
@@ -94,8 +109,8 @@
         return self.written_bytes - unsent_bytes
 
 
-class GuardedServer(TCPServer):
-    """TCP server that limits pending output and closes stalled connections.
+class _OutputServer(TCPServer):
+    """Buffers output within limits and closes stalled connections.
 
     :param max_pending_total: pending output of all connections, in bytes,
         above which a connection with much pending output is closed.
@@ -110,7 +125,6 @@
         timers: Timers,
         max_pending_total: int,
         stall_s: float,
-        tls: TlsSettings | None = None,
     ) -> None:
         """Listen on ``address``."""
         super().__init__(
@@ -121,12 +135,6 @@
         self._stall_s = stall_s
         self._pending_total = 0
         self._connections: dict[socket, _Connection] = {}
-        self._tls = _tls_context(tls) if tls else None
-
-    @property
-    def connections(self) -> int:
-        """Number of open connections."""
-        return len(self._connections)
 
     def pending_output(self) -> dict[socket, int]:
         """Return how many bytes each socket has not accepted, if any."""
@@ -136,26 +144,17 @@
             if connection.pending_bytes
         }
 
-    def is_open(self, sock: socket) -> bool:
-        """Return whether ``sock`` is open and not refused."""
-        connection = self._connections.get(sock)
-        return connection is not None and not connection.is_lingering
-
-    @handler('_linger_expired')
-    def abort(self, sock: socket) -> None:
-        """Close ``sock`` now and drop its pending output."""
-        self._close(sock)
+    def is_full(self, sock: socket) -> bool:
+        """Return whether nothing should be added to the output of ``sock``.
 
-    def close_after(self, sock: socket, content: bytes) -> None:
-        """Send ``content``, discard further input and close ``sock``."""
+        When there is room again, ``output_drained`` is fired.
+        """
         connection = self._connections.get(sock)
-        if connection is None or connection.is_lingering:
-            return
-        self.write(sock, content)
-        connection.is_lingering = True
-        if sock in self._connections and not self._poller.isWriting(sock):
-            self._poller.addWriter(self, sock)
-        self._timers.call_after(_LINGER_S, _linger_expired(sock), self.channel)
+        if connection is None:
+            return False
+        limit_bytes = self._full_limit_bytes()
+        connection.is_full |= connection.pending_bytes > limit_bytes
+        return connection.is_full
 
     @handler('write')
     def write(self, sock: socket, data: bytes) -> None:
@@ -183,12 +182,6 @@
             self._watch_progress(sock, connection)
             self._poller.addWriter(self, sock)
 
-    @handler('close')
-    def close(self, sock: socket | None = None) -> None:
-        """Close ``sock`` once its output is sent, or the whole server."""
-        if sock is None or sock in self._connections:
-            super().close(sock)
-
     def _exceeds_output_limit(self, connection: _Connection) -> bool:
         if connection.pending_bytes > _MAX_PENDING_BYTES:
             return True
@@ -228,6 +221,96 @@
             return
         self._schedule_stall_check(sock)
 
+    def _full_limit_bytes(self) -> int:
+        """Return the pending output above which a connection is full.
+
+        It falls as the pending output of all connections grows, so that there
+        is always room for more of them.
+        """
+        free_bytes = self._max_pending_total - self._pending_total
+        share_bytes = max(_READ_BYTES, free_bytes // _FREE_SHARES)
+        return min(_FULL_BYTES, share_bytes)
+
+    def _flush_buffer(self, sock: socket, connection: _Connection) -> None:
+        buffer = self._buffers[sock]
+        data = b''.join(buffer) if len(buffer) > 1 else buffer.popleft()
+        buffer.clear()
+        try:
+            sent_bytes = sock.send(data)
+        except _NOT_READY:
+            sent_bytes = 0
+        except OSError:
+            self._close(sock)
+            return
+        if sent_bytes:
+            connection.pending_bytes -= sent_bytes
+            self._pending_total -= sent_bytes
+        if sent_bytes < len(data):
+            buffer.append(memoryview(data)[sent_bytes:])
+        if (
+            connection.is_full
+            and connection.pending_bytes <= self._full_limit_bytes() // 2
+        ):
+            connection.is_full = False
+            self.fire(output_drained(sock))
+
+    def _close(self, sock: socket | None) -> None:
+        connection = self._connections.pop(sock, None)
+        if connection is not None:
+            self._pending_total -= connection.pending_bytes
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+        super()._close(sock)
+
+
+class GuardedServer(_OutputServer):
+    """TCP server that limits pending output and closes stalled connections."""
+
+    def __init__(
+        self,
+        address: Address,
+        channel: str,
+        timers: Timers,
+        max_pending_total: int,
+        stall_s: float,
+        tls: TlsSettings | None = None,
+    ) -> None:
+        """Listen on ``address``."""
+        super().__init__(address, channel, timers, max_pending_total, stall_s)
+        self._tls = _tls_context(tls) if tls else None
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._connections)
+
+    def is_open(self, sock: socket) -> bool:
+        """Return whether ``sock`` is open and not refused."""
+        connection = self._connections.get(sock)
+        return connection is not None and not connection.is_lingering
+
+    @handler('_linger_expired')
+    def abort(self, sock: socket) -> None:
+        """Close ``sock`` now and drop its pending output."""
+        self._close(sock)
+
+    def close_after(self, sock: socket, content: bytes) -> None:
+        """Send ``content``, discard further input and close ``sock``."""
+        connection = self._connections.get(sock)
+        if connection is None or connection.is_lingering:
+            return
+        self.write(sock, content)
+        connection.is_lingering = True
+        if sock in self._connections and not self._poller.isWriting(sock):
+            self._poller.addWriter(self, sock)
+        self._timers.call_after(_LINGER_S, _linger_expired(sock), self.channel)
+
+    @handler('close')
+    def close(self, sock: socket | None = None) -> None:
+        """Close ``sock`` once its output is sent, or the whole server."""
+        if sock is None or sock in self._connections:
+            super().close(sock)
+
     @handler('_write', priority=1)
     def _on_write(self, sock: socket) -> None:
         connection = self._connections.get(sock)
@@ -249,23 +332,6 @@
         elif self._poller.isWriting(sock):
             self._poller.removeWriter(sock)
 
-    def _flush_buffer(self, sock: socket, connection: _Connection) -> None:
-        buffer = self._buffers[sock]
-        data = b''.join(buffer) if len(buffer) > 1 else buffer.popleft()
-        buffer.clear()
-        try:
-            sent_bytes = sock.send(data)
-        except _NOT_READY:
-            sent_bytes = 0
-        except OSError:
-            self._close(sock)
-            return
-        if sent_bytes:
-            connection.pending_bytes -= sent_bytes
-            self._pending_total -= sent_bytes
-        if sent_bytes < len(data):
-            buffer.append(memoryview(data)[sent_bytes:])
-
     def _read(self, sock: socket) -> None:
         connection = self._connections.get(sock)
         if connection is None:
@@ -325,14 +391,6 @@
             if not self._poller.isWriting(sock):
                 self._poller.addWriter(self, sock)
 
-    def _close(self, sock: socket | None) -> None:
-        connection = self._connections.pop(sock, None)
-        if connection is not None:
-            self._pending_total -= connection.pending_bytes
-        if sock in self._closeq:
-            self._closeq.remove(sock)
-        super()._close(sock)
-
 
 def _tls_context(tls: TlsSettings) -> ssl.SSLContext:
     context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -40,6 +40,7 @@
     :ivar has_begun: whether the head of the answer was passed to circuits.
     :ivar is_streamed: whether the answer is sent in parts.
     :ivar is_head_written: whether the head was written to the socket.
+    :ivar is_paused: whether its source was told to wait with more parts.
     :ivar is_complete: whether nothing more will be added to the answer.
     :ivar pending_parts: parts that were added before the head was written.
     """
@@ -51,6 +52,7 @@
     has_begun: bool = False
     is_streamed: bool = False
     is_head_written: bool = False
+    is_paused: bool = False
     is_complete: bool = False
     pending_parts: list[bytes] = field(default_factory=list)
 
@@ -155,6 +157,22 @@
         if call.response.chunked:
             data = b'%x\r\n%b\r\n' % (len(data), data)
         self._server.write(call.sock, data)
+        if not call.is_paused and self._server.is_full(call.sock):
+            call.is_paused = True
+            self._on_output_full(call)
+
+    @handler('output_drained')
+    def _on_output_drained(self, sock: socket) -> None:
+        call = self._calls.get(sock)
+        if call is not None and call.is_paused:
+            call.is_paused = False
+            self._on_output_room(call)
+
+    def _on_output_full(self, call: WebCall) -> None:
+        """Handle a caller that reads ``call`` more slowly than it is sent."""
+
+    def _on_output_room(self, call: WebCall) -> None:
+        """Handle the end of what :meth:`_on_output_full` reported."""
 
     def _end_stream(self, call: WebCall) -> None:
         """Complete a streamed answer."""
--- a/bergamotturn/process/relay_tasks/pending_relay.py
+++ b/bergamotturn/process/relay_tasks/pending_relay.py
@@ -39,6 +39,7 @@
         event, 0 before.
     :param last_data_s: monotonic time at which the last part of a streamed
         answer was passed on, 0 before.
+    :param pauses: how often its answer was paused for a slow caller.
     """
 
     flow: RelayFlow
@@ -48,6 +49,7 @@
     reservation_sets: dict[int, ReservationSet] = field(default_factory=dict)
     first_event_s: float = 0
     last_data_s: float = 0
+    pauses: int = 0
 
 
 @final
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -15,15 +15,16 @@
 from ..endpoints.health import Fault
 from ..endpoints.quarantined_part import QuarantinedPart
 from ..events import ShutdownPhase
+from .answer_pauses import AnswerPauses
 from .pending_relay import PendingRelay, ReservationCall
 from .reservations import ReservationSet, ReservationState
-from .runner import SECONDS_DIGITS, RelayRunner
+from .runner import SECONDS_DIGITS
 
 __all__ = ('RelayTask',)
 
 
 @final
-class RelayTask(RelayRunner):
+class RelayTask(AnswerPauses):
     """Passes events of callers and exchanges to the requests they concern."""
 
     @handler('submit_relay')
--- a/bergamotturn/request/calls.py
+++ b/bergamotturn/request/calls.py
@@ -18,12 +18,14 @@
     'ReplyPart',
     'ServiceCall',
     'caller_gone',
+    'pause_answer',
     'reply_data',
     'reply_data_batch',
     'reply_end',
     'reply_failed',
     'reply_head',
     'reply_full',
+    'resume_answer',
     'submit_relay',
     'submit_chat',
     'submit_service',
@@ -90,6 +92,17 @@
     """Report that the caller of ``call_id`` closed its connection."""
 
 
+class pause_answer(Event):
+    """Ask to wait with the answer to ``call_id``, as its caller is slow.
+
+    What is under way may still be sent.
+    """
+
+
+class resume_answer(Event):
+    """Ask to go on with the answer to ``call_id`` after a pause."""
+
+
 class reply_full(Event):
     """Send a full answer to ``call_id``: status, headers and body."""
 
--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -178,6 +178,12 @@
         if self._progress.attempt is None or not self._progress.is_sent:
             self.wake_s = self.call.deadline_s
             return []
+        gap_limit_s = _event_gap_limit_s(self.call.route)
+        silent_s = self.caller_pause.last_s(now_s) + gap_limit_s
+        if silent_s > now_s:
+            # The endpoint may have gone on; its answer was not read.
+            self.wake_s = min(self.call.deadline_s, silent_s)
+            return []
         return self._on_silence(now_s)
 
     def on_stop(self) -> Sequence[RelayAction]:
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -23,6 +23,7 @@
 )
 from .attempt_progress import AttemptProgress
 from .call import RelayCall
+from .caller_pause import CallerPause
 from .event_stream import StreamPosition
 
 __all__ = ('RelayState', 'RequestRouter', 'close_actions')
@@ -87,6 +88,7 @@
         self._search_began_s = call.arrived_s
         #: Whether an attempt reached an endpoint; later ones are retries.
         self._has_reached_endpoint = False
+        self.caller_pause = CallerPause()
         self._position = StreamPosition(call.resume_after)
         self._is_head_forwarded = False
 
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -145,6 +145,17 @@
     When nothing is received for 1 second
     Then it is sent to another engine and resumes after event 2
 
+  Scenario: An engine whose answer is not read because its caller is slow
+    Guards against a second engine that is asked, and a sound one that is left alone, because of a pause of our own.
+    Given a resumable stream that has received 2 events
+    When its caller takes no more of the answer
+    And nothing is received for 3 seconds
+    Then it stays at its engine for half a second
+    When its caller takes more of the answer again
+    Then it stays at its engine for half a second
+    When nothing is received for 1 second
+    Then it is sent to another engine and resumes after event 2
+
   Scenario Outline: An engine that pauses goes on answering when no other one takes its stream
     Guards against cutting off the answer of a sound engine that is silent for a second while all other engines are
     full: its caller got neither the rest of the answer nor a refusal.
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -8,8 +8,9 @@
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
 events), ``stall`` (a stream that pauses for ``delay_s`` after two events),
 ``paced`` (a stream as long as the Token-Count allows, with ``delay_s``
-between events), ``large`` (a plain answer of :data:`LARGE_BYTES`), ``second``
-(the answer to another request comes first) and these:
+between events), ``large`` (a plain answer of :data:`LARGE_BYTES`), ``huge``
+(one of :data:`HUGE_BYTES`, sent as fast as it is read), ``second`` (the answer
+to another request comes first) and these:
 
 - ``deadly``: a request with one of ``parts`` among its shared prompt parts
   crashes the endpoint after the head of its answer; it restarts with a new id
@@ -55,6 +56,7 @@
 
 __all__ = (
     'ENDLESS',
+    'HUGE_BYTES',
     'LARGE_BYTES',
     'UsersEndpoint',
     'UsersStore',
@@ -89,6 +91,9 @@
 #: Unsent bytes above which an endless answer waits for its reader.
 _UNSENT_BYTES: Final = 1_000_000
 _WRITE_PAUSE_S: Final = 0.01
+#: More than an instance buffers.
+HUGE_BYTES: Final = 16_000_000
+_PART_BYTES: Final = 64_000
 _SERVERS: Final = 'servers'
 _READ_ONLY_TABLES: Final = frozenset(('op', _SERVERS))
 
@@ -290,6 +295,7 @@
         self._interrupted_count = 0
         self.memory = EngineMemory()
         store.register(self.first_id, self)
+        self._unfinished_count = 0
         super().__init__(
             port,
             web.get('/_facts', self._show_facts),
@@ -304,6 +310,7 @@
                 'runs': self._runs,
                 'seen': self._requests,
                 'cut_off': self._interrupted_count,
+                'unfinished': self._unfinished_count,
                 'reserved': self.memory.reserved_tokens,
                 'arrivals': self._arrivals,
                 'crashes': self._crashes,
@@ -360,7 +367,7 @@
         deadly = set(parts).intersection(self.fault.parts)
         if fault == 'deadly' and deadly:
             return await self._crash_while_answering(request, min(deadly))
-        if fault in ENDLESS or fault.startswith('unframed'):
+        if fault in ENDLESS or fault.startswith('unframed') or fault == 'huge':
             return await self._send_raw(request, fault)
         if 'Token-Count' in request.headers:
             answer = await self._run_stream(request, fault, pauses_s)
@@ -514,11 +521,27 @@
     async def _send_raw(
         self, request: web.Request, fault: str
     ) -> web.StreamResponse:
-        """Send an answer that the server library can't build."""
+        """Send an answer without end, a huge one, or one without framing."""
         if fault in ENDLESS:
             return await self._send_endless(request, fault)
+        if fault == 'huge':
+            return await self._send_huge(request)
         return await self._send_unframed(request, fault)
 
+    async def _send_huge(self, request: web.Request) -> web.StreamResponse:
+        headers = self._answer_headers(request)
+        answer = web.StreamResponse(headers=headers)
+        answer.content_length = HUGE_BYTES
+        await answer.prepare(request)
+        self._unfinished_count += 1
+        try:
+            for _ in range(HUGE_BYTES // _PART_BYTES):
+                await answer.write(bytes(_PART_BYTES))
+        except ConnectionError:
+            self._interrupted_count += 1
+        self._unfinished_count -= 1
+        return answer
+
     async def _send_unframed(
         self, request: web.Request, fault: str
     ) -> web.StreamResponse:
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -413,6 +413,25 @@
     context.run.record(context.run.flow.on_timer(context.run.now_s))
 
 
+@when('its caller takes no more of the answer')
+def caller_pauses(context):
+    context.run.flow.caller_pause.begin()
+
+
+@when('its caller takes more of the answer again')
+def caller_goes_on(context):
+    context.run.flow.caller_pause.end(context.run.now_s)
+
+
+@then('it stays at its engine for half a second')
+def stays(context):
+    run = context.run
+    run.now_s += 0.5
+    run.record(run.flow.on_timer(run.now_s))
+    assert run.router.placed == ['e-0'], run.router.placed
+    assert run.flow.wake_s > run.now_s
+
+
 @when('nothing is received until {seconds:g} seconds before its time limit')
 def nothing_until_limit(context, seconds):
     run = context.run
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -264,6 +264,10 @@
         """Return whether the process of an instance is running."""
         return self._processes.is_running(name)
 
+    def process_id(self, name: str) -> int:
+        """Return the process id of an instance."""
+        return self._processes.process_id(name)
+
     def log(self, name: str) -> list[dict[str, Any]]:
         """Return the log lines of an instance."""
         text = (self.folder / f'{name}.log').read_text(errors='replace')
