Placement: a prompt is too long only for all known engines together

What callers saw: a very long prompt may get 413 `prompt_too_long`, which callers don't repeat, while engines are ejected, out of service, leaving or already tried, though the service's engines can hold it.

Cause: its size was compared with the engines that can be used at the moment.

Change: it is compared with all engines that the service has in the table.

--- a/bergamotturn/process/placement/longs.py
+++ b/bergamotturn/process/placement/longs.py
@@ -343,7 +343,10 @@
 def _refuse_for_memory(
     request: PlacementRequest, candidates: Sequence[PlacementCandidate]
 ) -> Refusal:
-    total_tokens = len(candidates) * request.engine.kv_tokens
+    # Engines that are down or ejected come back; callers don't repeat a prompt
+    # that is too long.
+    known_engines = max(request.known_engines, len(candidates))
+    total_tokens = known_engines * request.engine.kv_tokens
     if request.kv_tokens > total_tokens:
         return Refusal(
             kind=ErrorKind.prompt_too_long,
--- a/bergamotturn/process/placement/plan.py
+++ b/bergamotturn/process/placement/plan.py
@@ -38,6 +38,8 @@
         answer, or its first event.
     :param left_s: time left until the request's deadline.
     :param short_prefill_s: longest prefill time of a short prompt.
+    :param known_engines: engines that the service has, also those that can't be
+        used now; only used for long prompts.
     """
 
     service: ServedService
@@ -46,6 +48,7 @@
     objective_s: float
     left_s: float
     short_prefill_s: float = 0
+    known_engines: int = 0
 
     @property
     def engine(self) -> EngineProfile:
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -150,11 +150,20 @@
             objective_s=max(0, call.arrived_s + call.route.objective_s - now_s),
             left_s=call.deadline_s - now_s,
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
+            known_engines=self._known_engines(call),
         )
         outcome = self._policy.choose(now_s, request, candidates, self._random)
         outcome.inputs.update(excluded.as_fields())
         return outcome
 
+    def _known_engines(self, call: RelayCall) -> int:
+        """Count the engines of a long prompt's service, usable or not."""
+        if not self.is_long(call):
+            return 0
+        return sum(
+            entry.service == call.service for entry in self._table.entries()
+        )
+
     def _refuse(
         self, now_s: float, service: ServedService, excluded: Exclusions
     ) -> Refusal:
--- a/features/endpoint_beliefs.feature
+++ b/features/endpoint_beliefs.feature
@@ -23,6 +23,19 @@
     When one is leaving, one is out of service and one was tried
     Then 3 are left to choose from
 
+  Scenario Outline: A prompt is too long only for all known engines of its service together
+    Guards against a refusal that callers don't repeat, for a prompt that fits again as soon as engines are back. An
+    engine holds 315,000 tokens.
+    Given 6 known endpoints
+    When one is leaving, one is out of service and one was tried
+    Then a prompt of <tokens> tokens is refused as <kind>
+
+    Examples:
+      | tokens  | kind            |
+      | 1200000 | overloaded      |
+      | 1800000 | overloaded      |
+      | 2000000 | prompt_too_long |
+
   Scenario Outline: What an endpoint said holds while its entry is away
     Guards against requests to an endpoint that has said that it takes none, once its entry lapsed and came back.
     Given 6 known endpoints
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -11,6 +11,7 @@
     WorkRead,
     WorkShare,
 )
+from bergamotturn.errors import ErrorKind
 from bergamotturn.process.endpoints.cells import Cells
 from bergamotturn.process.endpoints.cold_limiter import ColdEndpointLimiter
 from bergamotturn.process.endpoints.health import Fault
@@ -18,8 +19,18 @@
 from bergamotturn.process.endpoints.rate_limits import LimitWord
 from bergamotturn.process.endpoints.retry_budget import RetryBudget
 from bergamotturn.process.endpoints.table import EndpointTable
+from bergamotturn.process.placement.plan import Refusal
+from bergamotturn.process.placement.policies import PackedPlacement
+from bergamotturn.process.relay_tasks.placement_router import PlacementRouter
 from bergamotturn.request.relay.call import EndpointNotice
-from features.support.relay_samples import ENGINE_SERVICE, entry
+from bergamotturn.version.serving import ServingIndex
+from features.support.relay_samples import (
+    ENGINE_SERVICE,
+    entry,
+    relay_call,
+    route,
+    serving,
+)
 
 _NOW_S = 50.0
 _COLD_WINDOW_S = 1.0
@@ -408,3 +419,25 @@
         return WorkRead(place=number, work=work)
     running.remove(work)
     return WorkEnded(place=number, work=work)
+
+
+@then('a prompt of {tokens:d} tokens is refused as {kind}')
+def prompt_refused(context, tokens, kind):
+    router = PlacementRouter(
+        context.endpoints,
+        RetryBudget(0.1, 10, 10),
+        PackedPlacement('a'),
+        Random(1),
+    )
+    router.use_index(ServingIndex(serving()))
+    call = relay_call(
+        route(),
+        prompt_tokens=tokens,
+        arrived_s=_NOW_S,
+        deadline_s=_NOW_S + 100,
+    )
+    refusal = router.place(_NOW_S, call, context.tried)
+    assert isinstance(refusal, Refusal), refusal
+    assert refusal.kind is ErrorKind(kind), refusal
+    may_come_back = refusal.kind is not ErrorKind.prompt_too_long
+    assert bool(refusal.retry_after_s) is may_come_back, refusal
