Refuse a configuration with a number out of range

Cause: whole numbers of a configuration were taken whatever their size.

Change: they have the same range as those of endpoints' entries. An odd one leaves the version in force, with a line that says why. Within the range a row far ahead is still taken.

--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..decoding import decode
+from ..decoding import ExactInteger, decode
 from ..errors import ErrorKind, Failure
 from ..version.serving import (
     CallerLimits,
@@ -61,8 +61,8 @@
     timeout_ms: _NotNegative = 0
     target_latency_ms: _NotNegative = 0
     gap_aim_ms: _NotNegative = 0
-    attempts: int = 1
-    priority: int = 0
+    attempts: ExactInteger = 1
+    priority: ExactInteger = 0
     public: bool = False
     resumable: bool = False
 
@@ -81,15 +81,15 @@
     :param stride: steps of a pass that includes decoding requests.
     """
 
-    slots: int
-    kv_tokens: int = msgspec.field(name='kvTokens')
+    slots: ExactInteger
+    kv_tokens: ExactInteger = msgspec.field(name='kvTokens')
     step_ms: float
     read_per_s: Annotated[float, _POSITIVE]
     per_seq_ms: float = 0
     context_per_k: float = 0
     pairs_per_m: float = 0
-    chunk: int = 2048
-    stride: int = 1
+    chunk: ExactInteger = 2048
+    stride: ExactInteger = 1
     report_lag_ms: float = 0
     hop_ms: float = msgspec.field(name='hopMs', default=0)
 
@@ -97,7 +97,7 @@
 @final
 class _ServiceJson(_JsonObject, frozen=True):
     name: str
-    max_connections: int = 0
+    max_connections: ExactInteger = 0
     cold_start_s: float = msgspec.field(name='coldStartS', default=0)
     cold_per_s: float = msgspec.field(name='coldPerS', default=0)
     engine: _EngineJson | None = None
@@ -115,14 +115,14 @@
 class _TenantJson(_JsonObject, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: int | None = None
+    priority: ExactInteger | None = None
 
 
 @final
 class _ConfigurationJson(_JsonObject, frozen=True):
     """A configuration in full; one without routes would serve nothing."""
 
-    version: int
+    version: ExactInteger
     routes: tuple[_RouteJson, ...]
     services: tuple[_ServiceJson, ...]
     limits: _LimitsJson | None = None
