--- a/bergamotturn/process/relay_tasks/reservations.py
+++ b/bergamotturn/process/relay_tasks/reservations.py
@@ -115,7 +115,7 @@
         return reservation is self.reservations[0]
 
     def is_engine_gone(self, now_s: float) -> bool:
-        """Return whether an engine that was silent at first sends nothing."""
+        """Return whether the engine has shown no sign of life for too long."""
         return now_s - self.last_sign_s >= _MAX_SILENCE_S
 
     def start_renewal(self, now_s: float) -> bool:
