Tables: log when a copy is known to be behind the store

A store that has lost the history after version V has a version above V. Until a read brings one, the copy is behind, whatever the store answers. The log could not tell such a read from one that found nothing new.

--- a/bergamotturn/explain.py
+++ b/bergamotturn/explain.py
@@ -33,6 +33,8 @@
         'shutdown_phase',
         'store_lost',
         'store_regained',
+        'table_behind',
+        'table_current',
     )
 )
 _HIDDEN_FIELDS: Final = frozenset(
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -39,6 +39,7 @@
     'STORE_OPERATIONS',
     'STREAM_EVENTS',
     'TABLE_AGE_S',
+    'TABLE_BEHIND_S',
     'prompt_bucket',
 )
 
@@ -118,6 +119,11 @@
     'Time since the store last answered for a table, -1 before it ever did',
     ('table',),
 )
+TABLE_BEHIND_S: Final = Gauge(
+    'bergamotturn_table_behind_seconds',
+    'Time for which the copy of a table is known to be behind the store',
+    ('table',),
+)
 SENT_AFTER_S: Final = Histogram(
     'bergamotturn_sent_after_seconds',
     'Time from a request to its first sending',
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -34,7 +34,7 @@
     table_read,
     table_versions_changed,
 )
-from ..metrics import TABLE_AGE_S
+from ..metrics import TABLE_AGE_S, TABLE_BEHIND_S
 from ..timers import Timers
 from .follower_choice import FollowerChoice
 from .table_copy import TableChange
@@ -87,10 +87,14 @@
         }
         for prefix, watch in self._watches.items():
             TABLE_AGE_S.labels(prefix).set_function(partial(_age_s, watch))
+            TABLE_BEHIND_S.labels(prefix).set_function(
+                partial(_behind_s, watch)
+            )
         self._due_s = inf
         self._due_timer = 0
         self._published_versions: tuple[TableVersion, ...] = ()
         self._logged_as_answering: dict[str, bool] = {}
+        self._logged_as_behind: set[str] = set()
 
     @handler('registered', channel='*')
     def _on_registered(self, component: Component, *_: object) -> None:
@@ -117,10 +121,12 @@
         for watch in self._watches.values():
             if watch.waits_for(outcome):
                 pending_s = watch.pending_s(now_s)
+                behind_s = watch.behind_s(now_s)
                 self._carry_out(
                     watch, watch.on_outcome(now_s, outcome), 'store'
                 )
                 self._log_store_state(watch, outcome, pending_s)
+                self._log_age(watch, behind_s)
                 self._report_unreachable(watch)
         self._set_timer()
 
@@ -277,6 +283,29 @@
             pending_s=pending_s,
         )
 
+    def _log_age(self, watch: TableWatch, behind_s: float) -> None:
+        """Log when a copy is known to be behind, and when no longer.
+
+        :param behind_s: for how long it was known before the last outcome.
+        """
+        prefix = watch.settings.prefix
+        is_behind = watch.behind_since_s is not None
+        if is_behind == (prefix in self._logged_as_behind):
+            return
+        self._logged_as_behind.symmetric_difference_update((prefix,))
+        log_message(
+            'table_behind' if is_behind else 'table_current',
+            table=prefix,
+            version=watch.copy.version,
+            proven_version=watch.proven_version,
+            read_version=watch.read_version,
+            behind_s=behind_s,
+        )
+
+
+def _behind_s(watch: TableWatch) -> float:
+    return watch.behind_s(monotonic())
+
 
 def _age_s(watch: TableWatch) -> float:
     silent_s = watch.silent_s(monotonic())
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -122,6 +122,13 @@
         self.last_answer_s = float('-inf')
         #: Whether the last call to the store succeeded.
         self.is_store_answering = False
+        #: Lowest version that the table can have: the store had changes after
+        #: the version that it lost the history for.
+        self.proven_version = 0
+        #: Monotonic time since which the copy is known to be behind the store.
+        self.behind_since_s: float | None = None
+        #: Version that the last read of all rows brought.
+        self.read_version = 0
         self._is_following = True
         self._random = random
         self._pending_operation: RowFollow | RowScan | None = None
@@ -166,6 +173,12 @@
             return None
         return round(now_s - self.last_answer_s, _SECONDS_DIGITS)
 
+    def behind_s(self, now_s: float) -> float:
+        """Return for how long the copy is known to be behind, or 0."""
+        if self.behind_since_s is None:
+            return 0
+        return round(now_s - self.behind_since_s, _SECONDS_DIGITS)
+
     def pending_s(self, now_s: float) -> float:
         """Return the time since the last call to the store was started."""
         return round(now_s - self._started_s, _SECONDS_DIGITS)
@@ -225,6 +238,7 @@
             return self._on_found(now_s, pending, outcome)
         self.is_store_answering = False
         if outcome.status is StoreStatus.history_lost:
+            self._note_proof(now_s)
             self._is_scan_needed = True
             return self.advance(now_s)
         jitter = 1 + _JITTER * self._random.random()
@@ -261,10 +275,19 @@
         self.is_complete = True
         change = self.copy.replace(self._scan_version, self._scanned_rows)
         self._scanned_rows = []
+        self.read_version = self._scan_version
+        if self.copy.version >= self.proven_version:
+            self.behind_since_s = None
         # By then an instance of a large fleet knows whether it is a follower.
         self._delay_next_call(now_s)
         return [change, *self.advance(now_s)]
 
+    def _note_proof(self, now_s: float) -> None:
+        """Note that the store has a version above that of the copy."""
+        self.proven_version = max(self.proven_version, self.copy.version + 1)
+        if self.behind_since_s is None:
+            self.behind_since_s = now_s
+
     def _delay_next_call(self, now_s: float) -> None:
         """Delay the next call by the batch wait, longer within a burst."""
         settings = self.settings
