Scenarios: the store has lost its history and its reads are behind

Callers got 404 and 401 on routes and keys that were confirmed seconds before, and requests reached endpoints that leave.

--- /dev/null
+++ b/features/standins/store_lag.py
@@ -0,0 +1,62 @@
+"""A time in which the stand-in store loses its history and reads are behind."""
+
+from dataclasses import dataclass, field
+from typing import Any, Final, final
+
+__all__ = ('RowContent', 'Rows', 'StoreLag')
+
+RowContent = dict[str, Any]
+#: Rows by table and key.
+Rows = dict[tuple[str, str], RowContent]
+
+_NEVER: Final = float('-inf')
+
+
+@final
+@dataclass(slots=True)
+class StoreLag:
+    """What readers see of a store from the begin of its silence.
+
+    :param began_s: monotonic time at which the store stopped to tell changes.
+    :param rows: rows at that time.
+    :param version: version of the store at that time.
+    :param silent_s: time without changes, at whose end the history is lost.
+    :param behind_s: time after that in which reads are behind.
+    :param slides: whether reads are as of ``behind_s`` ago; otherwise they are
+        as of the begin of the silence.
+    :param names_newest: whether a call for changes that ends in the silence
+        names the newest version, although it told no change.
+    :param refuses_checks: whether transactions that only check are refused.
+    """
+
+    began_s: float
+    rows: Rows
+    version: int
+    silent_s: float = 1.2
+    behind_s: float = 6
+    slides: bool = False
+    names_newest: bool = False
+    refuses_checks: bool = False
+    _changes: list[tuple[float, RowContent]] = field(default_factory=list)
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether changes are not told."""
+        return now_s < self.began_s + self.silent_s
+
+    def is_behind(self, now_s: float) -> bool:
+        """Return whether reads are behind."""
+        return now_s < self.began_s + self.silent_s + self.behind_s
+
+    def note_change(self, now_s: float, row: RowContent) -> None:
+        """Note a row that was written or removed."""
+        self._changes.append((now_s, row))
+
+    def seen(self, now_s: float) -> tuple[Rows, int]:
+        """Return the rows and the version that a read shows."""
+        shown_until_s = now_s - self.behind_s if self.slides else _NEVER
+        rows, version = dict(self.rows), self.version
+        for changed_s, row in self._changes:
+            if changed_s <= shown_until_s:
+                rows[(row['table'], row['key'])] = row
+                version = row['ver']
+        return rows, version
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -2,8 +2,10 @@
 
 Run as ``python -m features.standins.users_platform STORE ENDPOINT...``, with
 one port for the store and one for each endpoint. ``/_rows`` of the store sets
-rows; its faults are ``busy`` and ``silent``. An endpoint answers a request
-that has a Token-Count header with a stream of numbered events, and any other
+rows, ``/_lag`` makes it lose its history while reads are behind, with fields
+of :class:`~.store_lag.StoreLag`; its faults are ``busy`` and ``silent``. An
+endpoint answers a request that
+has a Token-Count header with a stream of numbered events, and any other
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
 events), ``stall`` (a stream that pauses for ``delay_s`` after two events),
@@ -52,6 +54,7 @@
     draw_pauses_s,
 )
 from .serving import FaultyService, Listener, json_answer, read_body, run
+from .store_lag import RowContent, StoreLag
 
 __all__ = (
     'ENDLESS',
@@ -108,6 +111,7 @@
         self._compacted_version = 0
         self._changed = asyncio.Event()
         self._calls: Counter[str] = Counter()
+        self._lag: StoreLag | None = None
         #: Endpoints by the address in their entry, also after it lapsed.
         self._endpoint_ids: dict[str, str] = {}
         self._endpoints: dict[str, 'UsersEndpoint'] = {}
@@ -115,6 +119,7 @@
             port,
             web.post('/_rows', self._put_rows),
             web.post('/_compact', self._compact),
+            web.post('/_lag', self._begin_lag),
             web.get('/_facts', self._show_facts),
             web.get('/api/rows-get', self._get_rows),
             web.get('/api/rows-feed', self._follow_rows),
@@ -169,20 +174,41 @@
         }
         return json_answer({})
 
+    async def _begin_lag(self, request: web.Request) -> web.Response:
+        """Stop to tell changes, then lose the history and read behind."""
+        fields = await read_body(request)
+        self._lag = StoreLag(
+            monotonic(), dict(self._rows), self._version, **fields
+        )
+        asyncio.get_running_loop().call_later(
+            self._lag.silent_s, self._lose_history
+        )
+        return json_answer({})
+
+    def _lose_history(self) -> None:
+        self._compacted_version = self._version
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     async def _get_rows(self, request: web.Request) -> web.Response:
         refusal = await self._refuse_on_fault('get')
         if refusal is not None:
             return refusal
         query = request.query
+        stored, version = self._rows, self._version
+        if self._lag is not None and self._lag.is_behind(monotonic()):
+            stored, version = self._lag.seen(monotonic())
         limit = int(query.get('limit', '500'))
         rows = [
             row
-            for (table, key), row in sorted(self._rows.items())
+            for (table, key), row in sorted(stored.items())
             if table == query['table']
             and key >= query.get('from', '')
             and not row.get('deleted')
         ]
-        return self._rows_answer(rows[:limit], has_more=len(rows) > limit)
+        return self._rows_answer(
+            rows[:limit], has_more=len(rows) > limit, version=version
+        )
 
     async def _follow_rows(self, request: web.Request) -> web.Response:
         refusal = await self._refuse_on_fault('feed')
@@ -194,17 +220,27 @@
         while True:
             if since < self._compacted_version:
                 return json_answer({'error': 'compacted'}, 410)
-            rows = [
-                row
-                for (table, _), row in self._rows.items()
-                if table == query['table'] and row['ver'] > since
-            ]
+            rows, version = self._changed_rows(query['table'], since)
             remaining_s = until_s - monotonic()
             if rows or remaining_s <= 0:
-                rows.sort(key=lambda row: row['ver'])
-                return self._rows_answer(rows, has_more=False)
+                return self._rows_answer(rows, has_more=False, version=version)
             await self._wait_for_change(remaining_s)
 
+    def _changed_rows(
+        self, table: str, since: int
+    ) -> tuple[list[RowContent], int]:
+        """Return the changes after a version, and the version looked at."""
+        lag = self._lag
+        if lag is not None and lag.is_silent(monotonic()):
+            return [], self._version if lag.names_newest else lag.version
+        rows = [
+            row
+            for (row_table, _), row in self._rows.items()
+            if row_table == table and row['ver'] > since
+        ]
+        rows.sort(key=lambda row: row['ver'])
+        return rows, self._version
+
     async def _wait_for_change(self, remaining_s: float) -> None:
         changed = self._changed
         try:
@@ -218,6 +254,9 @@
             return refusal
         transaction = await read_body(request)
         conditions = transaction.get('expectedRevision', [])
+        if self._lag is not None and self._lag.refuses_checks:
+            if not transaction['puts']:
+                return json_answer({'error': 'forbidden'}, 403)
         if any(
             put['table'] in _READ_ONLY_TABLES for put in transaction['puts']
         ):
@@ -259,16 +298,23 @@
         if is_deleted:
             row.update({'deleted': True, 'value': ''})
         self._rows[(table, key)] = row
+        if self._lag is not None:
+            self._lag.note_change(monotonic(), row)
         self._changed.set()
         self._changed = asyncio.Event()
 
     def _rows_answer(
-        self, rows: list[Any], *, has_more: bool, status: int = 200
+        self,
+        rows: list[Any],
+        *,
+        has_more: bool,
+        status: int = 200,
+        version: int | None = None,
     ) -> web.Response:
         content = {
             'rows': rows,
             'hasMore': has_more,
-            'ver': self._version,
+            'ver': self._version if version is None else version,
             'nowMs': _now_ms(),
         }
         return json_answer(content, status)
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -138,6 +138,10 @@
         """Make the store drop its change history."""
         call(self.store, 'POST', '/_compact', {})
 
+    def lag(self, **fields: Any) -> None:
+        """Let the store lose its history while its reads are behind."""
+        call(self.store, 'POST', '/_lag', fields)
+
     def put(self, table: str, key: str, content: Any) -> None:
         """Write a row as the operator or an endpoint does; None removes it."""
         row = {'table': table, 'key': key}
