Scenarios: bounded calls while history is lost or reads are behind

How often a copy calls the store was only bounded for a store that refuses all calls. The bounds are those that the settings give today, on the table of the configuration with changes in force after 2 s. Also: rows that a check did not list, checks of more rows than one call may have, and removed rows that old reads and peers show again.

The two red kinds of random histories are tagged; the 500 of followers count.

--- a/features/tables.feature
+++ b/features/tables.feature
@@ -9,6 +9,10 @@
     Examples:
       | count | whom                           |
       | 500   | followers                      |
+
+    @known_red
+    Examples: Kinds of history that leave a copy behind
+      | count | whom                           |
       | 200   | a non-follower and a follower  |
       | 200   | followers with unordered pages |
 
@@ -29,6 +33,63 @@
     When the store has lost its history and a row was removed
     Then all rows are read and the copy drops the removed row
 
+  Scenario Outline: A history that is lost with each call leads to a bounded rate of calls
+    Guards against a loop of calls to a store that keeps no history: two losses in each batch wait of 0.2 s at most, two
+    checks for each of them, and a read of all rows for each change and each 0.8 s.
+    Given a copy whose store answers
+    When the history is lost with each call for 60 seconds, and a row changes <times> times
+    Then it is called at a rate that its settings bound, and the copy has each row
+
+    Examples:
+      | times |
+      | 0     |
+      | 60    |
+
+  Scenario Outline: Reads that stay behind lead to a bounded rate of calls
+    Guards against a loop of calls while reads are behind, and against a copy that stays behind once they are current. The
+    settings wait 0.2 s (a follower without a check) or 0.8 s between reads, at least 0.1 s after a failed check, and 1 s
+    for its answer.
+    Given a copy of <whom> whose store answers checks <manner>
+    When its history is lost and its reads are behind for 60 seconds
+    Then it is called at most <waits> times a second for changes, <checks> for checks and <reads> for reads
+    And the copy is current <within> seconds after its reads
+
+    Examples:
+      | whom           | manner        | waits | checks | reads | within |
+      | a follower     | with the rows | 2     | 1      | 1.3   | 0.9    |
+      | a follower     | with 403      | 10    | 10     | 5     | 0.3    |
+      | a follower     | with 429      | 10    | 10     | 5     | 0.3    |
+      | a follower     | never         | 1     | 1      | 1     | 1.3    |
+      | a non-follower | with the rows | 2     | 1      | 1.3   | 0.9    |
+      | a non-follower | with 403      | 10    | 10     | 1.3   | 0.9    |
+      | a non-follower | with 429      | 10    | 10     | 1.3   | 0.9    |
+      | a non-follower | never         | 1     | 1      | 1     | 1.9    |
+
+  Scenario: A check whose answer lists some of the rows is followed by a check of the others
+    Guards against rows that are removed unnoticed, since the store lists only those that exist.
+    Given a copy of 3 rows
+    When the history is lost and rows are checked
+    Then a second check has the rows that the first one did not list
+
+  Scenario: A large table is checked in several calls
+    Guards against a check that the store refuses because it has more than 100 rows.
+    Given a copy of 250 rows
+    When the history is lost and rows are checked
+    Then each row is checked, in calls of at most 100
+
+  Scenario Outline: A removed row that is shown again does not come back
+    Guards against requests to an endpoint that left, because an answer or a peer's copy is older than its removal.
+    Given a copy that has learned of a removed row by <source>
+    When <other> shows the row again
+    Then the copy has the row no more
+
+    Examples:
+      | source   | other                      |
+      | a change | an old read                |
+      | a change | a peer whose copy is behind |
+      | a check  | an old read                |
+      | a check  | a peer whose copy is behind |
+
   Scenario: A row that is removed and written again in one answer is no removed row
     Guards against endpoints that are all dropped because their entries expired and came back while an instance had no
     answer of the store.
