Scenarios: the wire form of a check of rows, and refusals by an old configuration

The call of a check and the outcomes of its answers, and the relay listener: 503 for unknown paths and keys while the configuration is known to be out of date, 404 and 401 otherwise.

--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -127,6 +127,29 @@
     Guards against a row of another part that replaces the configuration until the next scan.
     Then rows of another part of a table are ignored
 
+  Scenario: A check of rows is a transaction that writes nothing
+    Guards against a check that writes, or that the store answers without the rows that exist.
+    Then a check of the rows servers/a and servers/b is a POST to /api/rows-tx
+    And it expects that neither row exists, and has nothing to write or remove
+
+  Scenario Outline: The answer to a check of rows is read
+    Guards against a row that is taken as removed although the answer doesn't tell so, and against a version that no
+    answer named.
+    Then a check of the rows a and b, answered <status> with <content>, says: <outcome>
+
+    Examples:
+      | status | content                   | outcome                 |
+      | 200    | no rows                   | found a- b- at 9        |
+      | 412    | row a                     | found a4 at 9           |
+      | 412    | row a and row b of ver 0  | found a4 b- at 9        |
+      | 412    | row a of another part     | found at 9              |
+      | 403    | no rows                   | unknown at 0            |
+      | 429    | no rows                   | refused at 0            |
+      | 503    | no rows                   | refused at 0            |
+      | 200    | a body that is cut        | unknown at 0            |
+      | 412    | a body that is cut        | unknown at 0            |
+      | 412    | a value that is no base64 | unknown at 0            |
+
   Scenario Outline: The parts of a prompt that others may share are read
     Guards against the own part of a request among its shared parts, and against an unbounded list.
     Then the prompt prefix <prefix> has the shared parts <parts>
@@ -152,6 +175,13 @@
       | none    | public  | taken        |
       | unknown | public  | taken        |
 
+  Scenario: Refusals while the configuration is known to be out of date
+    Guards against 404 and 401, after which callers don't retry, for routes and keys that are in force already.
+    Given a listener with a configuration that is known to be out of date
+    Then an unknown path, an unknown key and no key get 503, and a sound request is served
+    When the configuration is known to be current again
+    Then an unknown path gets 404, an unknown key and no key get 401, and a sound request is served
+
   Scenario Outline: The status and headers of an answer are classified
     Guards against treating a request that ran as not run, against accepting a success without the endpoint's stamp, and
     against a late copy of an earlier answer, without the echo of the request's id, that reaches the next caller.
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -1,9 +1,12 @@
 """Steps for the wire formats of the users' platform."""
 
 import json
+from base64 import b64encode
 from http import HTTPStatus
 from random import Random
 from threading import RLock
+from time import monotonic
+from types import SimpleNamespace
 
 import msgspec
 from behave import given, then, when
@@ -18,8 +21,10 @@
     OrderState,
     decode_envelope,
 )
+from bergamotturn.connection.relay_listener import RelayListener
 from bergamotturn.connection.store_events import (
     Row,
+    RowCheck,
     RowFollow,
     RowScan,
     StoreStatus,
@@ -32,12 +37,17 @@
 from bergamotturn.platform.table_format import PlatformTable
 from bergamotturn.platform.table_row_reader import TableRowReader
 from bergamotturn.process.endpoints.entry import EndpointEntry
-from bergamotturn.process.events import table_changed
+from bergamotturn.process.events import (
+    configuration_doubted,
+    serving_changed,
+    table_changed,
+)
 from bergamotturn.process.mirror.table_copy import TableChange, TableCopy
 from bergamotturn.process.placement.plan import Plan, PrefillHelper
 from bergamotturn.process.quarantine_row import decode_parts
 from bergamotturn.process.relay_tasks.endpoint_registry import endpoints_target
 from bergamotturn.process.service_orders import ServiceOrders
+from bergamotturn.process.timers import Timers
 from bergamotturn.request.relay.actions import Attempt
 from bergamotturn.request.relay.call import HeadKind
 from bergamotturn.request.relay.call_builder import build_relay_call
@@ -545,13 +555,15 @@
 
 
 def _index(kind):
+    return ServingIndex(_serving(kind))
+
+
+def _serving(kind):
     workspace = ServingWorkspace(name='w', key_digests=(key_digest('good'),))
-    return ServingIndex(
-        ServingConfiguration(
-            version_number=1,
-            routes=(route(is_public=kind == 'public'),),
-            workspaces=(workspace,),
-        )
+    return ServingConfiguration(
+        version_number=1,
+        routes=(route(is_public=kind == 'public'),),
+        workspaces=(workspace,),
     )
 
 
@@ -594,3 +606,155 @@
     limit_per_s = head.notice.rate_limit_per_s
     shown = 'none' if limit_per_s is None else f'{limit_per_s:.5g}'
     assert shown == expected['limit'], head.notice
+
+
+def _check(*keys):
+    return RowCheck(
+        operation_id=1, owner='test', timeout_s=1, row_keys=tuple(keys)
+    )
+
+
+@then(
+    'a check of the rows {first} and {second} is a {method} to {path:S}',
+)
+def check_call(context, first, second, method, path):
+    table = PlatformTable(Address('10.0.0.9', 80))
+    exchange = table.exchange(_check(first, second), 'test')
+    assert (exchange.method, exchange.path) == (method, path), exchange
+    assert Header('content-type', 'application/json') in exchange.headers
+    context.body = json.loads(exchange.body)
+
+
+@then('it expects that neither row exists, and has nothing to write or remove')
+def check_body(context):
+    condition = {'table': 'servers', 'part': '', 'ver': 0}
+    assert context.body.pop('expectedRevision') == [
+        {**condition, 'key': 'a'},
+        {**condition, 'key': 'b'},
+    ]
+    assert not any(context.body.values()), context.body
+
+
+_VALUE = b64encode(b'x').decode()
+_ROW_A = {'table': 't', 'part': '', 'key': 'a', 'value': _VALUE, 'ver': 4}
+_CHECK_ANSWERS = {
+    'no rows': (),
+    'row a': (_ROW_A,),
+    'row a and row b of ver 0': (_ROW_A, {'key': 'b', 'ver': 0}),
+    'row a of another part': ({**_ROW_A, 'part': 'other'},),
+    'a body that is cut': (_ROW_A,),
+    'a value that is no base64': ({**_ROW_A, 'value': '%'},),
+}
+
+
+@then(
+    'a check of the rows a and b, answered {status:d} with {content}, says: '
+    '{outcome}'
+)
+def check_outcome(context, status, content, outcome):
+    body = json.dumps({'ver': 9, 'rows': _CHECK_ANSWERS[content]}).encode()
+    if content == 'a body that is cut':
+        body = body[:-2]
+    table = PlatformTable(Address('10.0.0.9', 80))
+    read = table.outcome(_check('t/a', 't/b'), status, body)
+    rows = [_shown(row) for row in read.rows]
+    words = (read.status.value, *rows, 'at', str(read.table_version))
+    assert ' '.join(words) == outcome, read
+
+
+def _shown(row):
+    key = row.row_key.removeprefix('t/')
+    if row.is_removed:
+        assert (row.row_version, row.value) == (9, b''), row
+        return f'{key}-'
+    assert row.value == b'x', row
+    return f'{key}{row.row_version}'
+
+
+class _RecordingListener(RelayListener):
+    """Records answers instead of sending them."""
+
+    def __init__(self, timers):
+        super().__init__(
+            Address('127.0.0.1', 0), timers, 'p', PlatformCallerFormat()
+        )
+        self.statuses = []
+        self.submitted = []
+
+    def serve(self, headers, path):
+        request = CompleteRequest(
+            method='POST',
+            path=path,
+            query='',
+            headers=(('request-id', 'x'), *headers),
+            body=b'',
+            minor_version=1,
+            closes=False,
+        )
+        self._serve(
+            SimpleNamespace(
+                request=request,
+                began_s=monotonic(),
+                has_begun=False,
+                response=SimpleNamespace(close=False),
+            )
+        )
+
+    @handler('submit_relay', channel='relay')
+    def _on_submit(self, call):
+        self.submitted.append(call.workspace)
+
+    def _answer(self, call, status, content, headers=()):
+        self.statuses.append(status)
+
+
+@given('a listener with a configuration that is known to be out of date')
+def doubting_listener(context):
+    context.root = Component(channel='root')
+    timers = Timers().register(context.root)
+    context.listener = _RecordingListener(timers).register(context.root)
+    context.lock = RLock()
+    context.root.fire(serving_changed(_serving('private')), '*')
+    _doubt(context, is_doubted=True)
+
+
+@when('the configuration is known to be current again')
+def doubt_ends(context):
+    _doubt(context, is_doubted=False)
+
+
+@then(
+    'an unknown path, an unknown key and no key get 503, and a sound request '
+    'is served'
+)
+def refused_for_now(context):
+    _expect_statuses(context, [503, 503, 503])
+
+
+@then(
+    'an unknown path gets 404, an unknown key and no key get 401, and a sound '
+    'request is served'
+)
+def refused_for_good(context):
+    _expect_statuses(context, [404, 401, 401])
+
+
+def _doubt(context, *, is_doubted):
+    context.root.fire(configuration_doubted(is_doubted), '*')
+    turn(context.root, context.lock, 0.05)
+
+
+def _expect_statuses(context, statuses):
+    listener = context.listener
+    listener.statuses.clear()
+    listener.submitted.clear()
+    host = ('host', 'h.example')
+    good = ('x-api-key', 'good')
+    listener.serve((host, good), '/q/x')
+    listener.serve((host, ('x-api-key', 'unknown')), '/p/x')
+    listener.serve((host,), '/p/x')
+    assert listener.statuses == statuses, listener.statuses
+    listener.serve((host, good), '/p/x')
+    turn(context.root, context.lock, 0.05)
+    assert listener.statuses == statuses, listener.statuses
+    assert listener.submitted == ['w'], listener.submitted
