Scenarios: a follower whose history is lost still reaches the store

A store that has lost its history answers, so no neighbour may be told that it is unreachable; the gauge and the log lines table_behind and table_current tell that the copy is behind.

--- a/features/followers.feature
+++ b/features/followers.feature
@@ -109,6 +109,17 @@
     When the store refuses its next call
     Then all its neighbours are told that the store is unreachable
 
+  Scenario: A follower whose history is lost still reaches the store
+    Guards against neighbours that choose another follower because the store, which answers, has lost its history, and
+    against a copy that is behind without a sign of it.
+    Given the running component of a follower in a data centre of 20 instances
+    When the history is lost and reads stay as they were
+    Then the gauge counts its time behind, and the log names version 2
+    And no neighbour is told that the store is unreachable
+    When the history is lost again and later reads are current
+    Then the gauge is 0, and the log tells once that the copy is current
+    And no neighbour is told that the store is unreachable
+
   Scenario: An instance of another follower's audience makes no call
     Guards against a second waiting call from each instance of a large fleet.
     Given the running component of an instance that is no follower
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -3,9 +3,11 @@
 from collections import Counter, defaultdict
 from random import Random
 from threading import RLock
+from unittest.mock import patch
 
 from behave import given, then, when
 from circuits import Component, handler
+from prometheus_client import REGISTRY
 
 from bergamotturn.connection.exchange import (
     Address,
@@ -286,6 +288,7 @@
         self.cancelled = []
         self.sent = []
         self.changes = []
+        self.read_version = 1
 
     def cancel_store_operation(self, operation_id):
         self.cancelled.append(operation_id)
@@ -295,7 +298,7 @@
             self.follows.append(operation)
             return
         assert isinstance(operation, RowScan)
-        self.answer(operation, StoreStatus.found, 1)
+        self.answer(operation, StoreStatus.found, self.read_version)
 
     def answer(self, operation, status, version, rows=()):
         outcome = StoreOutcome(
@@ -389,6 +392,73 @@
     assert isinstance(message, StoreUnreachable)
 
 
+@when('the history is lost and reads stay as they were')
+def history_lost(context):
+    context.log = []
+    patcher = patch(
+        'bergamotturn.process.mirror.watch_log.log_message',
+        lambda message_type, **fields: context.log.append(
+            (message_type, fields)
+        ),
+    )
+    patcher.start()
+    context.add_cleanup(patcher.stop)
+    context.store.sent.clear()
+    store_now = context.store
+    store_now.answer(store_now.follows[-1], StoreStatus.history_lost, 0)
+    turn(store_now, context.lock, 0.3)
+
+
+@when('the history is lost again and later reads are current')
+def reads_current(context):
+    store_now = context.store
+    store_now.answer(store_now.follows[-1], StoreStatus.history_lost, 0)
+    turn(store_now, context.lock, 0.2)
+    store_now.read_version = 2
+    # The wait ends without changes, and it is time to read again.
+    store_now.answer(store_now.follows[-1], StoreStatus.found, 2)
+    turn(store_now, context.lock, 0.3)
+
+
+@then('no neighbour is told that the store is unreachable')
+def neighbours_not_told(context):
+    messages = [message for _, message in context.store.sent]
+    assert not any(
+        isinstance(message, StoreUnreachable) for message in messages
+    ), messages
+
+
+@then('the gauge counts its time behind, and the log names version {version:d}')
+def behind_told(context, version):
+    assert _behind_gauge() >= 0.2, _behind_gauge()
+    ((name, fields),) = _behind_lines(context)
+    assert name == 'table_behind'
+    assert fields['table'] == 't/'
+    assert fields['required_version'] == version, fields
+    assert fields['version'] == 1, fields
+
+
+@then('the gauge is 0, and the log tells once that the copy is current')
+def current_told(context):
+    assert _behind_gauge() == 0
+    _, (name, fields) = _behind_lines(context)
+    assert name == 'table_current'
+    assert fields['version'] == fields['required_version'] == 2, fields
+    assert fields['outdated_reads'] >= 1, fields
+    assert fields['behind_s'] >= 0.3, fields
+
+
+def _behind_lines(context):
+    names = {'table_behind', 'table_current'}
+    return [line for line in context.log if line[0] in names]
+
+
+def _behind_gauge():
+    return REGISTRY.get_sample_value(
+        'bergamotturn_table_behind_seconds', {'table': 't/'}
+    )
+
+
 @when('a follower forwards a change')
 def follower_forwards(context):
     delta = TableDelta(
