Soak: the store loses its history while its reads are behind

Three quarters of the runs with changes now begin with losses of history among planned changes only: in the rest, what processes and links excuse covers most of a run. In a series, a store whose reads are behind doesn't catch up when the next loss begins. Silence 0.5 to 1.5 s, reads behind for 1 to 6 s, one loss of five refuses checks.

Checks: losses of history excuse nothing any more. While checks are refused, older versions and endpoints that are out of use are excused, refusals by 401, 403 and 404 are not. Endpoints without an entry and evacuated ones are checked as draining ones were, and stay out of use for 2.5 s longer, which is past the bound. No two of these faults take the same endpoint, as the end of one put it back while the other was active.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,12 +16,15 @@
   Scenario Outline: A short run with changes of the configuration keeps all promises
     Guards against a change that was confirmed and is not in force in time or comes back older, against proper requests
     that are turned away as if they were wrong, and against requests to endpoints that have said that they leave, while
-    routes are added, moved and removed, rows can't be read or are older, and entries lapse.
+    routes are added, moved and removed, rows can't be read or are older, entries lapse, and the store loses its history
+    while its reads are behind.
     Then the soak of <seconds> seconds with changes and seed <seed> breaks no promise
 
     Examples: Seed of each run of the checks
       | seed   | seconds |
+      # Begins with losses of history, among planned changes only.
       | 5      | 10      |
+      | 37002  | 10      |
 
   Scenario Outline: A short run in which nothing fails loses no request
     Guards against requests that are given up before what replaces them is certain: streams of any length and plain
--- a/features/standins/store_lag.py
+++ b/features/standins/store_lag.py
@@ -1,7 +1,7 @@
 """A time in which the stand-in store loses its history and reads are behind."""
 
 from dataclasses import dataclass, field
-from typing import Any, Final, final
+from typing import Any, Final, Self, final
 
 __all__ = ('RowContent', 'Rows', 'StoreLag')
 
@@ -18,8 +18,9 @@
     """What readers see of a store from the begin of its silence.
 
     :param began_s: monotonic time at which the store stopped to tell changes.
-    :param rows: rows at that time.
-    :param version: version of the store at that time.
+    :param rows: rows that reads showed at that time.
+    :param version: version that reads showed at that time.
+    :param told_version: version up to which changes were told by then.
     :param silent_s: time without changes, at whose end the history is lost.
     :param behind_s: time after that in which reads are behind.
     :param slides: whether reads are as of ``behind_s`` ago; otherwise they are
@@ -32,6 +33,7 @@
     began_s: float
     rows: Rows
     version: int
+    told_version: int
     silent_s: float = 1.2
     behind_s: float = 6
     slides: bool = False
@@ -39,6 +41,31 @@
     refuses_checks: bool = False
     _changes: list[tuple[float, RowContent]] = field(default_factory=list)
 
+    @classmethod
+    def after(
+        cls,
+        previous: Self | None,
+        rows: Rows,
+        version: int,
+        now_s: float,
+        **fields: Any,
+    ) -> Self:
+        """Begin a silence; reads that are behind already don't catch up.
+
+        :param rows: all rows of the store.
+        :param version: version of the store.
+        """
+        if previous is None or not previous.is_behind(now_s):
+            return cls(now_s, dict(rows), version, version, **fields)
+        seen, seen_version = previous.seen(now_s)
+        lag = cls(now_s, seen, seen_version, version, **fields)
+        lag._changes = [
+            change
+            for change in previous._changes
+            if change[1]['ver'] > seen_version
+        ]
+        return lag
+
     def is_silent(self, now_s: float) -> bool:
         """Return whether changes are not told."""
         return now_s < self.began_s + self.silent_s
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -177,8 +177,8 @@
     async def _begin_lag(self, request: web.Request) -> web.Response:
         """Stop to tell changes, then lose the history and read behind."""
         fields = await read_body(request)
-        self._lag = StoreLag(
-            monotonic(), dict(self._rows), self._version, **fields
+        self._lag = StoreLag.after(
+            self._lag, self._rows, self._version, monotonic(), **fields
         )
         asyncio.get_running_loop().call_later(
             self._lag.silent_s, self._lose_history
@@ -232,7 +232,7 @@
         """Return the changes after a version, and the version looked at."""
         lag = self._lag
         if lag is not None and lag.is_silent(monotonic()):
-            return [], self._version if lag.names_newest else lag.version
+            return [], self._version if lag.names_newest else lag.told_version
         rows = [
             row
             for (row_table, _), row in self._rows.items()
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -86,7 +86,7 @@
         return
     from_s = call.sent_s - _PROPAGATION_S - _MARGIN_S
     allowed = history.allowed(from_s, call.ended_s or inf)
-    if run['service'] in allowed or _is_excused(injector, call.sent_s):
+    if run['service'] in allowed or _may_be_old(injector, call.sent_s):
         return
     yield f'{call}: run by {run["service"]}, allowed {allowed}'
 
@@ -112,7 +112,7 @@
         or call.sent_s < revoked_s + _PROPAGATION_S + _MARGIN_S
     ):
         return
-    if runs and not _is_excused(injector, call.sent_s):
+    if runs and not _may_be_old(injector, call.sent_s):
         yield f'{call}: ran although its key was revoked at {revoked_s}'
 
 
@@ -121,11 +121,23 @@
 ) -> Iterator[str]:
     if 'x-api-key' in run:
         yield f'{run}: an endpoint received the API key'
-    for draining_port, from_s, to_s in injector.drain_periods:
+    for out_port, from_s, to_s in injector.out_periods:
         is_late = from_s + _PROPAGATION_S + _MARGIN_S < run['at_s'] < to_s
-        if port == draining_port and is_late:
-            if not _is_excused(injector, run['at_s']):
-                yield f'{run}: reached {port}, draining since {from_s}'
+        if port == out_port and is_late:
+            if not _may_be_old(injector, run['at_s']):
+                yield f'{run}: reached {port}, out of use since {from_s}'
+
+
+def _may_be_old(injector: FaultInjector, at_s: float) -> bool:
+    """Return whether an instance may handle a request by an older version.
+
+    It may also while it can neither read nor check the rows of the store. It
+    knows so then, and refuses with 503 what it lacks: no refusal by a status in
+    ``_DENIED_STATUSES`` is excused by that.
+    """
+    return _is_excused(injector, at_s) or injector.was_active(
+        at_s - _PROPAGATION_S - _MARGIN_S, at_s, 'behind_unchecked'
+    )
 
 
 def _is_excused(injector: FaultInjector, at_s: float) -> bool:
@@ -139,7 +151,6 @@
         'kill',
         'stop',
         'peer_link',
-        'compact',
     )
 
 
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -20,6 +20,19 @@
 _MIN_FAULT_S: Final = 0.3
 #: Changes of routes for each other fault of a kind.
 _ROUTE_CHANGES: Final = 8
+#: Losses of history with old reads for each other fault of a kind.
+_LAGS: Final = 3
+#: Share of the runs with changes that begin with old reads and planned changes
+#: only. What the other faults excuse would hide most of the rest.
+_LAGS_FIRST_SHARE: Final = 0.75
+_LAG_SILENT_S: Final = (0.5, 1.5)
+_LAG_BEHIND_S: Final = (1.0, 6.0)
+_SLIDES_SHARE: Final = 0.4
+_NAMES_NEWEST_SHARE: Final = 0.3
+_UNCHECKED_SHARE: Final = 0.2
+#: Time by which endpoints are out of use for longer in runs with changes, so
+#: that most are past the time in which requests may still reach them.
+_LONGER_OUT_S: Final = 2.5
 #: Pauses of sound endpoints, and full engines, for each planned change.
 _PAUSES: Final = 5
 #: Time in which answers begin before their engines are full.
@@ -89,13 +102,15 @@
     ) -> None:
         """Initialise without an active fault.
 
-        :param with_changes: whether routes change and engines say that they
-            leave, beside the faults.
+        :param with_changes: whether routes change, endpoints say that they
+            leave, and the store loses its history while its reads are behind,
+            beside the faults.
         :param only_pauses: whether sound endpoints pause, endpoints are full
             and planned changes come, in place of the faults.
         """
         self._fleet = fleet
         self._random = Random(seed)
+        self._lag_random = Random(f'lags/{seed}')
         self._unavailable: set[str] = set()
         self._stopping: dict[str, float] = {}
         self._with_changes = with_changes
@@ -103,15 +118,21 @@
         self.configurations = Configurations(fleet)
         #: When API keys were revoked.
         self.revoked_s: dict[str, float] = {}
-        #: Port of an endpoint, start and end of its ``draining`` state.
-        self.drain_periods: list[tuple[int, float, float]] = []
+        #: Port of an endpoint, start and end of the time in which it is out of
+        #: use by the tables: draining, without an entry or evacuated.
+        self.out_periods: list[tuple[int, float, float]] = []
         #: Port of an endpoint, start and end of the time in which it says in
         #: its answers that it leaves.
         self.leaving_periods: list[tuple[int, float, float]] = []
         self.injected: list[Fault] = []
         #: Start of each endpoint that has started again, in its entry.
         self._starts: dict[int, int] = {}
+        self._out: set[int] = set()
+        self._evacuated: set[str] = set()
+        self._lag: Fault | None = None
         self._undrawn: list[Callable[[], Fault | None]] = []
+        if with_changes and self._lag_random.random() < _LAGS_FIRST_SHARE:
+            self._undrawn = self._changes_in_lags()
 
     def inject_next(self) -> None:
         """Inject the next fault; each kind comes once before any repeats."""
@@ -122,6 +143,20 @@
         if fault is not None:
             self.injected.append(fault)
 
+    def _changes_in_lags(self) -> list[Callable[[], Fault | None]]:
+        """Return planned changes among losses of history, last one first."""
+        kinds = [
+            *(self._lose_history for _ in range(_LAGS - 1)),
+            *(self._change_route for _ in range(_ROUTE_CHANGES)),
+            self._revoke,
+            self._revoke,
+            self._leave,
+            self._evacuate,
+            self._lapse,
+        ]
+        self._lag_random.shuffle(kinds)
+        return [*kinds, self._lose_history]
+
     def _kinds(self) -> list[Callable[[], Fault | None]]:
         planned = [self._stop, self._send_hangup, self._revoke]
         if self._only_pauses:
@@ -150,6 +185,7 @@
         return [
             *kinds,
             *(self._change_route for _ in range(_ROUTE_CHANGES)),
+            *(self._lose_history for _ in range(_LAGS)),
             self._put_invalid,
             self._put_older,
             self._say_leaving,
@@ -339,26 +375,61 @@
 
         return self._build_fault(name, str(len(ports)), undo)
 
-    def _leave(self) -> Fault:
-        port = self._random.choice(self._fleet.engines)
+    def _leave(self) -> Fault | None:
+        ports = sorted(set(self._fleet.engines) - self._out)
+        if not ports:
+            return None
+        port = self._random.choice(ports)
         born = self._starts.get(port, 1000)
         self._fleet.put_entry(port, state='draining', born=born)
+        undo = self._take_out([port], lambda: self._put_ready(port))
+        return self._build_out('leave', str(port), undo)
+
+    def _evacuate(self) -> Fault | None:
+        data_centre = self._random.choice('abc')
+        if data_centre in self._evacuated:
+            return None
+        self._evacuated.add(data_centre)
+        row = f'evacuate/{data_centre}'
+        self._fleet.put('op', row, {})
         began_s = monotonic()
 
         def undo() -> None:
-            self.drain_periods.append((port, began_s, monotonic()))
-            self._fleet.put_entry(port, born=self._starts.get(port, 1000))
+            self._evacuated.discard(data_centre)
+            self.out_periods.extend(
+                (port, began_s, monotonic())
+                for port in (*self._fleet.engines, *self._fleet.plain)
+                if self._fleet.entry(port)['zone'] == data_centre
+            )
+            self._fleet.put('op', row, None)
 
-        return self._build_fault('leave', str(port), undo)
+        return self._build_out('evacuate', data_centre, undo)
 
-    def _evacuate(self) -> Fault:
-        data_centre = self._random.choice('abc')
-        self._fleet.put('op', f'evacuate/{data_centre}', {})
-        return self._build_fault(
-            'evacuate',
-            data_centre,
-            lambda: self._fleet.put('op', f'evacuate/{data_centre}', None),
-        )
+    def _take_out(
+        self, ports: list[int], put_back: Callable[[], None]
+    ) -> Callable[[], None]:
+        """Note that endpoints are out of use, until what is returned runs."""
+        began_s = monotonic()
+        self._out.update(ports)
+
+        def undo() -> None:
+            ended_s = monotonic()
+            self.out_periods.extend((port, began_s, ended_s) for port in ports)
+            self._out.difference_update(ports)
+            put_back()
+
+        return undo
+
+    def _put_ready(self, port: int) -> None:
+        self._fleet.put_entry(port, born=self._starts.get(port, 1000))
+
+    def _build_out(
+        self, name: str, subject: str, undo: Callable[[], None]
+    ) -> Fault:
+        fault = self._build_fault(name, subject, undo)
+        if self._with_changes:
+            fault.ends_s += _LONGER_OUT_S
+        return fault
 
     def _revoke(self) -> Fault:
         """Revoke an API key and issue a new one."""
@@ -378,33 +449,46 @@
         self.configurations.put_older()
         return self._build_fault('older', 'configuration', None)
 
-    def _say_leaving(self) -> Fault:
+    def _say_leaving(self) -> Fault | None:
         """Let an endpoint say that it leaves, then start again."""
-        port = self._random.choice((*self._fleet.engines, *self._fleet.plain))
+        ports = self._in_use()
+        if not ports:
+            return None
+        port = self._random.choice(ports)
         began_s = monotonic()
+        self._out.add(port)
         self._fleet.fault(port, headers={'Server-Leaving': '1'})
 
         def undo() -> None:
             self.leaving_periods.append((port, began_s, monotonic()))
+            self._out.discard(port)
             self._fleet.fault(port, fault='')
             self._starts[port] = self._starts.get(port, 1000) + 1
-            self._fleet.put_entry(port, born=self._starts[port])
+            self._put_ready(port)
 
         return self._build_fault('say_leaving', str(port), undo)
 
-    def _lapse(self) -> Fault:
+    def _lapse(self) -> Fault | None:
         """Remove the entries of a third of the endpoints for some time."""
-        ports = [*self._fleet.engines, *self._fleet.plain]
-        ports = self._random.sample(ports, max(1, len(ports) // 3))
+        ports = self._in_use()
+        count = max(1, (len(self._fleet.engines) + len(self._fleet.plain)) // 3)
+        if len(ports) < count:
+            return None
+        ports = self._random.sample(ports, count)
         for port in ports:
             self._fleet.put('servers', f'i-{port}', None)
 
-        def undo() -> None:
+        def put_back() -> None:
             for port in ports:
-                born = self._starts.get(port, 1000)
-                self._fleet.put_entry(port, born=born)
+                self._put_ready(port)
 
-        return self._build_fault('lapse', str(len(ports)), undo)
+        undo = self._take_out(ports, put_back)
+        return self._build_out('lapse', str(len(ports)), undo)
+
+    def _in_use(self) -> list[int]:
+        """Return the endpoints that no change of their own has taken out."""
+        ports = (*self._fleet.engines, *self._fleet.plain)
+        return [port for port in ports if port not in self._out]
 
     def _stall(self) -> Fault:
         """Let a sound engine pause for a second in each answer."""
@@ -417,3 +501,34 @@
     def _compact(self) -> Fault:
         self._fleet.compact()
         return self._build_fault('compact', 'store', None)
+
+    def _lose_history(self) -> Fault:
+        """Let the store tell no changes, lose its history and read behind.
+
+        A loss that comes before the end of another one replaces it.
+        """
+        random = self._lag_random
+        silent_s = random.uniform(*_LAG_SILENT_S)
+        behind_s = random.uniform(*_LAG_BEHIND_S)
+        is_unchecked = random.random() < _UNCHECKED_SHARE
+        self._fleet.lag(
+            silent_s=silent_s,
+            behind_s=behind_s,
+            slides=random.random() < _SLIDES_SHARE,
+            names_newest=random.random() < _NAMES_NEWEST_SHARE,
+            refuses_checks=is_unchecked,
+        )
+        now_s = monotonic()
+        if self._lag is not None:
+            self._lag.ends_s = min(self._lag.ends_s, now_s)
+            self._lag.undo = None
+        current_s = now_s + silent_s + behind_s
+
+        def undo() -> None:
+            # At its own end nothing is lost anew, which could mend a copy.
+            if monotonic() < current_s:
+                self._fleet.lag(silent_s=0, behind_s=0)
+
+        name = 'behind_unchecked' if is_unchecked else 'behind'
+        self._lag = Fault(name, 'store', now_s, current_s, undo)
+        return self._lag
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -76,8 +76,9 @@
 class RunSize:
     """Number of processes and callers of a run.
 
-    :param with_changes: whether routes change and engines say that they
-        leave, beside the faults.
+    :param with_changes: whether routes change, endpoints say that they leave,
+        and the store loses its history while its reads are behind, beside the
+        faults.
     :param only_pauses: whether sound endpoints pause, endpoints are full and
         planned changes come, in place of the faults.
     """
