Daemons: end without the teardown of the interpreter

Operators saw a process that was still there 0.3 to 0.46 s after its last answer and its last log line, daemon_ended, on a busy machine. That time counts against the grace time of a planned stop, after which the platform kills the process.

Cause: after the program the interpreter collects garbage and frees each module and object (60,000 tracked ones) before the kernel frees them all.

Both daemons now run the exit functions (pynng ends its threads in one), flush the standard streams and end with os._exit(0) after a clean run. After an exception, also in a flush, the interpreter ends as before, so that exit codes and tracebacks stay. Python threads, for which the interpreter would wait, exist in neither daemon.

Test: both daemons are started with an object and an exit function that write when they are freed and run. It doesn't depend on time.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -33,6 +33,7 @@
 from ..process.mirror.mirror_task import MIRROR, MirrorTask
 from ..process.mirror.watch_settings import WatchSettings
 from ..process.peer_membership import PeerMembershipTask, first_update
+from ..process.process_end import end_process
 from ..process.quarantine_store_task import (
     QUARANTINE_TABLE,
     QuarantineStoreTask,
@@ -173,6 +174,7 @@
     if settings.is_error():
         parser.exit(_EXIT_SETTINGS_ERROR, settings.error.detail)
     _run(Path(path), settings.ok)
+    end_process()
 
 
 def _run(path: Path, settings: ServingSettings) -> None:
--- a/bergamotturn/process/daemon.py
+++ b/bergamotturn/process/daemon.py
@@ -33,6 +33,7 @@
 from .membership_task import MembershipTask
 from .orphan_task import OrphanTask
 from .permits_task import PermitsTask
+from .process_end import end_process
 from .request_task import RequestTask
 from .service_task import ServiceTask
 from .shutdown_task import ShutdownTask
@@ -98,6 +99,7 @@
     eliot.log_message('daemon_started', instance=instance, boot_id=boot_id)
     build_daemon(settings.ok, boot_id).run()
     eliot.log_message('daemon_ended', instance=instance, boot_id=boot_id)
+    end_process()
 
 
 if __name__ == '__main__':
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -40,6 +40,17 @@
     Guards against requests that are lost because a reload meets a process before it handles the signal.
     Then a process that gets SIGHUP before the daemon is imported goes on
 
+  Scenario Outline: A stopped daemon is gone as soon as it has nothing left to do
+    Guards against a process that is killed after its last answer, while the interpreter frees each object on a busy machine.
+    Given the daemon of the <product> is started so that its log shows what the interpreter still runs
+    When it gets SIGTERM and has exited with 0
+    Then its log shows "daemon_ended" and "exit functions", but not "objects freed"
+
+    Examples:
+      | product           |
+      | users' platform   |
+      | product interface |
+
   Scenario: A planned stop uses the grace time of the newest settings
     Guards against a process that is killed with requests in flight because the grace time was shortened after its start.
     Given a relay fleet whose engines accept requests and send nothing
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -8,12 +8,18 @@
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import closing
 from http.client import HTTPConnection
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 
 from behave import given, then, when
 
 from bergamotturn.connection.exchange import Address
+from bergamotturn.version.settings import PlatformSettings
 from features.standins.users_platform import LARGE_BYTES, event
+from features.support.http_call import call
+from features.support.plan import instance_settings, settings_text
+from features.support.processes import free_ports
 from features.support.relay_fleet import HOST_NAME, RelayFleet
 from features.support.request_senders import (
     RequestEnd,
@@ -63,6 +69,28 @@
 program.import_module = import_module
 program.start()
 """
+#: Runs a daemon's program and shows what of the interpreter's end follows. The
+#: exit function is the last one to run, since it is registered first.
+_SHOWN_END_CODE = r"""
+import atexit
+import os
+import sys
+from importlib import import_module
+
+atexit.register(os.write, 2, b'exit functions\n')
+module, function = sys.argv.pop(1).split(':')
+
+class Remains:
+    def __del__(self, write=os.write):
+        write(2, b'objects freed\n')
+
+remains = Remains()
+getattr(import_module(module), function)()
+"""
+_START_S = 20.0
+#: Longest stop of an idle instance: callers come for 7 s with the product's own
+#: interface.
+_IDLE_STOP_S = 20.0
 #: A stream, a lookup and a charge; each path is also the id of its request.
 _WAITING_PATHS = '/draft/', '/look/', '/charge/'
 #: Time without a first event after which an engine counts as silent.
@@ -317,3 +345,78 @@
         (sys.executable, '-c', _START_CODE), check=False, timeout=20
     )
     assert process.returncode == 0, process.returncode
+
+
+@given(
+    'the daemon of the {product} is started so that its log shows what the '
+    'interpreter still runs'
+)
+def start_shown(context, product):
+    folder = TemporaryDirectory(prefix='bergamotturn-')
+    context.add_cleanup(folder.cleanup)
+    addresses = [Address('127.0.0.1', port) for port in free_ports(6)]
+    if product == "users' platform":
+        program = 'bergamotturn.platform.__main__:start'
+        text = _serving_settings(addresses)
+    else:
+        program = 'bergamotturn.process.daemon:main'
+        text = _own_settings(addresses)
+    settings = Path(folder.name) / 'settings.toml'
+    settings.write_text(text)
+    context.log = Path(folder.name) / 'log'
+    with context.log.open('wb') as log:
+        context.process = subprocess.Popen(
+            (sys.executable, '-c', _SHOWN_END_CODE, program)
+            + ('--settings', str(settings)),
+            stdout=log,
+            stderr=log,
+        )
+    context.add_cleanup(context.process.wait)
+    context.add_cleanup(context.process.kill)
+    until_s = monotonic() + _START_S
+    while not _answers(addresses[0]):
+        assert monotonic() < until_s, context.log.read_text()
+        sleep(0.05)
+
+
+def _serving_settings(addresses):
+    names = 'caller', 'ready', 'directory', 'peer', 'peer_listen'
+    lines = [f'{name} = "{where}"' for name, where in zip(names, addresses)]
+    head = 'instance = "b1"', 'data_centre = "b"'
+    store = '[store]', f'address = "{addresses[-1]}"', ''
+    return '\n'.join((*head, *lines, *store))
+
+
+def _own_settings(addresses):
+    *own, platform = addresses[:4]
+    settings = instance_settings(
+        'b1',
+        'b',
+        [address.port for address in own],
+        PlatformSettings(
+            table=platform, objects=platform, instance_list=platform
+        ),
+        (),
+    )
+    return settings_text(settings)
+
+
+def _answers(address):
+    try:
+        return call(address, 'GET', '/').status
+    except OSError:
+        return 0
+
+
+@when('it gets SIGTERM and has exited with 0')
+def stop_shown(context):
+    context.process.terminate()
+    assert context.process.wait(_IDLE_STOP_S) == 0, context.log.read_text()
+
+
+@then('its log shows "{first}" and "{second}", but not "{missing}"')
+def log_shows(context, first, second, missing):
+    text = context.log.read_text()
+    assert first in text, text
+    assert second in text.partition(first)[2], text
+    assert missing not in text, text
