HTTP client: read what has arrived before a peer is taken for silent

Callers got a failure (endpoint_lost) of a request whose answer had arrived in time, when the instance itself had stood still for longer than the request's silence timeout, for example for want of a processor. All idle connections to that peer were closed as well.

Cause: after a standstill, the timers fire before the poller reports the sockets that are ready, so that the silence timeout was handled before the answer was read. The time without a byte was that of the client, not that of the peer.

The handler of the timeout now reads once from the connection before it decides. Bytes that have arrived count as activity or end the exchange; a peer that sent nothing still fails at the same time as before.

Test: the event loop is blocked right after a request has been sent, until the answer is in the kernel and the silence timeout of 0.3 s is over. Whether http_client.feature:190 failed for this reason isn't shown by this test.

--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -593,15 +593,21 @@
 
     @handler('_silence_timeout')
     def _on_silence_timeout(self, transfer: Transfer) -> None:
-        exchange = transfer.exchange
-        connection = self._by_exchange.get(exchange.exchange_id)
+        connection = self._by_exchange.get(transfer.exchange.exchange_id)
         if connection is None or connection.transfer is not transfer:
             return
         if transfer.is_paused:
             transfer.last_activity_s = monotonic()
-        left_s = (
-            transfer.last_activity_s + exchange.silence_timeout_s - monotonic()
-        )
+        left_s = _silence_left_s(transfer)
+        if left_s <= 0:
+            # Due timers come before ready sockets, so that after a standstill
+            # of this process the peer may have gone on unnoticed.
+            self._receive(connection)
+            if connection.transfer is not transfer or (
+                connection.sock not in self._connections
+            ):
+                return
+            left_s = _silence_left_s(transfer)
         if left_s > 0:
             transfer.limit_timer = self._timers.call_after(
                 left_s, _silence_timeout(transfer), self.channel
@@ -631,6 +637,11 @@
             self._close(connection)
 
 
+def _silence_left_s(transfer: Transfer) -> float:
+    limit_s = transfer.exchange.silence_timeout_s
+    return transfer.last_activity_s + limit_s - monotonic()
+
+
 def _new_socket(host: str, unacknowledged_s: float) -> socket:
     family = AF_INET if ip_address(host).version == 4 else AF_INET6
     sock = socket(family, SOCK_STREAM)
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -196,6 +196,12 @@
     When a "GET" is sent to the peer with silence_timeout_s = 0.3
     Then the peer's answer is "kept"
 
+  Scenario: An answer that arrives while the process stands still
+    Guards against a sound peer that is taken for silent because this process had no processor for a while.
+    Given a peer that answers while the client stands still
+    When a "GET" is sent to the peer by a client that then stands still for longer than its silence timeout of 0.3 s
+    Then the peer's answer is "kept"
+
   Scenario: A cancelled exchange
     Guards against an answer that is still reported after its owner cancelled the exchange.
     Given a peer that answers one byte every 0.05 s without end
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -56,6 +56,21 @@
         )
 
 
+class _Standstill(Component):
+    """Blocks the event loop as soon as a request has been sent."""
+
+    def __init__(self, peer, stand_s):
+        super().__init__()
+        self._peer = peer
+        self._stand_s = stand_s
+
+    @handler('_write', channel='http_client', priority=-1)
+    def _on_sent(self, *_):
+        self._peer.data_seen.set()
+        assert self._peer.has_answered.wait(_HANG_S)
+        time.sleep(self._stand_s)
+
+
 class _Peer:
     """A server that runs ``script`` on each of its connections."""
 
@@ -65,6 +80,7 @@
         self.opened = 0
         self.closed_connections = Queue()
         self.data_seen = threading.Event()
+        self.has_answered = threading.Event()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=64)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -232,6 +248,14 @@
     _read_without_answering(peer, sock, number)
 
 
+def _answer_at_standstill(peer, sock, number):
+    peer.read_request(sock, number)
+    peer.data_seen.wait(_HANG_S)
+    sock.sendall(_answer('kept'))
+    peer.has_answered.set()
+    sock.recv(1)
+
+
 def _close_on_reuse(peer, sock, number):
     peer.read_request(sock, number)
     sock.sendall(_answer('first'))
@@ -278,6 +302,7 @@
     'pauses 1.5 s before it reads and echoes the length of the body': (
         _echo_length_after_pause
     ),
+    'answers while the client stands still': _answer_at_standstill,
     'keeps connections': _answer_with_keep_alive,
     'closes after each answer without saying so': partial(
         _answer_once, _answer('once')
@@ -378,6 +403,17 @@
             exchange_ids.remove(exchange_id)
 
 
+@when(
+    'a "{method}" is sent to the peer by a client that then stands still for '
+    'longer than its silence timeout of {silence_s:g} s'
+)
+def send_before_standstill(context, method, silence_s):
+    _start_client(context)
+    _Standstill(context.peer, silence_s * 1.5).register(context.app)
+    exchange = _send(context, method, silence_timeout_s=silence_s)
+    context.reports = _wait_for_outcome(context, exchange)
+
+
 @when('a "{method}" is sent to the peer and cancelled after the answer\'s head')
 def send_and_cancel(context, method):
     exchange = _send(context, method)
