Senders of a planned stop: say how a request on a kept connection ended

An assertion of planned_stop.feature:27 failed without a text, so that its log didn't show whether the connection was reset, ended cleanly or opened too late. It now names the request and how it ended, and how late the connections were. The conditions are the same.

--- a/features/support/request_senders.py
+++ b/features/support/request_senders.py
@@ -74,8 +74,10 @@
     kept = [_connect(address) for _ in range(count)]
     for number, connection in enumerate(kept):
         request = _REQUEST.format(name=f'{sender}-{number}').encode()
-        assert _send(connection, request) == RequestEnd.answer
-    assert monotonic() < from_s, 'the connections were opened too late'
+        end = _send(connection, request)
+        assert end == RequestEnd.answer, f'{sender}-{number} ended with: {end}'
+    late_s = monotonic() - from_s
+    assert late_s < 0, f'{sender} opened its connections {late_s:.3f} s late'
     for number, connection in enumerate(kept, count):
         due_s = from_s + (until_s - from_s) * (number - count) / count
         sleep(max(0, due_s - monotonic()))
