Orders: number a removed row by its removal, not by the copy

A data centre that was evacuated and taken back while the copy was behind stayed out of service at all instances, for good: its endpoints got no request.

Cause: "in service" was numbered with the version of the copy, on the ground that it isn't below that of any of its rows. While a copy catches up it has single rows above its version, so that the return lost against the evacuation, and the read that ended the catch-up had nothing left to tell. The same in the task that keeps the quarantined prompt parts. A removal now has its own version.

Evidence: the new scenario fails before (no lookup at the two endpoints after the return) and passes now.

--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -101,7 +101,9 @@
             if row.row_key.startswith(_EVACUATION_PREFIX)
         ]
         orders.extend(
-            _order_update(key, change.version, OrderState.in_service)
+            _order_update(
+                key, change.removal_version(key), OrderState.in_service
+            )
             for key in change.removed_keys
             if key.startswith(_EVACUATION_PREFIX)
         )
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -37,6 +37,18 @@
     answer: tuple[Row, ...] = ()
     since_version: int = 0
 
+    def removal_version(self, row_key: str) -> int:
+        """Return the version at which a row of the answer was removed, or 0.
+
+        The copy's own version is lower while the copy is behind.
+        """
+        versions = (
+            row.row_version
+            for row in self.answer
+            if row.is_removed and row.row_key == row_key
+        )
+        return max(versions, default=0)
+
     def __bool__(self) -> bool:
         """Return whether anything changed."""
         return bool(self.rows or self.removed_keys)
@@ -69,6 +81,13 @@
         #: between it and ``version``.
         self._unchanged_since = 0
 
+    def is_news(self, row: Row) -> bool:
+        """Return whether ``row`` is another state than the known one."""
+        known = self.rows.get(row.row_key)
+        if known is None:
+            return not row.is_removed
+        return row.row_version > known.row_version
+
     def newer_rows(self, above: int) -> tuple[Row, ...]:
         """Return the rows whose version is greater than ``above``."""
         return tuple(
--- a/bergamotturn/process/quarantine_store_task.py
+++ b/bergamotturn/process/quarantine_store_task.py
@@ -102,8 +102,9 @@
     def _on_table_changed(self, prefix: str, change: TableChange) -> None:
         if prefix != QUARANTINE_TABLE:
             return
+        removed_version = change.removal_version(QUARANTINE_KEY)
         is_removed = QUARANTINE_KEY in change.removed_keys
-        if is_removed and change.version > self._row.row_version:
+        if is_removed and removed_version > self._row.row_version:
             self._row.clear()
             self.fire(quarantine_read(()), '*')
         for row in change.rows:
--- a/features/reads_behind.feature
+++ b/features/reads_behind.feature
@@ -41,6 +41,15 @@
     When a data centre is evacuated while reads fall behind
     Then no lookup reaches its endpoints later than 2 seconds after its acknowledgement
 
+  Scenario: A data centre that is evacuated and taken back while reads are behind
+    Guards against a data centre that stays out of service: its return had the number of a copy that is behind, which is
+    lower than that of the evacuation.
+    Given nine instances behind a store
+    And 60 lookups a second are sent through all instances for 14 seconds
+    When a data centre is evacuated while reads fall behind
+    And it is taken back 2.5 seconds later
+    Then its endpoints get lookups again from 2 seconds after that
+
   Scenario: Instances that start while reads are behind
     Guards against instances that start with an old configuration and keep it.
     Given nine instances behind a store
--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -118,6 +118,24 @@
     ]
 
 
+@when('it is taken back {after_s:g} seconds later')
+def take_back(context, after_s):
+    sleep(after_s)
+    context.fleet.put('op', 'evacuate/a', None)
+    context.acknowledged_s = monotonic()
+
+
+@then('its endpoints get lookups again from 2 seconds after that')
+def served_again(context):
+    for sender in context.senders:
+        sender.result()
+    from_s = context.acknowledged_s + _BOUND_S
+    for port in context.left:
+        arrivals = context.fleet.facts(port)['arrivals']
+        again = [each for each in arrivals if each['at_s'] > from_s]
+        assert again, (port, len(arrivals))
+
+
 @then(
     'every instance handles requests by it from 2 seconds after its '
     'acknowledgement until reads are current'
