Tables: read a followed table that has no checks again within the batch wait

The longer wait between reads that are not current was meant for tables that are not followed. A followed one without checks has no other way to the newest rows.

--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -201,9 +201,11 @@
         A follower without a check has no other way to the newest rows.
         """
         self.outdated_reads += 1
-        wait_s = self._settings.max_retry_wait_s
-        if self._is_follower and self.is_unchecked:
-            wait_s = self._settings.batch_wait_s
+        settings = self._settings
+        needs_read = self.is_unchecked or not settings.is_checked
+        wait_s = settings.max_retry_wait_s
+        if settings.wait_s and self._is_follower and needs_read:
+            wait_s = settings.batch_wait_s
         return now_s + max(_MIN_READ_WAIT_S, wait_s)
 
     def end(self) -> None:
