Tables: ask peers for changes that long waits have passed, without what is held

An instance that is no follower took the version that a second long wait named, or that of a later row, for what it knows, and asked no peer for a change between the two. What peers are asked for goes by the version up to which the copy is complete now; the ask names the single rows above it that the copy has, so that a large configuration isn't sent once more.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -405,10 +405,15 @@
 
 @final
 class TableAsk(_Message, frozen=True, kw_only=True):
-    """Request for a peer's copy of a table if its version exceeds ``above``."""
+    """Request for a peer's copy of a table if its version exceeds ``above``.
+
+    :param held: versions above it of single rows that the asking copy has, by
+        row key; the answer leaves these rows out.
+    """
 
     prefix: str
     above: int
+    held: dict[str, int] = {}
 
 
 @final
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -46,8 +46,9 @@
         peer.
     :ivar last_answer_s: monotonic time of the last answer, or -inf.
     :ivar is_store_answering: whether the last call was answered.
-    :ivar known_version: version of changes that were told without gap or, while
-        the copy lacks some before them, by a peer that has them.
+    :ivar known_version: version of the last change that a peer had when it was
+        asked for its copy. The own copy may lack changes up to it, and then
+        the peer's did.
     :ivar started_s: monotonic time of the last call, or -inf.
     :ivar pending_operation: the call that is not answered yet.
     :ivar catch_up: what the copy lacks, as far as the store's answers tell.
@@ -218,10 +219,6 @@
         if pending.since_version > self.copy.version:
             # Changes between the two are not known to be told.
             version = self.copy.version
-            if not self.catch_up.is_behind:
-                self.known_version = max(
-                    self.known_version, self._followed.version
-                )
         change = self.copy.merge(version, outcome.rows)
         if change:
             self._pacing.delay_after_change(now_s)
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -12,6 +12,8 @@
 from random import Random
 from typing import Final, final
 
+from msgspec.structs import replace
+
 from ...connection.peer_messages import TableAsk, TableContent, TableDelta
 from ..actions import SendTo
 from .newest_version import NewestVersion
@@ -72,8 +74,8 @@
         self._asked_version = peer_version
         # If the answer is lost, the next ping with a higher version causes
         # another request.
-        ask = TableAsk(prefix=self.settings.prefix, above=self.copy.version)
-        return [SendTo(self._peer, ask), *self._replace_overdue_wait(now_s)]
+        ask = SendTo(self._peer, self._ask())
+        return [ask, *self._replace_overdue_wait(now_s)]
 
     def _replace_overdue_wait(self, now_s: float) -> list[WatchAction]:
         """Call the store again if it should have answered the pending call."""
@@ -86,7 +88,13 @@
         """Answer a peer whose copy is older."""
         if not self.is_complete or self.copy.changed_version <= ask.above:
             return []
-        return [SendTo(sender, self._content(ask.above))]
+        content = self._content(ask.above)
+        rows = tuple(
+            row
+            for row in content.rows
+            if ask.held.get(row.row_key, 0) < row.row_version
+        )
+        return [SendTo(sender, replace(content, rows=rows))]
 
     def message_for(self, change: TableChange) -> TableContent | TableDelta:
         """Return the message that forwards ``change`` to other instances."""
@@ -102,9 +110,7 @@
     def on_delta(self, sender: str, delta: TableDelta) -> list[WatchAction]:
         """Apply changes that a follower forwards, or ask it for its copy."""
         if not self.is_complete or self.copy.version < delta.since_version:
-            above = self.copy.version
-            ask = TableAsk(prefix=self.settings.prefix, above=above)
-            return [SendTo(sender, ask)]
+            return [SendTo(sender, self._ask())]
         return [self.copy.merge(delta.version, delta.rows)]
 
     def on_content(
@@ -134,6 +140,17 @@
             self._end_catch_up(now_s)
         return [change]
 
+    def _ask(self) -> TableAsk:
+        version = self.copy.version
+        return TableAsk(
+            prefix=self.settings.prefix,
+            above=version,
+            held={
+                row.row_key: row.row_version
+                for row in self.copy.newer_rows(version)
+            },
+        )
+
     def _content(self, above: int) -> TableContent:
         return TableContent(
             prefix=self.settings.prefix,
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -120,6 +120,37 @@
     context.harness.answer(store)
 
 
+@given('a copy of a table with 3 rows of an instance that is no follower')
+def copied_of_another(context):
+    copied(context)
+    context.harness.watch.set_following(is_following=False)
+    context.harness.answer(context.store, withholds=True)
+
+
+@when('two waits end without rows and the second one withholds a change')
+def withheld_at_end(context):
+    # The store has one counter for all tables, so versions grow without rows.
+    context.store.version += 1
+    context.harness.answer(context.store)
+    context.store.put('t/1', b'withheld')
+    context.withheld_version = context.store.version
+    context.store.version += 1
+    context.harness.answer(context.store, withholds=True)
+    assert context.harness.values()['t/1'] != b'withheld'
+
+
+@when('a peer reports the version of that change')
+def peer_has_withheld(context):
+    watch = context.harness.watch
+    watch.on_peer_version(context.harness.now_s, 'b', context.withheld_version)
+
+
+@then('the peer is asked for it 0.2 seconds later')
+def asked_for_withheld(context):
+    context.harness.pass_time(0.25)
+    assert [sent.instance for sent in context.harness.messages] == ['b']
+
+
 @then('the peer is asked 0.2 seconds later and its copy is applied')
 def peer_asked(context):
     harness = context.harness
--- a/features/support/watched_table.py
+++ b/features/support/watched_table.py
@@ -33,7 +33,9 @@
     'outcome_of',
 )
 
-SETTINGS = WatchSettings('mirror', 't/', wait_s=20, batch_wait_s=0.2)
+SETTINGS = WatchSettings(
+    'mirror', 't/', wait_s=20, long_wait_s=25, batch_wait_s=0.2
+)
 _PAGE_ROWS = 2
 #: Two of the rows of a random history do not exist at its begin.
 CHECKED_SETTINGS = replace(
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -18,6 +18,14 @@
     When a peer reports a higher version
     Then the peer is asked 0.2 seconds later and its copy is applied
 
+  Scenario: A change that the own waits have passed is taken from a peer
+    Guards against an instance of a large fleet, whose waits are long, that takes the newest version that a wait named for
+    what it knows, and asks no peer for a change that was withheld.
+    Given a copy of a table with 3 rows of an instance that is no follower
+    When two waits end without rows and the second one withholds a change
+    And a peer reports the version of that change
+    Then the peer is asked for it 0.2 seconds later
+
   Scenario: A store that fails is called at a limited rate
     Guards against repeated calls that have a price and no result.
     Given a copy whose store refuses all calls
