Tables: tell peers of removals above the version of a copy

Cause: a peer's answer names the rows that there are as of the version up to which its copy is complete. A copy that is behind has removals above that, and they were left out; the instance that asked was not told again, as it then counted as having all that the peer had. The end of a catch-up that changed nothing wasn't forwarded, so that a row that the follower never had stayed at its audience.

Now such removals are among the rows of the answer, and a follower forwards the keys of its copy when it has caught up.

--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -145,8 +145,13 @@
     ) -> None:
         log = self._logs[watch.settings.prefix]
         log.before_outcome(now_s, outcome)
+        was_behind = watch.catch_up.is_behind
         actions = watch.on_outcome(now_s, outcome)
         self._carry_out(watch, actions, 'store')
+        if was_behind and not watch.catch_up.is_behind:
+            # Others may have rows that were removed and that this copy never
+            # had, so that no change tells of them.
+            self._forward(watch, watch.content_after_catch_up())
         log.after_outcome(now_s, outcome)
         self._report_unreachable(watch)
         self._report_doubt(watch)
@@ -192,7 +197,7 @@
         elif isinstance(message, TableDelta):
             actions = watch.on_delta(envelope.sender, message)
         else:
-            actions = watch.on_content(monotonic(), message)
+            actions = watch.on_content(monotonic(), envelope.sender, message)
         self._carry_out(watch, actions, envelope.sender)
         self._set_timer()
 
@@ -283,7 +288,7 @@
             removed=list(change.removed_keys),
         )
         self.fire(table_changed(prefix, change), '*')
-        self._forward(watch, change)
+        self._forward(watch, watch.message_for(change))
         tables = tuple(
             TableVersion(each.settings.prefix, each.copy.changed_version)
             for each in self._watches.values()
@@ -293,14 +298,13 @@
             self._published_versions = tables
             self.fire(table_versions_changed(tables), '*')
 
-    def _forward(self, watch: TableWatch, change: TableChange) -> None:
+    def _forward(
+        self, watch: TableWatch, message: TableContent | TableDelta
+    ) -> None:
         """Send a change to the instances that this one forwards to."""
-        if not watch.settings.is_forwarded or not self._choice.audience:
-            return
-        message = multicast_message(
-            self._choice.audience, watch.message_for(change)
-        )
-        self.fire(message, PEERS)
+        if watch.settings.is_forwarded and self._choice.audience:
+            sent = multicast_message(self._choice.audience, message)
+            self.fire(sent, PEERS)
 
 
 def _behind_s(watch: TableWatch) -> float:
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
+from itertools import chain
 from typing import final
 
 from ...connection.store_events import Row
@@ -89,9 +90,20 @@
         return row.row_version > known.row_version
 
     def newer_rows(self, above: int) -> tuple[Row, ...]:
-        """Return the rows whose version is greater than ``above``."""
+        """Return the rows whose version is greater than ``above``.
+
+        Removed rows are among them if the copy isn't complete up to their
+        removal. Others that are missing were removed before its version.
+        """
+        removed = (
+            Row(key, version, b'', is_removed=True)
+            for key, version in self._removed_versions.items()
+            if version > self.version
+        )
         return tuple(
-            row for row in self.rows.values() if row.row_version > above
+            row
+            for row in chain(self.rows.values(), removed)
+            if row.row_version > above
         )
 
     def merge(self, version: int, rows: Iterable[Row]) -> TableChange:
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -219,6 +219,8 @@
         if pending.since_version > self.copy.version:
             # Changes between the two are not known to be told.
             version = self.copy.version
+            if not is_long and not self.catch_up.is_behind:
+                self._followed.reset()
         change = self.copy.merge(version, outcome.rows)
         if change:
             self._pacing.delay_after_change(now_s)
@@ -250,7 +252,7 @@
         floor = catch_up.required_version
         if not catch_up.is_behind:
             floor = max(floor, self._scan_floor)
-        if self._scan_version < floor:
+        if max(self._scan_version, self.copy.version) < floor:
             if not catch_up.is_behind:
                 catch_up.require(now_s, floor, is_follower=self._is_following)
             self._scan_due_s = catch_up.note_outdated_read(now_s)
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -42,6 +42,7 @@
         super().__init__(settings, random, newest)
         self._peer = ''
         self._peer_version = 0
+        self._asked_peer = ''
         self._asked_version = 0
         self._ask_peer_s: float | None = None
 
@@ -71,6 +72,7 @@
         self._peer_version = 0
         if max(self.copy.version, self.known_version) >= peer_version:
             return []
+        self._asked_peer = self._peer
         self._asked_version = peer_version
         # If the answer is lost, the next ping with a higher version causes
         # another request.
@@ -107,6 +109,10 @@
             rows=change.answer,
         )
 
+    def content_after_catch_up(self) -> TableContent:
+        """Return the message that tells others which rows there are now."""
+        return self._content(self.catch_up.required_version)
+
     def on_delta(self, sender: str, delta: TableDelta) -> list[WatchAction]:
         """Apply changes that a follower forwards, or ask it for its copy."""
         if not self.is_complete or self.copy.version < delta.since_version:
@@ -114,11 +120,12 @@
         return [self.copy.merge(delta.version, delta.rows)]
 
     def on_content(
-        self, now_s: float, content: TableContent
+        self, now_s: float, sender: str, content: TableContent
     ) -> list[WatchAction]:
         """Apply a peer's answer with the rows that this copy lacks."""
-        # The copy has then all that the peer has, also if that is in part.
-        self.known_version = max(self.known_version, self._asked_version)
+        if sender == self._asked_peer:
+            # The copy has then all that the peer has, also if that is in part.
+            self.known_version = max(self.known_version, self._asked_version)
         missing = set(content.keys) - set(self.copy.rows)
         missing.difference_update(row.row_key for row in content.rows)
         if missing or content.version < self.copy.version:
--- a/features/steps/table_faults_steps.py
+++ b/features/steps/table_faults_steps.py
@@ -262,7 +262,7 @@
             rows=tuple(context.old_rows.values()),
         )
         harness = course_now.harness
-        harness.carry_out(watch.on_content(harness.now_s, content))
+        harness.carry_out(watch.on_content(harness.now_s, 'b', content))
 
 
 @then('the copy has the row no more')
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -151,6 +151,45 @@
     assert [sent.instance for sent in context.harness.messages] == ['b']
 
 
+@given('two copies that are behind, one of which knows that a row was removed')
+def removal_known(context):
+    context.store = _filled_table()
+    context.copies = [WatchHarness(0), WatchHarness(1)]
+    for harness in context.copies:
+        harness.pass_time(0)
+        while isinstance(harness.operations[0], RowScan):
+            harness.answer(context.store)
+            harness.pass_time(SETTINGS.batch_wait_s)
+    context.store.put('t/1', b'newer')
+    newer = context.store.rows['t/1']
+    context.store.put('t/1', b'')
+    removal = context.store.changes[-1]
+    asking, asked = context.copies
+    # Single rows above the version up to which the copies are complete.
+    asking.watch.copy.merge(asking.watch.copy.version, [newer])
+    asked.watch.copy.merge(asked.watch.copy.version, [newer, removal])
+
+
+@when('the other one asks it')
+def removal_asked(context):
+    asking, asked = context.copies
+    version = context.store.version
+    asking.watch.on_peer_version(asking.now_s, 'b', version)
+    asking.pass_time(0.25)
+    (ask,) = asking.messages
+    asked.carry_out(asked.watch.on_ask('a', ask.message))
+    (content,) = asked.messages
+    asking.carry_out(
+        asking.watch.on_content(asking.now_s, 'b', content.message)
+    )
+
+
+@then('both have removed the row')
+def removal_applied(context):
+    for harness in context.copies:
+        assert set(harness.values()) == {'t/0', 't/2'}
+
+
 @then('the peer is asked 0.2 seconds later and its copy is applied')
 def peer_asked(context):
     harness = context.harness
@@ -168,7 +207,7 @@
         keys=tuple(context.store.rows),
         rows=tuple(context.store.rows.values()),
     )
-    harness.carry_out(harness.watch.on_content(harness.now_s, content))
+    harness.carry_out(harness.watch.on_content(harness.now_s, 'b', content))
     assert len(harness.values()) == 3
     assert harness.watch.is_complete
 
@@ -394,7 +433,9 @@
     while second.messages:
         message = second.messages.pop().message
         if isinstance(message, TableContent):
-            first.carry_out(first.watch.on_content(first.now_s, message))
+            first.carry_out(
+                first.watch.on_content(first.now_s, 'other', message)
+            )
 
 
 def _check_versions(harness, versions, seed):
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -280,7 +280,7 @@
         elif isinstance(message, TableDelta):
             self._carry_out(node, watch.on_delta(sender, message))
         elif isinstance(message, TableContent):
-            self._carry_out(node, watch.on_content(self.now_s, message))
+            self._carry_out(node, watch.on_content(self.now_s, sender, message))
 
     def _carry_out(self, node, actions):
         for action in actions:
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -26,6 +26,12 @@
     And a peer reports the version of that change
     Then the peer is asked for it 0.2 seconds later
 
+  Scenario: A removal that a copy knows while it is behind is told to its peers
+    Guards against a row that one copy keeps for good, since another one that has removed it is behind like itself.
+    Given two copies that are behind, one of which knows that a row was removed
+    When the other one asks it
+    Then both have removed the row
+
   Scenario: A store that fails is called at a limited rate
     Guards against repeated calls that have a price and no result.
     Given a copy whose store refuses all calls
