Tables: report at once that a peer's copy has ended a catch-up

An instance whose copy a peer had completed went on answering 503 in place of 404 and 401 until its own next call had ended, which may be a wait of 25 s. The doubt and the log line depended on outcomes of the store only. The new scenario fails before.

--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -199,6 +199,9 @@
         else:
             actions = watch.on_content(monotonic(), envelope.sender, message)
         self._carry_out(watch, actions, envelope.sender)
+        # A peer's copy may have ended the catch-up.
+        self._logs[message.prefix].log_age(envelope.sender)
+        self._report_doubt(watch)
         self._set_timer()
 
     def _choose_followers(self, reason: str) -> None:
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -61,13 +61,21 @@
                 silent_s=silent_s(watch, now_s),
                 pending_s=self._pending_s,
             )
+        self.log_age(outcome.status.value)
+
+    def log_age(self, reason: str) -> None:
+        """Log when the copy is known to be behind, and when no longer.
+
+        :param reason: the outcome, or the peer, that made the difference.
+        """
+        watch = self._watch
         catch_up = watch.catch_up
         if catch_up.is_behind != self._is_behind:
             self._is_behind = catch_up.is_behind
             log_message(
                 'table_behind' if self._is_behind else 'table_current',
                 table=watch.settings.prefix,
-                outcome=outcome.status.value,
+                reason=reason,
                 version=watch.copy.version,
                 required_version=catch_up.required_version,
                 outdated_reads=catch_up.outdated_reads,
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -120,6 +120,14 @@
     Then the gauge is 0, and the log tells once that the copy is current
     And no neighbour is told that the store is unreachable
 
+  Scenario: A peer's copy ends the doubt of an instance that is behind
+    Guards against 503 in place of 404 and 401 for as long as a waiting call takes, at an instance whose copy is sound.
+    Given the running component of an instance that is no follower, with rows that are checked
+    When its history is lost and the store refuses all further calls
+    Then its rows are doubted
+    When a peer sends its copy, which is newer
+    Then its rows are doubted no more
+
   Scenario: An instance of another follower's audience makes no call
     Guards against a second waiting call from each instance of a large fleet.
     Given the running component of an instance that is no follower
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -20,6 +20,7 @@
     MemberState,
     StoreUnreachable,
     TableAsk,
+    TableContent,
     TableDelta,
     TableVersion,
     peer_message,
@@ -27,6 +28,7 @@
 from bergamotturn.connection.store_events import (
     STORES,
     Row,
+    RowCheck,
     RowFollow,
     RowScan,
     StoreOutcome,
@@ -289,14 +291,22 @@
         self.sent = []
         self.changes = []
         self.read_version = 1
+        self.refuses = False
+        self.doubts = []
 
     def cancel_store_operation(self, operation_id):
         self.cancelled.append(operation_id)
 
     def store_operation(self, operation):
+        if self.refuses:
+            self.answer(operation, StoreStatus.refused, 0)
+            return
         if isinstance(operation, RowFollow):
             self.follows.append(operation)
             return
+        if isinstance(operation, RowCheck):
+            self.answer(operation, StoreStatus.found, 1)
+            return
         assert isinstance(operation, RowScan)
         self.answer(operation, StoreStatus.found, self.read_version)
 
@@ -309,6 +319,10 @@
         )
         self.fire(store_outcome(outcome), MIRROR)
 
+    @handler('table_doubted', channel='*')
+    def _on_table_doubted(self, prefix, is_doubted):
+        self.doubts.append(is_doubted)
+
     @handler('multicast_message', channel='peers')
     def _on_multicast(self, instances, message):
         self.sent.append((tuple(instances), message))
@@ -322,7 +336,9 @@
         self.changes.append(change)
 
 
-def _start_component(context, *, is_follower, is_forwarded=True):
+def _start_component(
+    context, *, is_follower, is_forwarded=True, is_checked=False
+):
     view = MemberView(tuple(member(f'n-{number}', 'c') for number in range(20)))
     names = [each.instance for each in view.members]
     chosen = FollowerChoice('n-0', 'c')
@@ -338,6 +354,8 @@
         long_wait_s=25,
         batch_wait_s=0.05,
         is_forwarded=is_forwarded,
+        is_checked=is_checked,
+        expected_keys=('t/1',) if is_checked else (),
     )
     choice = FollowerChoice(context.name, 'c')
     MirrorTask([settings], timers, choice).register(context.store)
@@ -353,6 +371,44 @@
     assert len(context.store.follows) == 1
 
 
+@given(
+    'the running component of an instance that is no follower, with rows that '
+    'are checked'
+)
+def running_checked(context):
+    _start_component(
+        context, is_follower=False, is_forwarded=False, is_checked=True
+    )
+    assert len(context.store.follows) == 1
+
+
+@when('its history is lost and the store refuses all further calls')
+def lost_then_refused(context):
+    context.store.refuses = True
+    context.store.answer(context.store.follows[-1], StoreStatus.history_lost, 0)
+    turn(context.store, context.lock, 0.3)
+
+
+@when('a peer sends its copy, which is newer')
+def newer_copy(context):
+    content = TableContent(
+        prefix='t/', version=9, keys=('t/1',), rows=(Row('t/1', 9, b'x'),)
+    )
+    envelope = Envelope('n-9', 'boot', content)
+    context.store.fire(peer_message(envelope), MIRROR)
+    turn(context.store, context.lock, 0.05)
+
+
+@then('its rows are doubted')
+def doubted(context):
+    assert context.store.doubts == [True], context.store.doubts
+
+
+@then('its rows are doubted no more')
+def doubted_no_more(context):
+    assert context.store.doubts == [True, False], context.store.doubts
+
+
 @given('the running component of an instance that is no follower')
 def running_other(context):
     _start_component(context, is_follower=False)
