--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -64,8 +64,11 @@
         self._settings = settings
         self._random = random
         self.check_due_s = inf
+        #: Keys that the running check has not told yet; None before it starts.
         self._unchecked: list[str] | None = None
+        #: Version at the first answer of the running check.
         self._checked_version = 0
+        #: Keys of rows that are checked also while they don't exist.
         self._expected_keys = dict.fromkeys(settings.expected_keys)
         self._is_follower = True
         self.began_s: float | None = None
@@ -81,7 +84,7 @@
 
     @property
     def is_unchecked(self) -> bool:
-        """Return whether known rows may be behind as well."""
+        """Return whether a check is due, planned or under way."""
         return self.check_due_s < inf
 
     def behind_s(self, now_s: float) -> float:
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -85,6 +85,7 @@
         self._scan_floor = 0
         #: Monotonic time at which the store last said that history is lost.
         self._lost_s = float('-inf')
+        #: May be above the version of the copy, which then lacks changes.
         self._followed = FollowedVersion()
 
     @property
@@ -198,6 +199,7 @@
         )
         if not was_behind:
             self._scan_due_s = float('-inf')
+        # A first loss is followed at once, unless the last one was just now.
         if was_behind and not self._is_following:
             due_s = min(self._scan_due_s, self.catch_up.check_due_s)
             self._pacing.wait_until(due_s)
