Store lag: scenarios with 3 and 40 instances

A route, a key and two leaving endpoints change while the store tells no changes and reads are behind, in a fleet in which all instances follow the store and in one in which a few do. Times of the acknowledgements of endpoints and configuration are kept apart.

--- a/features/reads_behind.feature
+++ b/features/reads_behind.feature
@@ -21,6 +21,21 @@
       | manner                                |
       | and empty answers name newer versions |
 
+  Scenario Outline: Changes of each kind in fleets of other sizes
+    Guards against changes that are late where instances follow the store by other rules: all of them in a small fleet, a
+    few in a large one.
+    Given <count> instances behind a store
+    And 60 lookups a second are sent through all instances for 9 seconds
+    When a plain endpoint says that it leaves and another one's entry is removed while reads fall behind
+    And a version with another route and another key is confirmed meanwhile
+    Then every instance handles requests by it from 2 seconds after its acknowledgement until reads are current
+    And no lookup reaches either later than 2 seconds after its acknowledgement
+
+    Examples:
+      | count |
+      | 3     |
+      | 40    |
+
   Scenario: Further versions while reads are behind
     Guards against instances that learn of the first version only, and of the next ones when reads are current.
     Given nine instances behind a store
--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -30,7 +30,12 @@
 
 @given('nine instances behind a store')
 def start_fleet(context):
-    context.fleet = RelayFleet(instances=_INSTANCES, engines=3, plain=4)
+    start_fleet_of(context, _INSTANCES)
+
+
+@given('{count:d} instances behind a store')
+def start_fleet_of(context, count):
+    context.fleet = RelayFleet(instances=count, engines=3, plain=4)
     context.fleet.__enter__()
     context.add_cleanup(context.fleet.__exit__)
     context.restarted = []
@@ -50,9 +55,9 @@
         while monotonic() < stop_s:
             number += 1
             fleet.send_request(name, '/look/x', f'{name}-look-{number}')
-            sleep(_INSTANCES / rate)
+            sleep(len(fleet.instances) / rate)
 
-    pool = ThreadPoolExecutor(_INSTANCES)
+    pool = ThreadPoolExecutor(len(fleet.instances))
     context.add_cleanup(pool.shutdown)
     context.senders = [pool.submit(send, name) for name in fleet.instances]
     sleep(_SETTLE_S)
@@ -74,6 +79,11 @@
     _confirm_in_silence(context, refuses_checks=True)
 
 
+@when('a version with another route and another key is confirmed meanwhile')
+def confirm_meanwhile(context):
+    context.acknowledged_s = _put_version(context.fleet, _VERSION)
+
+
 @when('three versions are confirmed one after the other while reads are behind')
 def confirm_three(context):
     _confirm_in_silence(context)
@@ -103,7 +113,7 @@
     leaving, removed = fleet.plain[:2]
     fleet.put_entry(leaving, state='draining')
     fleet.put('servers', f'i-{removed}', None)
-    context.acknowledged_s = monotonic()
+    context.left_s = monotonic()
     context.left = [leaving, removed]
 
 
@@ -112,7 +122,7 @@
     fleet = context.fleet
     _begin_lag(context)
     fleet.put('op', 'evacuate/a', {})
-    context.acknowledged_s = monotonic()
+    context.left_s = monotonic()
     context.left = [
         port for port in fleet.plain if fleet.entry(port)['zone'] == 'a'
     ]
@@ -144,7 +154,7 @@
     answers = _probe(context, context.current_s, _VERSION)
     late = _late(context, answers)
     assert not late, (len(late), len(answers), late[:9])
-    assert len(answers) > _INSTANCES
+    assert len(answers) > len(context.fleet.instances)
 
 
 @then('every instance handles requests by each of them in time')
@@ -190,9 +200,9 @@
         arrivals = fleet.facts(port)['arrivals']
         arrived += len(arrivals)
         late.extend(
-            round(arrival['at_s'] - context.acknowledged_s, 3)
+            round(arrival['at_s'] - context.left_s, 3)
             for arrival in arrivals
-            if arrival['at_s'] > context.acknowledged_s + _BOUND_S
+            if arrival['at_s'] > context.left_s + _BOUND_S
         )
     assert arrived, 'no lookup reached these endpoints before'
     assert not late, (len(late), max(late))
@@ -230,7 +240,7 @@
     fleet = context.fleet
     answers = []
     due_s = context.acknowledged_s + _BOUND_S
-    with ThreadPoolExecutor(_INSTANCES) as pool:
+    with ThreadPoolExecutor(len(fleet.instances)) as pool:
         while due_s < until_s:
             sleep(max(0, due_s - monotonic()))
             due_s += _PROBE_INTERVAL_S
