HTTP client: the peer that goes silent is a process of its own

http_client.feature:190 failed in 3 of 28 runs at a load average of 25 to 35: the peer's thread shares the interpreter with the client and got no processor for up to 1.25 s, while the client's limit is 0.3 s. The limit stays.

--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -3,6 +3,8 @@
 import re
 import socket
 import struct
+import subprocess
+import sys
 import threading
 import time
 from contextlib import suppress
@@ -25,6 +27,7 @@
 from bergamotturn.connection.http_client import HttpClient
 from bergamotturn.errors import ErrorKind
 from bergamotturn.process.timers import Timers
+from features.support.processes import ROOT
 
 #: Far above any expected time; exceeded only if something hangs.
 _HANG_S = 20
@@ -118,6 +121,25 @@
         return body
 
 
+class _PeerProcess:
+    """A server in a process of its own, which prints its port."""
+
+    def __init__(self, module, *arguments):
+        self.data_seen = threading.Event()
+        self._process = subprocess.Popen(
+            (sys.executable, '-m', module, *arguments),
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+        )
+        self.address = Address(
+            '127.0.0.1', int(self._process.stdout.readline())
+        )
+
+    def end(self):
+        self._process.kill()
+        self._process.communicate()
+
+
 def _answer(text, length=None):
     length = len(text) if length is None else length
     return f'HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{text}'.encode()
@@ -237,17 +259,6 @@
     sock.recv(1)
 
 
-def _stop_answering(barrier, peer, sock, number):
-    """Answer once on each of the first connections, then only read."""
-    if number > barrier.parties:
-        _answer_with_keep_alive(peer, sock, number)
-        return
-    peer.read_request(sock, number)
-    barrier.wait(_HANG_S)
-    sock.sendall(_answer('first'))
-    _read_without_answering(peer, sock, number)
-
-
 def _answer_at_standstill(peer, sock, number):
     peer.read_request(sock, number)
     peer.data_seen.wait(_HANG_S)
@@ -339,7 +350,10 @@
     'a peer whose first {count:d} connections go silent after one answer each'
 )
 def silent_peer(context, count):
-    _start_peer(context, partial(_stop_answering, threading.Barrier(count)))
+    context.waits_for_close = False
+    context.peer = _PeerProcess('features.standins.silent_peer', str(count))
+    context.add_cleanup(context.peer.end)
+    context.address = context.peer.address
 
 
 @when('a "{method}" with the field "{text}" is sent to the peer')
