Planned stops: SIGTERM once the senders are ready, and engines that keep their pace

planned_stop.feature:27 failed beside load because senders were still opening their kept connections when the instance ended, or opened them after SIGTERM, so that they were closed with their answers. They now report that they are ready, and the instance gets SIGTERM after that; the check that they were opened in time is part of it. planned_stop.feature:6 failed because the stand-in engines took 5.4 to 5.5 s for answers of 4.7 s; each event of a paced stream is now due at a time counted from its begin. No bound is changed.

--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -546,17 +546,21 @@
         await answer.prepare(request)
         first = int(request.headers.get('Last-Event-Id', '0')) + 1
         count, interval_s = _EVENT_COUNT, _EVENT_INTERVAL_S
-        if fault == 'paced':
+        is_paced = fault == 'paced'
+        if is_paced:
             count = _longest_answer(request.headers['Token-Count'])
             interval_s = self.fault.delay_s
+        due_s = monotonic()
         try:
             for number in range(first, count + 1):
                 if fault == 'cut' and number > 2:
                     await answer.write(b'id: 3\nda')
                     request.transport.abort()
-                pause_s = pauses_s.get(number - 1, 0)
-                await asyncio.sleep(interval_s + pause_s)
+                due_s += interval_s + pauses_s.get(number - 1, 0)
+                await asyncio.sleep(due_s - monotonic())
                 await answer.write(event(number))
+                if not is_paced:
+                    due_s = monotonic()
         except ConnectionError:
             self._interrupted_count += 1
         return answer
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import closing
 from http.client import HTTPConnection
+from multiprocessing import Manager
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -23,6 +24,7 @@
 from features.support.relay_fleet import HOST_NAME, RelayFleet
 from features.support.request_senders import (
     RequestEnd,
+    StopSignal,
     send_on_kept,
     send_on_new,
     send_split,
@@ -51,8 +53,6 @@
 _SENDERS = 4
 #: Connections of each sender on kept ones.
 _KEPT = 50
-#: Time until the kept connections have had an answer.
-_SETUP_S = 2.0
 #: Times after SIGTERM between which requests are sent. An instance without
 #: waiting requests ends in this time.
 _SENDING_S = 3.2, 4.2
@@ -296,18 +296,18 @@
 
 def _stop_under_load(fleet, name, number):
     address = Address.parse(fleet.caller_address(name))
-    stop_s = monotonic() + _SETUP_S
-    from_s, until_s = (stop_s + after_s for after_s in _SENDING_S)
     ends = Counter()
-    with ProcessPoolExecutor(2 * _SENDERS) as senders:
+    with Manager() as manager, ProcessPoolExecutor(2 * _SENDERS) as senders:
+        stop = StopSignal(manager, 2 * _SENDERS, _SENDING_S)
         counts = []
         for sender in range(_SENDERS):
-            kept = address, f'kept-{number}-{sender}', from_s, until_s, _KEPT
+            kept = address, f'kept-{number}-{sender}', _KEPT, stop
             counts.append(senders.submit(send_on_kept, *kept))
-            new = address, f'new-{number}-{sender}', from_s, until_s
+            new = address, f'new-{number}-{sender}', stop
             counts.append(senders.submit(send_on_new, *new))
-        sleep(max(0, stop_s - monotonic()))
+        stop.wait_senders()
         fleet.signal(name, signal.SIGTERM)
+        stop.announce()
         for count in counts:
             ends.update(count.result())
     assert fleet.wait_end(name, _GRACE_S) == 0, name
