--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -254,8 +254,10 @@
             return refusal
         transaction = await read_body(request)
         conditions = transaction.get('expectedRevision', [])
+        is_check = not transaction['puts']
+        self._calls['check'] += is_check
         if self._lag is not None and self._lag.refuses_checks:
-            if not transaction['puts']:
+            if is_check:
                 return json_answer({'error': 'forbidden'}, 403)
         if any(
             put['table'] in _READ_ONLY_TABLES for put in transaction['puts']
--- a/features/support/measures.py
+++ b/features/support/measures.py
@@ -10,6 +10,7 @@
 import defopt
 import msgspec
 
+from .measure_behind import measure_behind
 from .measure_capacity import measure_capacity
 from .measure_control import ControlCase, measure_control
 from .measure_entry import measure_entry
@@ -73,6 +74,14 @@
     _print_figures('data-centre', seed, _fields_of(measure_data_centre(seed)))
 
 
+def behind(*, seed: int = 1, instances: int = 9) -> None:
+    """Measure store calls in quiet and while the store's reads are behind.
+
+    :param instances: size of the fleet.
+    """
+    _print_figures('behind', seed, _fields_of(measure_behind(instances)))
+
+
 def capacity(*, seed: int = 1) -> None:
     """Measure what the state of the target fleet costs one process."""
     _print_figures('capacity', seed, _fields_of(measure_capacity(getpid())))
@@ -80,7 +89,18 @@
 
 def main() -> None:
     """Run the benchmark named on the command line."""
-    defopt.run([entry, control, policy, longs, groups, data_centre, capacity])
+    defopt.run(
+        [
+            entry,
+            control,
+            policy,
+            longs,
+            groups,
+            data_centre,
+            behind,
+            capacity,
+        ]
+    )
 
 
 def _fields_of(figures: Any) -> dict[str, Any]:
