--- a/tools/run_checks.py
+++ b/tools/run_checks.py
@@ -11,7 +11,7 @@
 import venv
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from typing import Final
+from typing import Final, NamedTuple
 
 __all__ = ('main',)
 
@@ -28,6 +28,20 @@
     r'^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?',
     re.MULTILINE,
 )
+#: A step that failed, and the names of the scenarios that failed.
+_FAILURE: Final = re.compile(
+    r'^(?:FAILURE|ERROR) in step .*?(?=^-{10})'
+    r'|^(?:Failing|Errored) scenarios:.*?(?=^$)',
+    re.MULTILINE | re.DOTALL,
+)
+
+
+class _Result(NamedTuple):
+    """Numbers of scenarios, and what failed."""
+
+    passed: int
+    failed: int
+    failures: str = ''
 
 
 def main() -> int:
@@ -37,10 +51,14 @@
         'format': _run('-m', 'ruff', 'format', '--check', *_SOURCE_FOLDERS),
         'lint': _run('-m', 'flake8', *_SOURCE_FOLDERS),
     }
-    passed, failed = _run_scenarios()
+    results = _run_scenarios()
+    failed = sum(each.failed for each in results)
     failed += sum(code != 0 for code in checks.values())
+    passed = sum(each.passed for each in results)
     passed += sum(code == 0 for code in checks.values())
     _run_known_red()
+    # The output is long, and may be cut at its begin.
+    print(''.join(each.failures for each in results))
     for name, code in checks.items():
         verdict = 'failed' if code else 'passed'
         print(f'{name}: {verdict}')
@@ -62,42 +80,38 @@
     ).returncode
 
 
-def _run_scenarios() -> tuple[int, int]:
+def _run_scenarios() -> list[_Result]:
     """Run scenarios with a fleet of processes beside all others.
 
     Fleets run one after the other, since they check time limits in seconds;
-    the other features run a few at a time. Returns the numbers of passed and
-    failed scenarios.
+    the other features run a few at a time.
     """
     features = sorted(map(str, (_ROOT / 'features').glob('*.feature')))
     with ThreadPoolExecutor(_PARALLEL_FEATURES + 1) as pool:
         fleets = pool.submit(_run_fleets)
-        counts = list(pool.map(_run_feature, features))
-        counts.append(fleets.result())
-    return (
-        sum(count[0] for count in counts),
-        sum(count[1] for count in counts),
-    )
+        results = list(pool.map(_run_feature, features))
+        return [*results, fleets.result()]
 
 
-def _run_fleets() -> tuple[int, int]:
-    return _count_results(_behave(f'@fleet and {_COUNTED_TAGS}'))
+def _run_fleets() -> _Result:
+    return _read_result(_behave(f'@fleet and {_COUNTED_TAGS}'))
 
 
-def _run_feature(feature: str) -> tuple[int, int]:
-    return _count_results(_behave(f'not @fleet and {_COUNTED_TAGS}', feature))
+def _run_feature(feature: str) -> _Result:
+    return _read_result(_behave(f'not @fleet and {_COUNTED_TAGS}', feature))
 
 
-def _count_results(run: subprocess.Popen[str]) -> tuple[int, int]:
+def _read_result(run: subprocess.Popen[str]) -> _Result:
     output, _ = run.communicate()
     print(output)
     found = _SUMMARY.search(output)
     if found is None:
-        return 0, 1
-    failures = int(found.group(2)) + int(found.group(3) or 0)
-    if run.returncode and not failures:
-        failures = 1
-    return int(found.group(1)), failures
+        return _Result(0, 1, output)
+    failed = int(found.group(2)) + int(found.group(3) or 0)
+    if run.returncode and not failed:
+        failed = 1
+    failures = ''.join(match.group() for match in _FAILURE.finditer(output))
+    return _Result(int(found.group(1)), failed, failures)
 
 
 def _run_known_red() -> None:
