--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -10,6 +10,18 @@
     Then each request got a complete answer, a refusal without a run, or no connection
     And the instance exits with 0 within its grace time
 
+  Scenario Outline: Charges that come during a planned stop
+    Guards against a charge that runs and whose caller gets nothing or is told that it did not run, and one that runs twice.
+    Given <fleet>
+    When an instance gets SIGTERM and new charges come until it has ended
+    Then each charge got a complete answer that tells whether it ran, or no connection
+    And the instance exits with 0 within its grace time
+
+    Examples:
+      | fleet                                                        |
+      | a relay fleet                                                |
+      | a relay fleet whose plain endpoints pause before they answer |
+
   Scenario: Requests that do not end before the process get a final answer
     Guards against a whole request that gets neither an answer nor a refusal when the instance ends.
     Given a relay fleet whose engines accept requests and send nothing
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import closing
+from http import HTTPStatus
 from http.client import HTTPConnection
 from multiprocessing import Manager
 from pathlib import Path
@@ -93,6 +94,14 @@
 _IDLE_STOP_S = 20.0
 #: A stream, a lookup and a charge; each path is also the id of its request.
 _WAITING_PATHS = '/draft/', '/look/', '/charge/'
+#: How often a charge may have run, by the status of its answer, 0 for none.
+_RUNS_BY_STATUS = {
+    0: {0},
+    HTTPStatus.OK: {1},
+    HTTPStatus.BAD_GATEWAY: {0, 1},
+    HTTPStatus.SERVICE_UNAVAILABLE: {0},
+    HTTPStatus.GATEWAY_TIMEOUT: {0, 1},
+}
 #: Time without a first event after which an engine counts as silent.
 _UNBOUNDED_MS = 20_000
 
@@ -153,8 +162,24 @@
     context.fleet.change_settings(_STOPPED, drain_grace_s=grace_s)
 
 
+@given('a relay fleet whose plain endpoints pause before they answer')
+def fleet_of_pausing_endpoints(context):
+    fleet = _start_fleet(context)
+    for port in fleet.plain:
+        fleet.fault(port, fault='pause')
+
+
 @when('an instance gets SIGTERM and new requests come until it has ended')
 def requests_during_stop(context):
+    _send_during_stop(context, '/draft/x', _LONGEST_HEADERS)
+
+
+@when('an instance gets SIGTERM and new charges come until it has ended')
+def charges_during_stop(context):
+    _send_during_stop(context, '/charge/x', {})
+
+
+def _send_during_stop(context, path, headers):
     fleet = context.fleet
     context.outcomes = {}
     callers = []
@@ -163,7 +188,7 @@
     while monotonic() < context.stopped_s + _GRACE_S / 2:
         request = fleet.next_id()
         caller = threading.Thread(
-            target=_send, args=(context, request, '/draft/x')
+            target=_send, args=(context, request, path, headers)
         )
         caller.start()
         callers.append(caller)
@@ -180,7 +205,9 @@
     fleet = context.fleet
     context.outcomes = {}
     callers = [
-        threading.Thread(target=_send, args=(context, path, f'{path}x'))
+        threading.Thread(
+            target=_send, args=(context, path, f'{path}x', _LONGEST_HEADERS)
+        )
         for path in _WAITING_PATHS
     ]
     for caller in callers:
@@ -196,9 +223,9 @@
         caller.join()
 
 
-def _send(context, request, path):
+def _send(context, request, path, headers):
     context.outcomes[request] = context.fleet.send_request(
-        _STOPPED, path, request=request, **_LONGEST_HEADERS
+        _STOPPED, path, request=request, **headers
     )
 
 
@@ -227,6 +254,22 @@
     assert refused, 'no request was refused while the instance was draining'
 
 
+@then(
+    'each charge got a complete answer that tells whether it ran, or no '
+    'connection'
+)
+def charges_are_told(context):
+    fleet = context.fleet
+    statuses = Counter()
+    for request, answer in context.outcomes.items():
+        runs = fleet.runs(fleet.plain, request)
+        statuses[answer.status] += 1
+        assert answer.is_complete == bool(answer.status), (request, answer)
+        assert runs in _RUNS_BY_STATUS[answer.status], (request, answer, runs)
+    assert statuses[HTTPStatus.OK], statuses
+    assert statuses[HTTPStatus.SERVICE_UNAVAILABLE], statuses
+
+
 @then(
     'each of them gets a complete failure that does not say that it was not run'
 )
