HTTP client: look at the socket before a connection or a body counts as too late

After a standstill of the process (suspended, or without a processor) due timers come before ready sockets. A connection that had opened meanwhile counted as unreachable, so that a sound endpoint was left out, and a body that its peer had gone on reading counted as lost: 502 for a request that may not be repeated, a second run for others.

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 from math import inf
+from select import POLLOUT, poll
 from socket import MSG_PEEK, socket
 from typing import final
 
@@ -100,6 +101,12 @@
             return False
         return False
 
+    def is_writable(self) -> bool:
+        """Return whether the connection is open, or could not be opened."""
+        ready = poll()
+        ready.register(self.sock, POLLOUT)
+        return bool(ready.poll(0))
+
 
 @final
 class ConnectionPool:
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -584,12 +584,17 @@
     @handler('_connect_timeout')
     def _on_connect_timeout(self, transfer: Transfer) -> None:
         connection = self._by_exchange.get(transfer.exchange.exchange_id)
-        if connection is not None and connection.connecting:
-            self._fail(
-                connection,
-                ErrorKind.endpoint_unavailable,
-                'no connection within the connect timeout',
-            )
+        if connection is None or not connection.connecting:
+            return
+        # See the silence timeout.
+        if connection.is_writable():
+            self._on_writable(connection.sock)
+            return
+        self._fail(
+            connection,
+            ErrorKind.endpoint_unavailable,
+            'no connection within the connect timeout',
+        )
 
     @handler('_silence_timeout')
     def _on_silence_timeout(self, transfer: Transfer) -> None:
@@ -602,7 +607,10 @@
         if left_s <= 0:
             # Due timers come before ready sockets, so that after a standstill
             # of this process the peer may have gone on unnoticed.
-            self._receive(connection)
+            if connection.unsent:
+                self._send(connection)
+            if connection.sock in self._connections:
+                self._receive(connection)
             if connection.transfer is not transfer or (
                 connection.sock not in self._connections
             ):
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -202,6 +202,18 @@
     When a "GET" is sent to the peer by a client that then stands still for longer than its silence timeout of 0.3 s
     Then the peer's answer is "kept"
 
+  Scenario: A body that is read while the process stands still
+    Guards against a request that may have run and fails because this process noticed late that its peer reads it.
+    Given a peer that reads a part of the body while the client stands still
+    When a "POST" with a large body is sent to the peer by a client that then stands still for longer than its silence timeout of 0.6 s
+    Then the peer's answer is "kept"
+
+  Scenario: A connection that opens while the process stands still
+    Guards against a sound endpoint that is taken for unreachable because this process had no processor for a while.
+    Given a peer that keeps connections
+    When a "GET" is sent to the peer by a client that stands still for longer than its connect timeout of 0.3 s
+    Then the peer's answer is "kept"
+
   Scenario: A cancelled exchange
     Guards against an answer that is still reported after its owner cancelled the exchange.
     Given a peer that answers one byte every 0.05 s without end
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -31,6 +31,11 @@
 
 #: Far above any expected time; exceeded only if something hangs.
 _HANG_S = 20
+#: Larger than the buffers of both ends of a connection.
+_LARGE_BODY = 16_000_000
+_READ_AT_STANDSTILL = 1_500_000
+#: Time after the standstill in which the peer reads nothing.
+_REST_AFTER_S = 0.1
 
 
 class _ReportRecorder(Component):
@@ -60,7 +65,7 @@
 
 
 class _Standstill(Component):
-    """Blocks the event loop as soon as a request has been sent."""
+    """Blocks the event loop once a request has been sent, or a part of it."""
 
     def __init__(self, peer, stand_s):
         super().__init__()
@@ -72,6 +77,19 @@
         self._peer.data_seen.set()
         assert self._peer.has_answered.wait(_HANG_S)
         time.sleep(self._stand_s)
+        self._stand_s = 0
+
+
+class _StandstillAtConnect(Component):
+    """Blocks the event loop while connections are being opened."""
+
+    def __init__(self, stand_s):
+        super().__init__()
+        self._stand_s = stand_s
+
+    @handler('start_exchange', channel='http_client', priority=-1)
+    def _on_started(self, *_):
+        time.sleep(self._stand_s)
 
 
 class _Peer:
@@ -267,6 +285,19 @@
     sock.recv(1)
 
 
+def _read_at_standstill(peer, sock, number):
+    """Read a part of the body at the standstill, and the rest after it."""
+    peer.data_seen.wait(_HANG_S)
+    sock.recv(_READ_AT_STANDSTILL, socket.MSG_WAITALL)
+    peer.has_answered.set()
+    time.sleep(_REST_AFTER_S)
+    received = _READ_AT_STANDSTILL
+    while received < _LARGE_BODY:
+        received += len(sock.recv(65536))
+    sock.sendall(_answer('kept'))
+    sock.recv(1)
+
+
 def _close_on_reuse(peer, sock, number):
     peer.read_request(sock, number)
     sock.sendall(_answer('first'))
@@ -314,6 +345,9 @@
         _echo_length_after_pause
     ),
     'answers while the client stands still': _answer_at_standstill,
+    'reads a part of the body while the client stands still': (
+        _read_at_standstill
+    ),
     'keeps connections': _answer_with_keep_alive,
     'closes after each answer without saying so': partial(
         _answer_once, _answer('once')
@@ -428,6 +462,30 @@
     context.reports = _wait_for_outcome(context, exchange)
 
 
+@when(
+    'a "{method}" with a large body is sent to the peer by a client that then '
+    'stands still for longer than its silence timeout of {silence_s:g} s'
+)
+def send_large_before_standstill(context, method, silence_s):
+    _start_client(context)
+    _Standstill(context.peer, silence_s * 1.5).register(context.app)
+    exchange = _send(
+        context, method, body=bytes(_LARGE_BODY), silence_timeout_s=silence_s
+    )
+    context.reports = _wait_for_outcome(context, exchange)
+
+
+@when(
+    'a "{method}" is sent to the peer by a client that stands still for longer '
+    'than its connect timeout of {connect_s:g} s'
+)
+def send_at_standstill(context, method, connect_s):
+    _start_client(context)
+    _StandstillAtConnect(connect_s * 1.5).register(context.app)
+    exchange = _send(context, method, connect_timeout_s=connect_s)
+    context.reports = _wait_for_outcome(context, exchange)
+
+
 @when('a "{method}" is sent to the peer and cancelled after the answer\'s head')
 def send_and_cancel(context, method):
     exchange = _send(context, method)
