--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -607,13 +607,10 @@
         if left_s <= 0:
             # Due timers come before ready sockets, so that after a standstill
             # of this process the peer may have gone on unnoticed.
-            if connection.unsent:
+            self._receive(connection)
+            if self._goes_on(connection, transfer) and connection.is_writable():
                 self._send(connection)
-            if connection.sock in self._connections:
-                self._receive(connection)
-            if connection.transfer is not transfer or (
-                connection.sock not in self._connections
-            ):
+            if not self._goes_on(connection, transfer):
                 return
             left_s = _silence_left_s(transfer)
         if left_s > 0:
@@ -629,6 +626,10 @@
             connection, ErrorKind.endpoint_lost, 'peer silent for too long'
         )
 
+    def _goes_on(self, connection: PeerConnection, transfer: Transfer) -> bool:
+        is_open = connection.sock in self._connections
+        return is_open and connection.transfer is transfer
+
     @handler('_total_timeout')
     def _on_total_timeout(self, transfer: Transfer) -> None:
         connection = self._by_exchange.get(transfer.exchange.exchange_id)
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -208,6 +208,19 @@
     When a "POST" with a large body is sent to the peer by a client that then stands still for longer than its silence timeout of 0.6 s
     Then the peer's answer is "kept"
 
+  Scenario: A body that is refused while the process stands still
+    Guards against a refusal that is lost with the rest of the body.
+    Given a peer that refuses the body while the client stands still
+    When a "POST" with a large body is sent to the peer by a client that then stands still for longer than its silence timeout of 0.6 s
+    Then the peer's answer is "kept"
+
+  Scenario: A peer that reads nothing of a body
+    Guards against a silent peer that seems to go on since the sender's own buffer takes more of the body.
+    Given a peer that reads nothing
+    When a "POST" with a large body is sent to the peer with a silence timeout of 1 s
+    Then the exchange fails as "endpoint_lost" with bytes sent
+    And the exchange took less than 1.5 s
+
   Scenario: A connection that opens while the process stands still
     Guards against a sound endpoint that is taken for unreachable because this process had no processor for a while.
     Given a peer that keeps connections
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -298,6 +298,20 @@
     sock.recv(1)
 
 
+def _refuse_at_standstill(peer, sock, number):
+    """Answer without reading the body, so that closing resets."""
+    peer.data_seen.wait(_HANG_S)
+    sock.recv(1)
+    sock.sendall(_answer('kept'))
+    time.sleep(_REST_AFTER_S)
+    sock.close()
+    peer.has_answered.set()
+
+
+def _read_nothing(peer, sock, number):
+    peer.has_answered.wait(_HANG_S)
+
+
 def _close_on_reuse(peer, sock, number):
     peer.read_request(sock, number)
     sock.sendall(_answer('first'))
@@ -345,6 +359,8 @@
         _echo_length_after_pause
     ),
     'answers while the client stands still': _answer_at_standstill,
+    'refuses the body while the client stands still': _refuse_at_standstill,
+    'reads nothing': _read_nothing,
     'reads a part of the body while the client stands still': (
         _read_at_standstill
     ),
@@ -469,6 +485,14 @@
 def send_large_before_standstill(context, method, silence_s):
     _start_client(context)
     _Standstill(context.peer, silence_s * 1.5).register(context.app)
+    send_large(context, method, silence_s)
+
+
+@when(
+    'a "{method}" with a large body is sent to the peer with a silence timeout '
+    'of {silence_s:g} s'
+)
+def send_large(context, method, silence_s):
     exchange = _send(
         context, method, body=bytes(_LARGE_BODY), silence_timeout_s=silence_s
     )
@@ -506,6 +530,11 @@
     assert context.elapsed_s >= limit_s * 0.95, context.elapsed_s
 
 
+@then('the exchange took less than {limit_s:g} s')
+def took_less_than(context, limit_s):
+    assert context.elapsed_s < limit_s, context.elapsed_s
+
+
 @then('the process used less than half of that time on the CPU')
 def cpu_time_is_low(context):
     assert context.elapsed_cpu_s < context.elapsed_s / 2, context.elapsed_cpu_s
