--- a/features/steps/standstill_steps.py
+++ b/features/steps/standstill_steps.py
@@ -50,14 +50,22 @@
 
 @then('no instance takes an engine for silent')
 def none_silent(context):
-    fleet = context.fleet
-    for name in fleet.instances:
-        lines = [
-            line
-            for line in fleet.log(name)
-            if line['message_type'] in _SILENCE_KINDS
-        ]
-        assert not lines, (name, lines)
+    for name in context.fleet.instances:
+        _assert_not_logged(context, name, _SILENCE_KINDS)
+
+
+@then('the instance has not taken the store for lost')
+def store_not_lost(context):
+    _assert_not_logged(context, _SUSPENDED, {'store_lost'})
+
+
+def _assert_not_logged(context, name, kinds):
+    lines = [
+        line
+        for line in context.fleet.log(name)
+        if line['message_type'] in kinds
+    ]
+    assert not lines, (name, lines)
 
 
 def _runs(context):
