--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -586,7 +586,8 @@
         connection = self._by_exchange.get(transfer.exchange.exchange_id)
         if connection is None or not connection.connecting:
             return
-        # See the silence timeout.
+        # It may have opened while this process stood still: due timers come
+        # before ready sockets.
         if connection.is_writable():
             self._on_writable(connection.sock)
             return
@@ -627,6 +628,7 @@
         )
 
     def _goes_on(self, connection: PeerConnection, transfer: Transfer) -> bool:
+        """Return whether the transfer is still pending on the connection."""
         is_open = connection.sock in self._connections
         return is_open and connection.transfer is transfer
 
