Tables: old reads put off the check of the rows no more

Cause: where an instance that is no follower learns that history was lost, it checks its rows after a random delay, as others may tell it before. A read that is old, but newer than what was proven (rows of other tables had changed), ended the catch-up and called off the check. The next call found history lost again, and the delay began anew, for as long as each read names a newer version.

Change: the time of a check that was called off stays, until a check starts or the store tells the changes that follow the copy. A call is due at that time.

--- a/bergamotturn/process/mirror/call_pacing.py
+++ b/bergamotturn/process/mirror/call_pacing.py
@@ -54,6 +54,10 @@
         """Delay the next call until a monotonic time."""
         self.next_call_s = until_s
 
+    def call_by(self, latest_s: float) -> None:
+        """Let the next call be due at a monotonic time at the latest."""
+        self.next_call_s = min(self.next_call_s, latest_s)
+
     def note_answer(self) -> None:
         """Forget the failures before a call that was answered."""
         self._retry_wait_s = _MIN_RETRY_WAIT_S
--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -35,6 +35,9 @@
     """What a copy lacks while it is known to be behind.
 
     :ivar check_due_s: monotonic time of the next check, inf for none.
+    :ivar delayed_until_s: monotonic time of a delayed check, also if a read has
+        called it off. It is inf once the check starts or the store tells the
+        changes that follow the copy.
     :ivar required_version: lowest version of a read that is current.
     :ivar follow_version: version after which changes are followed; 0 before a
         check.
@@ -53,6 +56,7 @@
         '_unchecked',
         'began_s',
         'check_due_s',
+        'delayed_until_s',
         'failures',
         'follow_version',
         'outdated_reads',
@@ -64,6 +68,7 @@
         self._settings = settings
         self._random = random
         self.check_due_s = inf
+        self.delayed_until_s = inf
         #: Keys that the running check has not told yet; None before it starts.
         self._unchecked: list[str] | None = None
         #: Version at the first answer of the running check.
@@ -111,13 +116,23 @@
         """Check the known rows soon."""
         if not self._settings.is_checked:
             return
-        due_s = now_s
-        if not is_follower:
-            longest_s = self._settings.check_delay_s
-            due_s += self._random.uniform(longest_s / 3, longest_s)
+        due_s = now_s if is_follower else self._delay_check(now_s)
         self._unchecked = None
         self.check_due_s = min(self.check_due_s, due_s)
 
+    def _delay_check(self, now_s: float) -> float:
+        """Return the time of a check that others may make needless.
+
+        A read may have called off a check although it wasn't current. The delay
+        doesn't begin again then, since reads may go on like that.
+        """
+        longest_s = self._settings.check_delay_s
+        is_old = self.delayed_until_s + longest_s < now_s
+        if is_old or self.delayed_until_s == inf:
+            delay_s = self._random.uniform(longest_s / 3, longest_s)
+            self.delayed_until_s = now_s + delay_s
+        return self.delayed_until_s
+
     def hasten_check(self) -> None:
         """Let a check that is planned for later be due at once."""
         if self.is_unchecked:
@@ -159,6 +174,7 @@
         """Return the keys of the rows to check now, if there are any."""
         if now_s < self.check_due_s:
             return ()
+        self.delayed_until_s = inf
         if self._unchecked is None:
             # Each key once, those that matter most first.
             keys = chain(self._expected_keys, known_keys)
@@ -198,6 +214,11 @@
             )
         return True
 
+    def note_changes(self) -> None:
+        """Note that the store tells the changes that follow the copy."""
+        if not self.is_behind:
+            self.delayed_until_s = inf
+
     def note_outdated_read(self, now_s: float) -> float:
         """Note a read that is not current, and return when to read again.
 
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -210,12 +210,14 @@
             self._pacing.wait_until(now_s + self.settings.batch_wait_s)
         else:
             self._pacing.wait_until(self._lost_s + self.settings.batch_wait_s)
+            self._pacing.call_by(self.catch_up.delayed_until_s)
         self._lost_s = now_s
         return self.advance(now_s)
 
     def _on_changes(
         self, now_s: float, pending: RowFollow, outcome: StoreOutcome
     ) -> list[WatchAction]:
+        self.catch_up.note_changes()
         is_long = pending.wait_s > self.settings.wait_s
         version = self._followed.note(pending, outcome, is_long=is_long)
         if pending.since_version > self.copy.version:
@@ -263,6 +265,7 @@
         self._end_catch_up(now_s)
         # By then an instance of a large fleet knows whether it is a follower.
         self._pacing.delay_after_change(now_s)
+        self._pacing.call_by(catch_up.delayed_until_s)
 
     def _end_catch_up(self, now_s: float) -> None:
         """Go on without reads of all rows, as the copy is current."""
--- a/features/steps/table_faults_steps.py
+++ b/features/steps/table_faults_steps.py
@@ -22,6 +22,9 @@
 _STEP_S = 0.02
 #: Shortest time between two reads that are not current.
 _MIN_READ_WAIT_S = 0.1
+#: Number of reads that are not current, more than a check is delayed for.
+_READS = 30
+_SETTLE_S = 0.2
 #: Settings of the configuration's table where changes are in force after 2 s.
 _SETTINGS = replace(
     next(each for each in watched_tables(2) if each.expected_keys),
@@ -153,6 +156,30 @@
     course_now.run(30)
 
 
+@when(
+    'its history is lost after each read, which names a newer version without '
+    'the last change'
+)
+def lost_after_each_read(context):
+    course_now = context.course
+    store = course_now.store
+    store.read_version = store.version
+    for _ in range(_READS):
+        store.put_elsewhere()
+    store.put('t/1', b'new')
+    store.lose_history()
+    longest_s = _SETTINGS.check_delay_s + _SETTLE_S
+    until_s = course_now.harness.now_s + longest_s
+    while course_now.harness.now_s < until_s:
+        store.read_version += 1
+        course_now.run(_MIN_READ_WAIT_S)
+
+
+@then('the copy has the change once the longest delay of a check is over')
+def has_change(context):
+    assert context.course.harness.values()['t/1'] == b'new'
+
+
 @then(
     'it is called at most {waits:d} times a second for changes, {checks:d} for '
     'checks and {reads:g} for reads'
--- a/features/support/watched_table.py
+++ b/features/support/watched_table.py
@@ -76,6 +76,11 @@
             self.rows.pop(key, None)
         self._states.append(dict(self.rows))
 
+    def put_elsewhere(self):
+        """Write a row of another table, which has the same version counter."""
+        self.version += 1
+        self._states.append(self._states[-1])
+
     def lose_history(self):
         self.oldest_version = self.version
 
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -77,6 +77,18 @@
       | a non-follower | with 429      | 10    | 10     | 1.3   | 0.9    |
       | a non-follower | never         | 1     | 1      | 1     | 1.9    |
 
+  Scenario Outline: Reads that go on while they are behind put off no check
+    Guards against a version that is not in force as long as reads are behind: each of them called off the check, and the
+    loss of history after it began the delay of another one.
+    Given a copy of <whom> whose store answers checks with the rows
+    When its history is lost after each read, which names a newer version without the last change
+    Then the copy has the change once the longest delay of a check is over
+
+    Examples:
+      | whom           |
+      | a follower     |
+      | a non-follower |
+
   Scenario: A check whose answer lists some of the rows is followed by a check of the others
     Guards against rows that are removed unnoticed, since the store lists only those that exist.
     Given a copy of 3 rows
