Tables: leave time for a silent wait before a delayed check

Cause: a store that tells nothing for a whole wait (1 s of a bound of 2 s) and the longest delay of a check (1.2 s) are more than the bound. The simulation of followers.feature did not show it, as its followers forwarded the rows of all tables; those of the configuration's table are not forwarded.

Change: the longest delay is 0.4 of the bound instead of 0.6. The simulation forwards what the product forwards.

--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -78,8 +78,8 @@
 _MAX_BATCH_WAIT_SHARE: Final = 0.3
 #: Longest delay of the checks by instances that followers tell of changes, as
 #: the same fraction. The checks of a large fleet must not come at once, and
-#: still end in time.
-_CHECK_DELAY_SHARE: Final = 0.6
+#: still end in time when a whole wait without changes comes before them.
+_CHECK_DELAY_SHARE: Final = 0.4
 #: Running instances learn of each other, and of quarantined prompt parts, from
 #: their peers; only instances that start later need the tables.
 _REREAD_INTERVAL_S: Final = 60.0
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -91,6 +91,19 @@
       | 195       | 5       | op/      | 4     |
       | 195       | 5       | servers/ | 4     |
 
+  Scenario Outline: A silence of the store as long as a wait for changes
+    Guards against a version that is in force late at an instance that no other one told of it: on 40 real instances one
+    request of 800 was refused with 503 2.02 s after the acknowledgement. Rows of other tables have changed before, so
+    that the first old read is newer than the copy. Large rows are not forwarded.
+    Given <instances> instances in <centres> data centres with the settings of the table "op/" and a bound of <bound> seconds
+    Then in <courses> courses in which a row changes as the store falls silent, each change is in every copy <bound> seconds later
+    And the store gets at most 250 checks in any second of them
+
+    Examples:
+      | instances | centres | bound | courses |
+      | 40        | 3       | 2     | 40      |
+      | 76        | 3       | 3     | 8       |
+
   Scenario: The store is down for all
     Guards against every instance that calls a store which does not answer.
     Given 100 instances in 4 data centres whose copies are complete
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -59,6 +59,11 @@
 #: reads are behind.
 _UNTOLD_S = 1.2
 _BEHIND_S = 6
+#: Time between the begin of the silence and a change in it.
+_TURN_S = 0.02
+#: Changes of other tables that the first old read names.
+_OTHER_CHANGES = 3
+_ROWS = 20
 
 
 @given('{instances:d} instances in {centres:d} data centres')
@@ -87,6 +92,7 @@
     (settings,) = [
         each for each in watched_tables(in_force_s) if each.prefix == prefix
     ]
+    context.settings = settings
     context.fleet = WatchFleet(instances, centres, settings=settings)
     for number in range(20):
         context.fleet.put(f't/{number}', b'x')
@@ -137,6 +143,30 @@
     assert max(context.fleet.checks.values()) <= count, context.fleet.checks
 
 
+@then(
+    'in {courses:d} courses in which a row changes as the store falls silent, '
+    'each change is in every copy {within_s:d} seconds later'
+)
+def in_force_after_silence(context, courses, within_s):
+    settings = context.settings
+    late, context.checks = [], []
+    for seed in range(courses):
+        course = _course_of(context.fleet, seed, settings)
+        course.version += _OTHER_CHANGES
+        course.fall_behind(settings.wait_s, _BEHIND_S)
+        course.run(_TURN_S)
+        course.put('t/4', b'y')
+        course.run(within_s)
+        late.extend((seed, name) for name in course.lagging())
+        context.checks.append(max(course.checks.values()))
+    assert not late, late
+
+
+@then('the store gets at most {count:d} checks in any second of them')
+def course_checks_limited(context, count):
+    assert max(context.checks) <= count, context.checks
+
+
 @given(
     'an instance that knows {count:d} others from the list of instances only'
 )
@@ -258,6 +288,16 @@
         _run_random_course(seed, instances)
 
 
+def _course_of(fleet_now, seed, settings):
+    """Return a fleet like ``fleet_now`` with another seed."""
+    centres = {each.data_centre for each in fleet_now.members.values()}
+    course = WatchFleet(len(fleet_now.members), len(centres), seed, settings)
+    for number in range(_ROWS):
+        course.put(f't/{number}', b'x')
+    course.run(_SETTLE_S)
+    return course
+
+
 def _run_random_course(seed, instances):
     random = Random(seed)
     course = WatchFleet(instances, 2, seed)
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -311,6 +311,8 @@
         ]
 
     def _forward(self, node, change):
+        if not node.watch.settings.is_forwarded:
+            return
         message = node.watch.message_for(change)
         for name in node.choice.audience:
             self._post(node.name, name, message)
