--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -24,6 +24,8 @@
     'sliding for 6 s': {'slides': True},
     'and empty answers name newer versions': {'names_newest': True},
 }
+#: Log lines of an instance that a failure shows.
+_EXPLAINING_LINES = 30
 _DENIED = frozenset((401, 403, 404))
 _STARTING = frozenset((0, 503))
 
@@ -165,7 +167,7 @@
 def in_force_in_time(context):
     answers = _probe(context, context.current_s, _VERSION)
     late = _late(context, answers)
-    assert not late, (len(late), len(answers), late[:9])
+    assert not late, _explained(context, late, answers)
     assert len(answers) > len(context.fleet.instances)
 
 
@@ -177,7 +179,7 @@
             context, confirmed_s + _BOUND_S + _PROBE_INTERVAL_S, version
         )
         late = _late(context, answers)
-        assert not late, (version, len(late), len(answers), late[:9])
+        assert not late, (version, _explained(context, late, answers))
 
 
 @then(
@@ -195,7 +197,7 @@
     sleep(max(0, context.current_s + _BOUND_S - monotonic()))
     answers = _probe(context, monotonic() + _PROBE_INTERVAL_S, _VERSION)
     late = _late(context, answers)
-    assert not late, (len(late), len(answers), late[:9])
+    assert not late, _explained(context, late, answers)
 
 
 @then('no lookup reaches either later than 2 seconds after its acknowledgement')
@@ -289,3 +291,17 @@
         if answer[-1] != HTTPStatus.OK
         and not (answer[0] in context.restarted and answer[-1] in _STARTING)
     ]
+
+
+def _explained(context, late, answers):
+    """Return the late answers with what the first one's instance logged.
+
+    Of the lines on requests, those on this answer are returned.
+    """
+    name, after_s, _ = late[0]
+    lines = [
+        line
+        for line in context.fleet.log(name)
+        if line.get('request', '').endswith(f'-{after_s}') or 'table' in line
+    ]
+    return len(late), len(answers), late[:9], lines[-_EXPLAINING_LINES:]
