Relay: send no attempt after the deadline

A reservation that was granted at or after the deadline, and handled before the timer that ends the request, led to an attempt for a caller whose time was over. relay_flow.feature "A reservation that is granted after the deadline" failed before and passes now.

--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -134,6 +134,8 @@
         return []
 
     def _send(self, now_s: float) -> list[RelayAction]:
+        if now_s >= self.call.deadline_s:
+            return self._expire('deadline')
         # Other requests may have used up the retry budget while this one waited
         # for memory or a permit.
         if self._progress.attempt.is_retry and not self._router.may_retry(
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -366,6 +366,13 @@
     When its reservation is refused
     Then all of its memory is released and other engines are asked
 
+  Scenario: A reservation that is granted after the deadline
+    Guards against an attempt for a caller whose time is over, because the answer is handled before the time limit.
+    Given a stream that needs reserved memory
+    When its reservation is granted after its deadline
+    Then the request ends without having been sent
+    And all memory is released once
+
   Scenario: An engine that got a request is not asked again after a refused reservation
     Guards against a request that runs twice at the same engine, where its second attempt may also get an answer that
     the engine sends to the first.
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -765,6 +765,22 @@
     return context.run.actions_of(SendAttempt)[0].attempt
 
 
+@when('its reservation is granted after its deadline')
+def reservation_granted_late(context):
+    run = context.run
+    run.now_s = run.flow.call.deadline_s
+    run.answer_reservation(is_granted=True)
+
+
+@then('the request ends without having been sent')
+def ended_unsent(context):
+    run = context.run
+    assert not run.actions_of(SendAttempt)
+    (failure,) = run.actions_of(ReplyFailure)
+    assert failure.failure.kind is ErrorKind.deadline_unreachable, failure
+    assert run.flow.is_over
+
+
 @when('its reservation is refused')
 def reservation_refused(context):
     run = context.run
