Timers: limits on the time of others wait for a read after a standstill

What callers saw: six streams at an instance that was suspended for 0.8 to 3.4 s were sent a second time each, a sound engine was left out by all instances for 4 s, and the store was taken for lost. The answers were whole.

Cause: a turn of the event loop looks at the timers before it reads the sockets, so that what had arrived in time was not read yet.

Change: a turn that finds a timer late by 0.1 s or more lets those timers that limit the time of others fire 20 ms later: silence and deadline of a relayed request, the total time of an exchange and of a call to the store.

Evidence: standstill.feature failed before (3 of 3 examples, known red) and passed in 6 of 6 runs of the three examples. With each timer judged by its own lateness two of six streams were sent twice after 0.8 s. http_client.feature "An answer that arrives while the process stands still" with a total timeout failed before.

--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -493,7 +493,10 @@
     def _on_start_exchange(self, exchange: Exchange) -> None:
         transfer = Transfer(exchange)
         transfer.total_timer = self._timers.call_after(
-            exchange.total_timeout_s, _total_timeout(transfer), self.channel
+            exchange.total_timeout_s,
+            _total_timeout(transfer),
+            self.channel,
+            after_reads=True,
         )
         connection = self._take_idle_connection(exchange)
         if connection:
--- a/features/standstill.feature
+++ b/features/standstill.feature
@@ -3,7 +3,6 @@
   Guards against conclusions about others that rest on the instance's own standstill. The fleet is three instances, the
   store and its endpoints as processes.
 
-  @known_red
   Scenario Outline: An instance that stands still takes no engine for silent
     Guards against second runs, and against sound engines that all instances leave out, after one of them was suspended:
     what the engines sent meanwhile waits in its sockets.
