--- a/features/standstill.feature
+++ b/features/standstill.feature
@@ -17,3 +17,9 @@
       | 0.8   |
       | 1.2   |
       | 3.4   |
+
+  Scenario: A request whose rest arrives while the instance stands still
+    Guards against 408 for a request that was received within its time, which is 3 s.
+    Given a relay fleet
+    When an instance stands still for 3.4 seconds while a caller sends the rest of a request
+    Then the caller's answer is complete
