Tables: one read goes before a check that may get no answer

Where reads went on while they were behind, an instance called the store up to 163 times a second.

Cause: only an answered check ended the state in which a read goes first.

Change: the check comes after one such read, and the state ends with the catch-up and with any other call that fails.

Evidence: tables.feature "A check that got no answer puts off no check of a later loss" failed before.

--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -176,7 +176,10 @@
             return False
         if self._is_follower or now_s < self._read_s + _MIN_READ_WAIT_S:
             return False
-        return read_due_s <= now_s + self.timeout_s
+        is_first = read_due_s <= now_s + self.timeout_s
+        # The check is next, whatever comes of the read.
+        self._is_slow = not is_first
+        return is_first
 
     def expect_rows(self, keys: Iterable[str]) -> None:
         """Include rows that the table may have in checks, up to a limit."""
@@ -236,10 +239,11 @@
             )
         return True
 
-    def note_changes(self) -> None:
-        """Note that the store tells the changes that follow the copy."""
-        if not self.is_behind:
-            self.delayed_until_s = inf
+    def note_failed_call(self) -> None:
+        """Note that a call other than a check got no answer."""
+        self.failures += 1
+        # A read has no better prospect than a check.
+        self._is_slow = False
 
     def note_outdated_read(self, now_s: float) -> float:
         """Note a read that is not current, and return when to read again.
@@ -259,6 +263,7 @@
         """Note that the copy is current."""
         self.began_s = None
         self.failures = 0
+        self._is_slow = False
         self.follow_version = 0
         self.check_due_s = inf
         self._unchecked = None
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -168,7 +168,7 @@
             return self._on_checked(now_s, pending, outcome)
         self.is_store_answering = is_answered
         if not is_answered:
-            self.catch_up.failures += 1
+            self.catch_up.note_failed_call()
             wait_s = self._pacing.next_retry_wait_s()
             self._pacing.wait_until(now_s + wait_s)
             return []
@@ -221,7 +221,8 @@
     def _on_changes(
         self, now_s: float, pending: RowFollow, outcome: StoreOutcome
     ) -> list[WatchAction]:
-        self.catch_up.note_changes()
+        if not self.catch_up.is_behind:
+            self.catch_up.delayed_until_s = inf
         is_long = pending.wait_s > self.settings.wait_s
         version = self._followed.note(pending, outcome, is_long=is_long)
         if pending.since_version > self.copy.version:
--- a/features/steps/table_faults_steps.py
+++ b/features/steps/table_faults_steps.py
@@ -25,6 +25,10 @@
 #: Number of reads that are not current, more than a check is delayed for.
 _READS = 30
 _SETTLE_S = 0.2
+_READ_STATUSES = {
+    'a refusal': StoreStatus.refused,
+    'no answer': StoreStatus.unknown,
+}
 _BEHIND_S = 10
 #: Difference between the times at which reads become current.
 _PHASE_S = 0.12
@@ -47,6 +51,8 @@
         #: Answer to checks: a status, or None for the rows.
         self.check_status = None
         self.is_check_answered = True
+        #: Status with which reads fail, None if they are answered.
+        self.read_status = None
         self.is_history_lost = False
         #: Whether the store seemed not to answer reads.
         self.seemed_silent = False
@@ -86,10 +92,17 @@
             harness.operations.pop(0)
             outcome = TABLE_FORMAT.outcome(operation, self.check_status, b'')
             harness.carry_out(harness.watch.on_outcome(harness.now_s, outcome))
-        elif isinstance(operation, RowFollow):
-            self._answer_wait(operation, pending_s)
         else:
-            harness.answer(self.store)
+            self._answer_call(operation, pending_s)
+
+    def _answer_call(self, operation, pending_s):
+        if isinstance(operation, RowFollow):
+            self._answer_wait(operation, pending_s)
+            return
+        status = self.read_status if isinstance(operation, RowScan) else None
+        is_due = pending_s >= operation.timeout_s
+        if status is not StoreStatus.unknown or is_due:
+            self.harness.answer(self.store, status)
 
     def _answer_wait(self, operation, pending_s):
         if self.is_history_lost:
@@ -244,6 +257,27 @@
     assert course_now.is_current(), course_now.harness.values()
 
 
+@when(
+    'the store answers all again, and its history is lost once more while '
+    'reads get {answer}'
+)
+def lost_once_more(context, answer):
+    course_now = context.course
+    course_now.store.read_version = None
+    course_now.run(_BEHIND_S)
+    course_now.is_check_answered = True
+    assert course_now.is_current()
+    course_now.store.put('t/1', b'once more')
+    course_now.store.lose_history()
+    course_now.read_status = _READ_STATUSES[answer]
+
+
+@then('the copy has the change {within_s:d} seconds later')
+def has_change_later(context, within_s):
+    context.course.run(within_s)
+    assert context.course.harness.values()['t/1'] == b'once more'
+
+
 @given('a copy of {rows:d} rows')
 def course_of_rows(context, rows):
     context.course = _Course(rows=rows)
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -88,6 +88,18 @@
       | a follower     |
       | a non-follower |
 
+  Scenario Outline: A check that got no answer puts off no check of a later loss
+    Guards against a copy that is not checked any more, since a read that fails goes before each check.
+    Given a copy of a non-follower whose store answers checks never
+    When its history is lost and its reads are behind for 60 seconds
+    And the store answers all again, and its history is lost once more while reads get <answer>
+    Then the copy has the change 2 seconds later
+
+    Examples:
+      | answer    |
+      | a refusal |
+      | no answer |
+
   Scenario Outline: Reads that go on while they are behind put off no check
     Guards against a version that is not in force as long as reads are behind: each of them called off the check, and the
     loss of history after it began the delay of another one.
