Tables: a second loss of history makes no planned check overdue

Cause: the time of a check that a read had called off stayed until the next wait for changes had an answer, and was in the past at the second loss.

Change: a wait that lasted longer than the batch wait before it lost the history shows that the read was current.

Evidence: followers.feature "History is lost twice while reads are current": 165 instances that are no followers checked their rows before, none now and none on.

--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -198,6 +198,10 @@
         """Check and read all rows: the store has changes that it can't tell."""
         self._followed.reset()
         was_behind = self.catch_up.is_behind
+        waited_s = now_s - self.started_s
+        if not was_behind and waited_s > self.settings.batch_wait_s:
+            # The store still had the history when the wait began.
+            self.catch_up.delayed_until_s = inf
         self.catch_up.require(
             now_s, pending.since_version + 1, is_follower=self._is_following
         )
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -104,6 +104,14 @@
       | 40        | 3       | 2     | 40      |
       | 76        | 3       | 3     | 8       |
 
+  Scenario: History is lost twice while reads are current
+    Guards against a check by each instance at the same time: the first loss had planned one, which a current read made
+    needless, and the second one took it for overdue.
+    Given 195 instances in 5 data centres with the settings of the table "op/" and a bound of 4 seconds
+    When a row changes and the history is lost, and again 1.6 seconds later
+    Then every copy equals the table 2 seconds later
+    And only followers have checked their rows
+
   Scenario: The store is down for all
     Guards against every instance that calls a store which does not answer.
     Given 100 instances in 4 data centres whose copies are complete
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -137,6 +137,25 @@
     context.fleet.put('t/6', b'')
 
 
+@when(
+    'a row changes and the history is lost, and again {after_s:g} seconds later'
+)
+def lost_twice(context, after_s):
+    context.fleet.run(_STEADY_S)
+    context.fleet.checkers.clear()
+    for value in (b'y', b'z'):
+        context.fleet.put('t/4', value)
+        context.fleet.lose_history()
+        context.fleet.run(after_s)
+
+
+@then('only followers have checked their rows')
+def only_followers_checked(context):
+    others = context.fleet.checkers - set(context.fleet.followers())
+    assert context.fleet.checkers
+    assert not others, len(others)
+
+
 @then('the store gets at most {count:d} checks in any second of it')
 def checks_limited(context, count):
     context.fleet.run(_BEHIND_S)
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -75,6 +75,8 @@
         self.calls = Counter()
         #: Number of checks of rows by second.
         self.checks = Counter()
+        #: Instances that have checked rows.
+        self.checkers = set()
         self.messages = Counter()
         self._random = Random(seed)
         self._steps = 0
@@ -129,6 +131,10 @@
         self._untold_until_s = self.now_s + untold_s
         self._shown_until_s = self.now_s + untold_s + behind_s
 
+    def lose_history(self):
+        """Lose the history; reads stay current."""
+        self._lost_version = self.version
+
     def followers(self):
         """Return the live instances that follow the store."""
         return [node.name for node in self._alive() if node.choice.is_follower]
@@ -300,6 +306,7 @@
         self.calls[node.name] += 1
         if isinstance(operation, RowCheck):
             self.checks[int(self.now_s)] += 1
+            self.checkers.add(node.name)
         ends_s = self.now_s + getattr(operation, 'wait_s', 0)
         self._pending.append((node, operation, ends_s))
 
