Tables: a read that fails holds up no wait for changes

Cause: a read of all rows that failed stayed due and went before each wait, so that a copy whose rows had been checked learned of no further change while reads failed and waits were answered. It was not in doubt, so that its refusals were final.

Change: once the rows are checked, the next read is due a retry wait after the next call.

--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -245,6 +245,14 @@
         # A read has no better prospect than a check.
         self._is_slow = False
 
+    @property
+    def failed_read_wait_s(self) -> float:
+        """Return the time between a read that failed and the next one.
+
+        Once the rows are checked, changes are followed meanwhile.
+        """
+        return self._settings.max_retry_wait_s if self.follow_version else 0
+
     def note_outdated_read(self, now_s: float) -> float:
         """Note a read that is not current, and return when to read again.
 
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -169,8 +169,10 @@
         self.is_store_answering = is_answered
         if not is_answered:
             self.catch_up.note_failed_call()
-            wait_s = self._pacing.next_retry_wait_s()
-            self._pacing.wait_until(now_s + wait_s)
+            retry_s = now_s + self._pacing.next_retry_wait_s()
+            self._pacing.wait_until(retry_s)
+            if isinstance(pending, RowScan):
+                self._scan_due_s = retry_s + self.catch_up.failed_read_wait_s
             return []
         self._pacing.note_answer()
         if isinstance(pending, RowFollow) and is_lost:
--- a/features/steps/table_faults_steps.py
+++ b/features/steps/table_faults_steps.py
@@ -257,6 +257,25 @@
     assert course_now.is_current(), course_now.harness.values()
 
 
+@when(
+    'its history is lost and reads get {answer}, and a row changes {after_s:d} '
+    'seconds later'
+)
+def reads_fail(context, answer, after_s):
+    course_now = context.course
+    course_now.store.put('t/1', b'new')
+    course_now.store.lose_history()
+    course_now.read_status = _READ_STATUSES[answer]
+    course_now.run(after_s)
+    course_now.store.put('t/2', b'later')
+
+
+@then('the copy has that change {within_s:d} seconds later')
+def has_later_change(context, within_s):
+    context.course.run(within_s)
+    assert context.course.harness.values()['t/2'] == b'later'
+
+
 @when(
     'the store answers all again, and its history is lost once more while '
     'reads get {answer}'
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -88,6 +88,20 @@
       | a follower     |
       | a non-follower |
 
+  Scenario Outline: Reads that fail hold up no change
+    Guards against a copy that learns of no change although the store answers waits: a read that failed stayed due, and
+    went before each wait.
+    Given a copy of <whom> whose store answers checks with the rows
+    When its history is lost and reads get <answer>, and a row changes 5 seconds later
+    Then the copy has that change 2 seconds later
+
+    Examples:
+      | whom           | answer    |
+      | a follower     | a refusal |
+      | a follower     | no answer |
+      | a non-follower | a refusal |
+      | a non-follower | no answer |
+
   Scenario Outline: A check that got no answer puts off no check of a later loss
     Guards against a copy that is not checked any more, since a read that fails goes before each check.
     Given a copy of a non-follower whose store answers checks never
