Tables: log rows that are not taken, what checks require, and which version a lost history names

Added: rows_outdated, configuration_confirmed, required_version in rows_checked, named_version in table_behind, and in request_refused the host, for how long the configuration is in force and whether it is doubted. The version that an answer 410 names counts as the newest that the store has named, like any other.

Two scenarios; no decision on a request changes.

--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -1,6 +1,7 @@
 """Listener for callers whose requests are relayed unchanged."""
 
 from random import SystemRandom
+from time import monotonic
 from typing import Final, Protocol, final
 
 from circuits import handler
@@ -27,6 +28,7 @@
 _IDLE_LIMIT_FACTOR: Final = 2.0
 #: Minimum idle limit; an idle connection costs little memory.
 _MIN_IDLE_S: Final = 60.0
+_SECONDS_DIGITS: Final = 3
 #: Refusals by the configuration after which callers do not retry.
 _FINAL_KINDS: Final = frozenset(
     (ErrorKind.unauthorised, ErrorKind.unknown_path)
@@ -60,6 +62,7 @@
         self._index: ServingIndex | None = None
         self._is_leaving = False
         self._is_doubted = False
+        self._changed_s = float(0)
 
     @handler('configuration_doubted', channel='*')
     def _on_configuration_doubted(self, is_doubted: bool) -> None:
@@ -68,6 +71,7 @@
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         self._index = ServingIndex(configuration)
+        self._changed_s = monotonic()
         limits = configuration.limits
         self._guard.use_limits(
             Limits(
@@ -95,6 +99,9 @@
                 request=caller_request.call_id,
                 outcome=relay_call.kind.value,
                 version=self._version_number(),
+                in_force_s=self._in_force_s(call.began_s),
+                is_doubted=self._is_doubted,
+                host=caller_request.host,
                 path=caller_request.path,
             )
             self._answer_failure(call, relay_call)
@@ -124,6 +131,12 @@
             )
         return relay_call
 
+    def _in_force_s(self, now_s: float) -> float:
+        """Return for how long the configuration is in force, or 0."""
+        if self._index is None:
+            return 0
+        return max(0, round(now_s - self._changed_s, _SECONDS_DIGITS))
+
     def _version_number(self) -> int:
         if self._index is None:
             return 0
--- a/bergamotturn/connection/store_events.py
+++ b/bergamotturn/connection/store_events.py
@@ -176,8 +176,9 @@
         returned. The outcome of a check may leave out rows.
     :param value: content of an object that was read.
     :param row_version: version after a successful write.
-    :param table_version: version of the table at a scan, a check or the end of
-        a wait for changes; 0 when the answer does not contain it.
+    :param table_version: version of the table at a scan, a check, the end of a
+        wait for changes or when its history was lost; 0 when the answer does
+        not contain it.
     :param has_more: whether a scan reached its limit before the last row.
     :param date_unix_s: time of a scan by the table service's clock, in full
         seconds; 0 when the answer does not contain it.
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -137,7 +137,7 @@
         if status in _REFUSAL_STATUSES:
             return _empty_outcome(operation, StoreStatus.refused)
         if status == HTTPStatus.GONE:
-            return _empty_outcome(operation, StoreStatus.history_lost)
+            return _lost_outcome(operation, body)
         if status not in _STATUSES_WITH_ROWS:
             return _empty_outcome(operation, StoreStatus.unknown)
         try:
@@ -207,6 +207,19 @@
     )
 
 
+def _lost_outcome(operation: TableOperation, body: bytes) -> StoreOutcome:
+    """Return the outcome of a lost history, with the version if it has one."""
+    try:
+        version = decode_json(body, _RowsBody).ver
+    except msgspec.DecodeError:
+        version = 0
+    return StoreOutcome(
+        operation_id=operation.operation_id,
+        status=StoreStatus.history_lost,
+        table_version=version,
+    )
+
+
 def _rows(
     operation: TableOperation, parsed_rows: Iterable[_RowBody]
 ) -> tuple[Row, ...]:
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -125,10 +125,18 @@
             )
             return
         number = parsed.ok.version_number
-        if number <= self._version_number:
+        if number == self._version_number:
+            log_message(
+                'configuration_confirmed',
+                version=number,
+                row_version=row.row_version,
+            )
+            return
+        if number < self._version_number:
             log_message(
                 'configuration_outdated',
                 version=number,
+                row_version=row.row_version,
                 in_force=self._version_number,
             )
             return
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -53,6 +53,7 @@
 
 #: Channel of the component.
 MIRROR: Final = 'mirror'
+_MAX_LOGGED_ROWS: Final = 8
 
 
 class read_table(Event):
@@ -273,6 +274,18 @@
     def _on_change(
         self, watch: TableWatch, change: TableChange, source: str
     ) -> None:
+        if change.outdated:
+            log_message(
+                'rows_outdated',
+                table=watch.settings.prefix,
+                version=watch.copy.version,
+                source=source,
+                count=len(change.outdated),
+                rows={
+                    row.row_key: row.row_version
+                    for row in change.outdated[:_MAX_LOGGED_ROWS]
+                },
+            )
         if change:
             self._publish_change(watch, change, source)
         if change.is_snapshot:
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -29,6 +29,8 @@
         within it changed nothing here, but other copies may have it.
     :param since_version: version of a copy to which ``answer`` can be applied
         without a gap.
+    :param outdated: rows that were not taken, as their versions are below those
+        that are known.
     """
 
     rows: tuple[Row, ...]
@@ -37,6 +39,7 @@
     is_snapshot: bool = False
     answer: tuple[Row, ...] = ()
     since_version: int = 0
+    outdated: tuple[Row, ...] = ()
 
     def removal_version(self, row_key: str) -> int:
         """Return the version at which a row of the answer was removed, or 0.
@@ -116,6 +119,7 @@
         removed: dict[str, None] = {}
         since_version = self._unchanged_since
         answer = tuple(rows)
+        outdated = tuple(filter(self._is_outdated, answer))
         for row in answer:
             self.changed_version = max(self.changed_version, row.row_version)
             if row.is_removed and self._remove(row.row_key, row.row_version):
@@ -133,6 +137,7 @@
             self.version,
             answer=answer,
             since_version=since_version,
+            outdated=outdated,
         )
 
     def replace(
@@ -159,12 +164,19 @@
         self._unchanged_since = self.version
         return replace(change, is_snapshot=True)
 
+    def _is_outdated(self, row: Row) -> bool:
+        return row.row_version < self._newest_version(row.row_key)
+
+    def _newest_version(self, row_key: str) -> int:
+        """Return the version at which a row was last written or removed."""
+        newest_version = self._removed_versions.get(row_key, 0)
+        known = self.rows.get(row_key)
+        if known is None:
+            return newest_version
+        return max(newest_version, known.row_version)
+
     def _put(self, row: Row) -> bool:
-        known = self.rows.get(row.row_key)
-        newest_version = self._removed_versions.get(row.row_key, 0)
-        if known is not None:
-            newest_version = max(newest_version, known.row_version)
-        if row.row_version <= newest_version:
+        if row.row_version <= self._newest_version(row.row_key):
             return False
         self._removed_versions.pop(row.row_key, None)
         self.rows[row.row_key] = row
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -47,6 +47,7 @@
                 outcome=outcome.status.value,
                 version=outcome.table_version,
                 before=watch.copy.version,
+                required_version=watch.catch_up.required_version,
                 rows=len(outcome.rows),
                 absent=sum(row.is_removed for row in outcome.rows),
             )
@@ -56,12 +57,13 @@
         if not self._is_check:
             # Checks may be refused or answered when reads are not.
             self._log_store(now_s, outcome)
-        self.log_age(outcome.status.value)
+        self.log_age(outcome.status.value, outcome.table_version)
 
-    def log_age(self, reason: str) -> None:
+    def log_age(self, reason: str, named_version: int = 0) -> None:
         """Log when the copy is known to be behind, and when no longer.
 
         :param reason: the outcome, or the peer, that made the difference.
+        :param named_version: version of the store that the outcome named.
         """
         watch = self._watch
         catch_up = watch.catch_up
@@ -73,6 +75,7 @@
                 reason=reason,
                 version=watch.copy.version,
                 required_version=catch_up.required_version,
+                named_version=named_version,
                 outdated_reads=catch_up.outdated_reads,
                 behind_s=self._behind_s,
             )
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -123,6 +123,16 @@
       | token-count      |
       | last-event-id    |
 
+  Scenario Outline: A lost history names the version of the store, if it is legible
+    Guards against logs that can't tell a store that dropped its history from one whose version is below the copy's.
+    Then an answer 410 with <content> to a wait for changes names version <version>
+
+    Examples:
+      | content                  | version |
+      | {"ver":36,"nowMs":29005} | 36      |
+      | {"ver":"x"}              | 0       |
+      | no content               | 0       |
+
   Scenario: Rows of another part of a table are ignored
     Guards against a row of another part that replaces the configuration until the next scan.
     Then rows of another part of a table are ignored
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -66,6 +66,7 @@
     route,
 )
 
+_TABLE = PlatformTable(Address('10.0.0.9', 80))
 #: More than the recursion limit.
 _TOO_DEEP = 4096
 
@@ -224,17 +225,30 @@
         for part in ('', 'other')
     ]
     body = json.dumps({'ver': 1, 'rows': rows}).encode()
-    follow = RowFollow(
+    outcome = _TABLE.outcome(_follow(0), HTTPStatus.OK, body)
+    assert [row.row_key for row in outcome.rows] == ['op/k'], outcome
+
+
+@then(
+    'an answer 410 with {content} to a wait for changes names version '
+    '{version:d}'
+)
+def lost_version(context, content, version):
+    body = b'' if content == 'no content' else content.encode()
+    outcome = _TABLE.outcome(_follow(37), HTTPStatus.GONE, body)
+    assert outcome.status is StoreStatus.history_lost, outcome
+    assert outcome.table_version == version, outcome
+
+
+def _follow(since_version):
+    return RowFollow(
         operation_id=1,
         owner='test',
         timeout_s=1,
         prefix='op/',
-        since_version=0,
+        since_version=since_version,
         wait_s=1,
     )
-    table = PlatformTable(Address('10.0.0.9', 80))
-    outcome = table.outcome(follow, HTTPStatus.OK, body)
-    assert [row.row_key for row in outcome.rows] == ['op/k'], outcome
 
 
 @then('a {content} that is nested too deeply is refused')
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -256,6 +256,22 @@
     assert len(change.answer) == 4, change.answer
 
 
+@when('an answer has an older state of one of them, and another one unchanged')
+def older_state(context):
+    copy = context.harness.watch.copy
+    old, same = copy.rows['t/1'], copy.rows['t/2']
+    context.store.put('t/1', b'newer')
+    copy.merge(context.store.version, context.store.changes[-1:])
+    context.change = copy.merge(copy.version, (old, same))
+    context.older_row = old
+
+
+@then('the change names the older row only')
+def older_named(context):
+    assert context.change.outdated == (context.older_row,), context.change
+    assert not context.change
+
+
 @given(
     'two instances that both read the table of instances before either has '
     'written its row'
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -138,6 +138,13 @@
     When the history is lost and rows are checked
     Then each row is checked, in calls of at most 100
 
+  Scenario: A row that is older than the known one is named
+    Guards against rows that are dropped without a trace, so that the logs can't tell an old answer from one that changes
+    nothing.
+    Given a copy of a table with 3 rows
+    When an answer has an older state of one of them, and another one unchanged
+    Then the change names the older row only
+
   Scenario Outline: A removed row that is shown again does not come back
     Guards against requests to an endpoint that left, because an answer or a peer's copy is older than its removal.
     Given a copy that has learned of a removed row by <source>
