Tables: a check that is older than what is proven ends no doubt

Callers would see final refusals, 404 and 401, by a configuration that is known to be old, where an honest 503 is due.

Cause: after a loss of history any answered check of the rows ended the doubt, also one that names a version below the newest that the store had named when the check was sent. Reads were judged, checks weren't.

A check counts now if it names at least that version. Rows of an older one that are news are applied; it is repeated at the rate of failed checks.

Evidence: 'A check that is older than what is proven ends no doubt' (virtual time, 10 s of checks and reads as of before the loss) failed in both examples before, passes now. That this happened on the users' machines isn't shown: their pages call the store's answers linearizable. The fake table's answer 410 names its version, as the platform's does.

--- a/bergamotturn/process/mirror/catch_up.py
+++ b/bergamotturn/process/mirror/catch_up.py
@@ -208,13 +208,17 @@
             self.check_due_s = inf
         return tuple(self._unchecked[:MAX_CHECKED_ROWS])
 
-    def note_checked(self, check: RowCheck, outcome: StoreOutcome) -> bool:
+    def note_checked(
+        self, check: RowCheck, outcome: StoreOutcome, floor: int
+    ) -> bool:
         """Note an answered check.
 
-        :returns: whether it told any of the rows that were asked for.
+        :param floor: newest version that the store had named by its begin.
+        :returns: whether it is current, and told any of the rows that were
+            asked for.
         """
         found = {row.row_key for row in outcome.rows}
-        if found.isdisjoint(check.row_keys):
+        if outcome.table_version < floor or found.isdisjoint(check.row_keys):
             return False
         if not self.is_unchecked:
             # The copy has become current meanwhile.
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -83,6 +83,8 @@
         self._scan_due_s = float('-inf')
         #: Lowest version that the running scan can have if it is current.
         self._scan_floor = 0
+        #: The same for the pending check.
+        self._check_floor = 0
         #: Monotonic time at which the store last said that history is lost.
         self._lost_s = float('-inf')
         #: May be above the version of the copy, which then lacks changes.
@@ -134,6 +136,7 @@
             keys = self.catch_up.keys_to_check(now_s, self.copy.rows)
             if keys:
                 check = _check_of(self.settings, keys, timeout_s)
+                self._check_floor = self._newest.version
                 return self._start(now_s, check)
         if self._scan_due_s <= now_s:
             self._scanned_rows = []
@@ -186,10 +189,12 @@
     ) -> list[WatchAction]:
         """Apply a check of rows; if it failed, read all rows meanwhile."""
         is_found = outcome.status is StoreStatus.found
-        if not is_found or not self.catch_up.note_checked(pending, outcome):
+        if not is_found or not self.catch_up.note_checked(
+            pending, outcome, self._check_floor
+        ):
             self.catch_up.retry_check(now_s, pending, self.started_s)
-            return self.advance(now_s)
-        # Other instances get the rows that are news only.
+        # Other instances get the rows that are news only. Those of a check that
+        # is not current may be newer than the copy all the same.
         news = tuple(filter(self.copy.is_news, outcome.rows))
         change = self.copy.merge(self.copy.version, news)
         return [change, *self.advance(now_s)]
--- a/features/steps/table_faults_steps.py
+++ b/features/steps/table_faults_steps.py
@@ -297,6 +297,41 @@
     assert context.course.harness.values()['t/1'] == b'once more'
 
 
+@when('its history is lost, and reads and checks are behind for 10 seconds')
+def checks_behind(context):
+    course_now = context.course
+    store = course_now.store
+    store.read_version = store.version
+    store.check_version = store.version
+    store.put('t/1', b'new')
+    store.lose_history()
+    course_now.run(_SETTINGS.wait_s + _SETTLE_S)
+    context.doubts = []
+    for _ in range(round(_BEHIND_S / _STEP_S)):
+        course_now.run(_STEP_S)
+        catch_up = course_now.harness.watch.catch_up
+        context.doubts.append(catch_up.is_behind and catch_up.is_unchecked)
+
+
+@then(
+    'its rows are doubted all the time, with at most {limit:d} checks a second'
+)
+def doubted(context, limit):
+    assert all(context.doubts), context.doubts
+    course_now = context.course
+    passed_s = course_now.harness.now_s - course_now.begun_s
+    assert course_now.count(RowCheck) <= limit * passed_s
+
+
+@then('the copy is current {within_s:g} seconds after checks')
+def current_after_checks(context, within_s):
+    course_now = context.course
+    course_now.store.check_version = None
+    course_now.run(within_s)
+    assert course_now.harness.values()['t/1'] == b'new'
+    assert not course_now.harness.watch.catch_up.is_unchecked
+
+
 @given('a copy of {rows:d} rows')
 def course_of_rows(context, rows):
     context.course = _Course(rows=rows)
--- a/features/support/watched_table.py
+++ b/features/support/watched_table.py
@@ -51,6 +51,7 @@
     """A table with its changes, which answers reads and checks.
 
     :ivar read_version: version that reads show, None for the newest one.
+    :ivar check_version: the same for checks.
     :ivar pages_in_order: whether no page of a read is older than the one
         before it.
     """
@@ -61,6 +62,7 @@
         self.version = 0
         self.oldest_version = 0
         self.read_version = None
+        self.check_version = None
         self.pages_in_order = True
         self._page_version = 0
         self._page_rows = page_rows
@@ -95,7 +97,7 @@
         if isinstance(operation, RowCheck):
             return self._check(operation)
         if operation.since_version < self.oldest_version:
-            return outcome_of(operation, StoreStatus.history_lost)
+            return outcome_of(operation, StoreStatus.history_lost, self.version)
         changes = [
             row
             for row in self.changes
@@ -120,17 +122,21 @@
 
     def _check(self, operation):
         """Answer as the platform does: with the rows that exist only."""
+        version = self.version
+        if self.check_version is not None:
+            version = self.check_version
+        state = self._states[version]
         rows = [
             {
                 'key': key.partition('/')[2],
-                'ver': self.rows[key].row_version,
-                'value': b64encode(self.rows[key].value).decode(),
+                'ver': state[key].row_version,
+                'value': b64encode(state[key].value).decode(),
             }
             for key in operation.row_keys
-            if key in self.rows
+            if key in state
         ]
         status = HTTPStatus.PRECONDITION_FAILED if rows else HTTPStatus.OK
-        body = json.dumps({'ver': self.version, 'rows': rows}).encode()
+        body = json.dumps({'ver': version, 'rows': rows}).encode()
         return TABLE_FORMAT.outcome(operation, status, body)
 
     def _found(self, operation, rows, version, *, has_more=False):
@@ -194,5 +200,9 @@
         return {key: row.value for key, row in self.watch.copy.rows.items()}
 
 
-def outcome_of(operation, status):
-    return StoreOutcome(operation_id=operation.operation_id, status=status)
+def outcome_of(operation, status, version=0):
+    return StoreOutcome(
+        operation_id=operation.operation_id,
+        status=status,
+        table_version=version,
+    )
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -126,6 +126,19 @@
       | a follower     |
       | a non-follower |
 
+  Scenario Outline: A check that is older than what is proven ends no doubt
+    Guards against final refusals, 404 and 401, by a configuration that is known to be old, since a check was believed
+    although an earlier answer disproves it.
+    Given a copy of <whom> whose store answers checks with the rows
+    When its history is lost, and reads and checks are behind for 10 seconds
+    Then its rows are doubted all the time, with at most 10 checks a second
+    And the copy is current 1.9 seconds after checks
+
+    Examples:
+      | whom           |
+      | a follower     |
+      | a non-follower |
+
   Scenario: A check whose answer lists some of the rows is followed by a check of the others
     Guards against rows that are removed unnoticed, since the store lists only those that exist.
     Given a copy of 3 rows
