Tables: order versions by the era of the store, and keep what a restored one lost

Cause: everything was ordered by the store's counter, which after a restore runs again through numbers that it gave out before. A row with a new configuration counted as older than the known one, a wait for changes began at a number that stood for another state, and the catch-up ended once the counter had passed what was required. Class: a number that is unique within an era only is used as an order over all of them.

Change: the adapter joins the era that each answer names (Store-Era; none counts as the first) with the number into one growing integer, so that copies, waits, required versions, peers' copies and orders compare as before. A wait of an earlier era is a lost history, an expected version of one holds on no row. A copy goes on to act on what the restored store lost, until it is written again or for a bounded time: a row in an earlier state that it remembers is no change, an absent row is no removal.

The soak with changes restores the store as well; the probes of reads_behind move to features/support/version_probes.py unchanged, since both features use them.

--- a/bergamotturn/connection/stores.py
+++ b/bergamotturn/connection/stores.py
@@ -51,6 +51,7 @@
     operation: _Operation
     timer: int
     status: int = 0
+    headers: tuple[Header, ...] = ()
     date_unix_s: float = 0
     body: bytearray = msgspec.field(default_factory=bytearray)
 
@@ -110,6 +111,7 @@
         if pending is None:
             return
         pending.status = status
+        pending.headers = headers
         if isinstance(pending.operation, RowScan):
             pending.date_unix_s = _date_unix_s(headers)
 
@@ -129,13 +131,13 @@
         if pending is None:
             return
         operation = pending.operation
+        body = bytes(pending.body)
         if isinstance(operation, ObjectOperation):
-            adapter = self._objects
+            outcome = self._objects.outcome(operation, pending.status, body)
         else:
-            adapter = self._table
-        outcome = adapter.outcome(
-            operation, pending.status, bytes(pending.body)
-        )
+            outcome = self._table.outcome(
+                operation, pending.status, body, pending.headers
+            )
         if pending.date_unix_s:
             outcome = msgspec.structs.replace(
                 outcome, date_unix_s=pending.date_unix_s
--- a/bergamotturn/connection/table_store.py
+++ b/bergamotturn/connection/table_store.py
@@ -35,7 +35,11 @@
         """Return the exchange that performs ``operation``."""
 
     def outcome(
-        self, operation: TableOperation, status: int, body: bytes
+        self,
+        operation: TableOperation,
+        status: int,
+        body: bytes,
+        headers: tuple[Header, ...] = (),
     ) -> StoreOutcome:
         """Return the outcome that a complete answer stands for."""
 
@@ -102,7 +106,11 @@
         )
 
     def outcome(
-        self, operation: TableOperation, status: int, body: bytes
+        self,
+        operation: TableOperation,
+        status: int,
+        body: bytes,
+        headers: tuple[Header, ...] = (),
     ) -> StoreOutcome:
         """Return the outcome that a complete answer stands for.
 
--- a/bergamotturn/explain.py
+++ b/bergamotturn/explain.py
@@ -29,10 +29,12 @@
         'daemon_started',
         'log_lines_left_out',
         'order_changed',
+        'rows_kept',
         'settings_read',
         'shutdown_phase',
         'store_lost',
         'store_regained',
+        'store_restored',
         'table_behind',
         'table_current',
     )
--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -80,6 +80,11 @@
 #: the same fraction. The checks of a large fleet must not come at once, and
 #: still end in time when a whole wait without changes comes before them.
 _CHECK_DELAY_SHARE: Final = 0.4
+#: Engines write their entries again within about two seconds of the store's
+#: return. One that is still missing then is gone.
+_LOST_ENTRY_KEPT_S: Final = 3.0
+#: Time in which operators and engines have made lost changes again.
+_LOST_CHANGE_KEPT_S: Final = 30.0
 #: Running instances learn of each other, and of quarantined prompt parts, from
 #: their peers; only instances that start later need the tables.
 _REREAD_INTERVAL_S: Final = 60.0
@@ -214,11 +219,26 @@
         batch_wait_s=_BATCH_WAIT_SHARE * in_force_s,
         max_batch_wait_s=_MAX_BATCH_WAIT_SHARE * in_force_s,
         check_delay_s=_CHECK_DELAY_SHARE * in_force_s,
+        reverted_kept_s=_LOST_CHANGE_KEPT_S,
         is_checked=True,
     )
     return (
-        follow(OPERATORS_TABLE, expected_keys=(CONFIGURATION_KEY,)),
-        follow(ENDPOINTS_TABLE, is_forwarded=True),
+        follow(
+            OPERATORS_TABLE,
+            missing_kept_s=_LOST_CHANGE_KEPT_S,
+            expected_keys=(CONFIGURATION_KEY,),
+        ),
+        follow(
+            ENDPOINTS_TABLE,
+            missing_kept_s=_LOST_ENTRY_KEPT_S,
+            is_forwarded=True,
+        ),
         WatchSettings(MIRROR, INSTANCES_TABLE, reread_s=_REREAD_INTERVAL_S),
-        WatchSettings(MIRROR, QUARANTINE_TABLE, reread_s=_REREAD_INTERVAL_S),
+        WatchSettings(
+            MIRROR,
+            QUARANTINE_TABLE,
+            reread_s=_REREAD_INTERVAL_S,
+            missing_kept_s=_LOST_CHANGE_KEPT_S,
+            reverted_kept_s=_LOST_CHANGE_KEPT_S,
+        ),
     )
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -12,6 +12,7 @@
 from ..connection.exchange import Address
 from ..connection.peer_messages import OrderState, OrderUpdate
 from ..connection.store_events import Row
+from ..connection.store_version import shown_version
 from ..decoding import ExactInteger, ExactNumber, decode
 from ..process.endpoints.entry import EndpointEntry
 from ..process.events import (
@@ -119,7 +120,7 @@
         if parsed.is_error():
             log_message(
                 'configuration_unreadable',
-                row_version=row.row_version,
+                row_version=shown_version(row.row_version),
                 reason=parsed.error.detail,
                 in_force=self._version_number,
             )
@@ -129,14 +130,14 @@
             log_message(
                 'configuration_confirmed',
                 version=number,
-                row_version=row.row_version,
+                row_version=shown_version(row.row_version),
             )
             return
         if number < self._version_number:
             log_message(
                 'configuration_outdated',
                 version=number,
-                row_version=row.row_version,
+                row_version=shown_version(row.row_version),
                 in_force=self._version_number,
             )
             return
@@ -144,7 +145,7 @@
             'configuration_in_force',
             version=number,
             before=self._version_number,
-            row_version=row.row_version,
+            row_version=shown_version(row.row_version),
             routes=len(parsed.ok.routes),
             workspaces=len(parsed.ok.workspaces),
         )
@@ -161,7 +162,7 @@
                 log_message(
                     'endpoint_entry_unreadable',
                     endpoint=_endpoint_id(row.row_key),
-                    row_version=row.row_version,
+                    row_version=shown_version(row.row_version),
                 )
                 removed.append(_endpoint_id(row.row_key))
             else:
--- a/bergamotturn/process/events.py
+++ b/bergamotturn/process/events.py
@@ -34,6 +34,7 @@
     'serving_changed',
     'shutdown_phase_changed',
     'stop_requested',
+    'store_restored',
     'table_changed',
     'table_doubted',
     'table_read',
@@ -116,6 +117,13 @@
     """Publish ``tables``, the versions of the local copies, to all channels."""
 
 
+class store_restored(Event):
+    """Notify all channels that the store has come back from an older copy.
+
+    Its newest changes are lost, also those by this instance.
+    """
+
+
 class table_changed(Event):
     """Notify all channels that the copy of a table changed.
 
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -37,6 +37,7 @@
     'RESULTS_SWEPT',
     'SENT_AFTER_S',
     'STORE_OPERATIONS',
+    'STORE_ERA',
     'STREAM_EVENTS',
     'TABLE_AGE_S',
     'TABLE_BEHIND_S',
@@ -114,6 +115,11 @@
     'bergamotturn_prompt_parts_quarantined',
     'Prompt parts in quarantine, because engines crashed on them',
 )
+STORE_ERA: Final = Gauge(
+    'bergamotturn_store_era',
+    'Era of the store, which rises each time it is restored from a copy',
+)
+STORE_ERA.set(1)
 TABLE_AGE_S: Final = Gauge(
     'bergamotturn_table_age_seconds',
     'Time since the store last answered for a table, -1 before it ever did',
--- /dev/null
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -0,0 +1,91 @@
+"""Rows of a table that the store lost and that a copy keeps for some time.
+
+A store that is restored from a copy has lost its newest changes. Those who made
+them make them again, but until then its rows are older than what is known:
+rows are absent, removed ones are back, and others have an earlier content. An
+instance that knows the lost changes acts on them, for as long as it takes to
+make them again.
+"""
+
+from collections import deque
+from collections.abc import Iterable
+from typing import Final, final
+
+from ...connection.store_events import Row
+from ...connection.store_version import era_of, number_of
+
+__all__ = ('KeptRows',)
+
+#: Number of a version, and hash of the content.
+_State = tuple[int, int]
+#: Earlier states of a row that are remembered. A store comes back as of some
+#: seconds ago.
+_MAX_STATES: Final = 8
+
+
+@final
+class KeptRows:
+    """What a copy keeps although the restored store says otherwise.
+
+    :ivar missing: keys of rows that the store has no more.
+    :ivar reverted: keys of rows that the store has in an earlier state, also
+        of those that were removed.
+    """
+
+    __slots__ = ('_states', 'missing', 'reverted')
+
+    def __init__(self) -> None:
+        """Start without rows."""
+        self._states: dict[str, deque[_State]] = {}
+        self.missing: set[str] = set()
+        self.reverted: set[str] = set()
+
+    def __bool__(self) -> bool:
+        """Return whether the copy differs from the store."""
+        return bool(self.missing or self.reverted)
+
+    def note_replaced(self, row: Row) -> None:
+        """Remember a row that has another state now or is removed."""
+        states = self._states.setdefault(row.row_key, deque(maxlen=_MAX_STATES))
+        states.append(_state_of(row))
+
+    def keeps_absent(self, known: Row, version: int) -> bool:
+        """Return whether to keep a row that is absent as of ``version``."""
+        if era_of(known.row_version) >= era_of(version):
+            return False
+        self.missing.add(known.row_key)
+        return True
+
+    def rejects(self, row: Row, known_version: int) -> bool:
+        """Return whether ``row`` is an earlier state than the known one.
+
+        :param known_version: version of the row's last change, 0 if the row was
+            never known.
+        """
+        if not known_version or era_of(row.row_version) == era_of(
+            known_version
+        ):
+            return False
+        if _state_of(row) not in self._states.get(row.row_key, ()):
+            return False
+        self.reverted.add(row.row_key)
+        return True
+
+    def note_changed(self, row_key: str) -> None:
+        """Note that the copy has a row, or its removal, as the store has it."""
+        self.missing.discard(row_key)
+        self.reverted.discard(row_key)
+
+    def release_reverted(self) -> None:
+        """Take the restored state of rows when it is read next."""
+        self.forget_states(self.reverted)
+        self.reverted.clear()
+
+    def forget_states(self, row_keys: Iterable[str]) -> None:
+        """Take any state of rows when it is read next."""
+        for row_key in row_keys:
+            self._states.pop(row_key, None)
+
+
+def _state_of(row: Row) -> _State:
+    return number_of(row.row_version), hash(row.value)
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -27,21 +27,23 @@
     cancel_store_operation,
     store_operation,
 )
+from ...connection.store_version import era_of, shown_version
 from ..actions import SendTo
 from ..events import (
     MemberView,
+    store_restored,
     table_changed,
     table_doubted,
     table_read,
     table_versions_changed,
 )
-from ..metrics import TABLE_AGE_S, TABLE_BEHIND_S
+from ..metrics import STORE_ERA, TABLE_AGE_S, TABLE_BEHIND_S
 from ..timers import Timers
 from .follower_choice import FollowerChoice
 from .newest_version import NewestVersion
 from .table_copy import TableChange
 from .table_watch import TableWatch
-from .watch_log import WatchLog, silent_s
+from .watch_log import WatchLog, log_era, silent_s
 from .watch_settings import (
     CancelStoreOperation,
     StartStoreOperation,
@@ -129,16 +131,27 @@
         for watch in self._watches.values():
             actions = [*watch.advance(now_s), *watch.ask_peer(now_s)]
             self._carry_out(watch, actions, 'store')
+            self._logs[watch.settings.prefix].log_kept()
         self._set_timer()
 
     @handler('store_outcome', channel='*')
     def _on_store_outcome(self, outcome: StoreOutcome) -> None:
         """Handle the outcome of an own call, and note the version of others."""
+        before = self._newest.version
         self._newest.note(outcome)
         now_s = monotonic()
         for watch in self._watches.values():
             if watch.waits_for(outcome):
                 self._use_outcome(now_s, watch, outcome)
+        after = self._newest.version
+        if era_of(after) > era_of(before):
+            STORE_ERA.set(era_of(after))
+            log_era(before, after)
+            # A process that starts has lost nothing.
+            for watch in self._watches.values() if before else ():
+                self._carry_out(watch, watch.on_restored(now_s), 'store')
+            if before:
+                self.fire(store_restored(), '*')
         self._set_timer()
 
     def _use_outcome(
@@ -278,11 +291,11 @@
             log_message(
                 'rows_outdated',
                 table=watch.settings.prefix,
-                version=watch.copy.version,
+                version=shown_version(watch.copy.version),
                 source=source,
                 count=len(change.outdated),
                 rows={
-                    row.row_key: row.row_version
+                    row.row_key: shown_version(row.row_version)
                     for row in change.outdated[:_MAX_LOGGED_ROWS]
                 },
             )
@@ -298,7 +311,7 @@
         log_message(
             'table_changed',
             table=prefix,
-            version=change.version,
+            version=shown_version(change.version),
             source=source,
             rows=[row.row_key for row in change.rows],
             removed=list(change.removed_keys),
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -11,6 +11,8 @@
 from typing import final
 
 from ...connection.store_events import Row
+from ...connection.store_version import era_of
+from .kept_rows import KeptRows
 
 __all__ = ('TableChange', 'TableCopy')
 
@@ -63,15 +65,24 @@
     """The rows of one table that this instance has received."""
 
     __slots__ = (
+        '_keeps_lost_rows',
         '_removed_versions',
         '_unchanged_since',
         'changed_version',
+        'kept',
         'rows',
         'version',
     )
 
-    def __init__(self) -> None:
-        """Start empty, at version 0, which is below every version."""
+    def __init__(self, *, keeps_lost_rows: bool = False) -> None:
+        """Start empty, at version 0, which is below every version.
+
+        :param keeps_lost_rows: whether rows that a restored store has lost
+            stay until they are released.
+        """
+        self._keeps_lost_rows = keeps_lost_rows
+        #: What differs from a store that was restored.
+        self.kept = KeptRows()
         self.rows: dict[str, Row] = {}
         #: Versions of removals by row key. An answer with an older version may
         #: still have the row.
@@ -109,16 +120,21 @@
             if row.row_version > above
         )
 
-    def merge(self, version: int, rows: Iterable[Row]) -> TableChange:
+    def merge(
+        self, version: int, rows: Iterable[Row], absent: Iterable[Row] = ()
+    ) -> TableChange:
         """Apply changes that follow the version of this copy.
 
         :param version: version up to which the copy is complete afterwards.
+        :param absent: rows that a read or a check did not find, marked as
+            removed. Those that a restored store has lost stay in the copy.
         """
         # The store reports all changes of a row; the last one counts.
         changed: dict[str, Row] = {}
         removed: dict[str, None] = {}
         since_version = self._unchanged_since
-        answer = tuple(rows)
+        gone = [row for row in absent if not self._keeps_absent(row)]
+        answer = (*gone, *rows)
         outdated = tuple(filter(self._is_outdated, answer))
         for row in answer:
             self.changed_version = max(self.changed_version, row.row_version)
@@ -155,15 +171,34 @@
             return TableChange((), (), self.version, is_snapshot=True)
         snapshot = tuple(rows)
         present = {row.row_key for row in snapshot}.union(unchanged_keys)
-        removed = [
+        absent = [
             Row(key, version, b'', is_removed=True)
             for key, row in self.rows.items()
             if key not in present and row.row_version <= version
         ]
-        change = self.merge(version, (*removed, *snapshot))
+        change = self.merge(version, snapshot, absent)
         self._unchanged_since = self.version
         return replace(change, is_snapshot=True)
 
+    def release_missing(self) -> TableChange:
+        """Remove the rows that a restored store lost and that it still lacks.
+
+        They count as removed at the version of this copy.
+        """
+        keys = tuple(self.kept.missing)
+        change = self.merge(
+            self.version,
+            [Row(key, self.version, b'', is_removed=True) for key in keys],
+        )
+        self.kept.forget_states(keys)
+        return change
+
+    def _keeps_absent(self, row: Row) -> bool:
+        known = self.rows.get(row.row_key)
+        if known is None or not self._keeps_lost_rows:
+            return False
+        return self.kept.keeps_absent(known, row.row_version)
+
     def _is_outdated(self, row: Row) -> bool:
         return row.row_version < self._newest_version(row.row_key)
 
@@ -176,11 +211,29 @@
         return max(newest_version, known.row_version)
 
     def _put(self, row: Row) -> bool:
-        if row.row_version <= self._newest_version(row.row_key):
+        row_key = row.row_key
+        newest_version = self._newest_version(row_key)
+        if row.row_version <= newest_version:
             return False
-        self._removed_versions.pop(row.row_key, None)
-        self.rows[row.row_key] = row
-        return True
+        if not newest_version and era_of(row.row_version) < era_of(
+            self.version
+        ):
+            # The copy has all rows of the current era.
+            return False
+        if self._keeps_lost_rows and self.kept.rejects(row, newest_version):
+            return False
+        known = self.rows.get(row_key)
+        if known is not None:
+            self.kept.note_replaced(known)
+        self._removed_versions.pop(row_key, None)
+        self.rows[row_key] = row
+        self.kept.note_changed(row_key)
+        # A store that was restored names the same content by another version.
+        return (
+            known is None
+            or known.value != row.value
+            or era_of(known.row_version) == era_of(row.row_version)
+        )
 
     def _remove(self, row_key: str, version: int) -> bool:
         known = self.rows.get(row_key)
@@ -189,4 +242,9 @@
         self._removed_versions[row_key] = max(
             version, self._removed_versions.get(row_key, 0)
         )
-        return self.rows.pop(row_key, None) is not None
+        self.kept.note_changed(row_key)
+        if known is None:
+            return False
+        self.kept.note_replaced(known)
+        self.rows.pop(row_key)
+        return True
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -66,7 +66,7 @@
             tables of the process.
         """
         self.settings = settings
-        self.copy = TableCopy()
+        self.copy = TableCopy(keeps_lost_rows=settings.missing_kept_s > 0)
         self.is_complete = False
         self.last_answer_s = float('-inf')
         self.is_store_answering = False
@@ -196,7 +196,11 @@
         # Other instances get the rows that are news only. Those of a check that
         # is not current may be newer than the copy all the same.
         news = tuple(filter(self.copy.is_news, outcome.rows))
-        change = self.copy.merge(self.copy.version, news)
+        change = self.copy.merge(
+            self.copy.version,
+            (row for row in news if not row.is_removed),
+            (row for row in news if row.is_removed),
+        )
         return [change, *self.advance(now_s)]
 
     def _on_history_lost(
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -16,6 +16,7 @@
 
 from ...connection.peer_messages import TableAsk, TableContent, TableDelta
 from ..actions import SendTo
+from .kept_deadlines import KeptDeadlines
 from .newest_version import NewestVersion
 from .table_copy import TableChange
 from .table_reader import FOLLOW_GRACE_S, TableReader
@@ -45,12 +46,45 @@
         self._asked_peer = ''
         self._asked_version = 0
         self._ask_peer_s: float | None = None
+        self._random = random
+        self._kept = KeptDeadlines(settings)
+
+    @property
+    def due_s(self) -> float:
+        """Return when :meth:`advance` is due, or infinity."""
+        return min(super().due_s, self._kept.due_s)
 
     @property
     def peer_check_s(self) -> float:
         """Return when :meth:`ask_peer` is due, or infinity."""
         return inf if self._ask_peer_s is None else self._ask_peer_s
 
+    def on_restored(self, now_s: float) -> list[WatchAction]:
+        """Call the store again, which was restored from a copy."""
+        if self.settings.wait_s:
+            self._pacing.call_at_once()
+            return self._cancel_wait()
+        # All instances learn of it at the same time.
+        longest_s = self.settings.max_retry_wait_s
+        due_s = now_s + self._random.uniform(0, longest_s)
+        self._scan_due_s = min(self._scan_due_s, due_s)
+        return []
+
+    def advance(self, now_s: float) -> list[WatchAction]:
+        """Give up what is kept no longer, and start the next call if due."""
+        self._kept.note(now_s, self.copy)
+        if now_s < self._kept.due_s:
+            return super().advance(now_s)
+        actions: list[WatchAction] = []
+        if now_s >= self._kept.missing_until_s:
+            actions.append(self.copy.release_missing())
+        if now_s >= self._kept.reverted_until_s:
+            self.copy.kept.release_reverted()
+            self.request_scan()
+            actions.extend(self._cancel_wait())
+        self._kept.note(now_s, self.copy)
+        return [*actions, *super().advance(now_s)]
+
     def on_peer_version(
         self, now_s: float, instance: str, version: int
     ) -> None:
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -5,10 +5,12 @@
 from eliot import log_message
 
 from ...connection.store_events import RowCheck, StoreOutcome
+from ...connection.store_version import era_of, number_of, shown_version
 from .table_watch import TableWatch
 
-__all__ = ('WatchLog', 'silent_s')
+__all__ = ('WatchLog', 'log_era', 'silent_s')
 
+_MAX_LOGGED_ROWS: Final = 8
 _SECONDS_DIGITS: Final = 3
 
 
@@ -21,6 +23,7 @@
         '_is_answering',
         '_is_behind',
         '_is_check',
+        '_kept',
         '_pending_s',
         '_watch',
     )
@@ -31,6 +34,7 @@
         self._is_answering: bool | None = None
         self._is_behind = False
         self._is_check = False
+        self._kept = (0, 0)
         self._pending_s = watch.started_s
         self._behind_s = watch.catch_up.behind_s(0)
 
@@ -45,9 +49,9 @@
                 'rows_checked',
                 table=watch.settings.prefix,
                 outcome=outcome.status.value,
-                version=outcome.table_version,
-                before=watch.copy.version,
-                required_version=watch.catch_up.required_version,
+                version=shown_version(outcome.table_version),
+                before=shown_version(watch.copy.version),
+                required_version=shown_version(watch.catch_up.required_version),
                 rows=len(outcome.rows),
                 absent=sum(row.is_removed for row in outcome.rows),
             )
@@ -65,6 +69,7 @@
         :param reason: the outcome, or the peer, that made the difference.
         :param named_version: version of the store that the outcome named.
         """
+        self.log_kept()
         watch = self._watch
         catch_up = watch.catch_up
         if catch_up.is_behind != self._is_behind:
@@ -73,13 +78,29 @@
                 'table_behind' if self._is_behind else 'table_current',
                 table=watch.settings.prefix,
                 reason=reason,
-                version=watch.copy.version,
-                required_version=catch_up.required_version,
-                named_version=named_version,
+                version=shown_version(watch.copy.version),
+                required_version=shown_version(catch_up.required_version),
+                named_version=shown_version(named_version),
                 outdated_reads=catch_up.outdated_reads,
                 behind_s=self._behind_s,
             )
 
+    def log_kept(self) -> None:
+        """Log when the number of rows changes that the store has lost."""
+        kept = self._watch.copy.kept
+        counts = len(kept.missing), len(kept.reverted)
+        if counts != self._kept:
+            self._kept = counts
+            log_message(
+                'rows_kept',
+                table=self._watch.settings.prefix,
+                version=shown_version(self._watch.copy.version),
+                missing_count=counts[0],
+                reverted_count=counts[1],
+                missing=sorted(kept.missing)[:_MAX_LOGGED_ROWS],
+                reverted=sorted(kept.reverted)[:_MAX_LOGGED_ROWS],
+            )
+
     def _log_store(self, now_s: float, outcome: StoreOutcome) -> None:
         watch = self._watch
         if watch.is_store_answering == self._is_answering:
@@ -89,12 +110,31 @@
             'store_regained' if self._is_answering else 'store_lost',
             table=watch.settings.prefix,
             outcome=outcome.status.value,
-            version=watch.copy.version,
+            version=shown_version(watch.copy.version),
             silent_s=silent_s(watch, now_s),
             pending_s=self._pending_s,
         )
 
 
+def log_era(before: int, after: int) -> None:
+    """Log the era of the store at the first contact, or that it was restored.
+
+    :param before: newest version that it named until then, 0 for none.
+    :param after: newest version now.
+    """
+    if not before:
+        log_message('store_era', era=era_of(after), version=number_of(after))
+        return
+    log_message(
+        'store_restored',
+        old_era=era_of(before),
+        era=era_of(after),
+        before=number_of(before),
+        version=number_of(after),
+        back_by=number_of(before) - number_of(after),
+    )
+
+
 def silent_s(watch: TableWatch, now_s: float) -> float | None:
     """Return the time since the last answer, if there was one."""
     if watch.last_answer_s < 0:
--- a/bergamotturn/process/mirror/watch_settings.py
+++ b/bergamotturn/process/mirror/watch_settings.py
@@ -45,6 +45,10 @@
         that are no followers check them; a third of it at least.
     :param expected_keys: keys of rows that are checked also while the copy has
         no such row.
+    :param missing_kept_s: time for which rows that a restored store has lost
+        stay; 0 if its rows count at once.
+    :param reverted_kept_s: time for which rows stay that a restored store has
+        in an earlier state.
     :param is_forwarded: whether followers of a large fleet forward the
         changes; only for tables with small rows. A configuration of 64 KB,
         sent to each instance of a data centre, would fill a follower's link.
@@ -61,6 +65,8 @@
     is_checked: bool = False
     check_delay_s: float = 0
     expected_keys: tuple[str, ...] = ()
+    missing_kept_s: float = 0
+    reverted_kept_s: float = 0
     is_forwarded: bool = False
 
 
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -36,6 +36,14 @@
         self._runner = web.AppRunner(self._app, access_log=None)
         self._site: web.TCPSite | None = None
 
+    def add_header(self, name: str, content: Callable[[], str]) -> None:
+        """Add a header field to all answers."""
+
+        async def add(_: web.Request, response: web.StreamResponse) -> None:
+            response.headers[name] = content()
+
+        self._app.on_response_prepare.append(add)
+
     async def start(self) -> None:
         """Listen; may be called again after :meth:`stop`."""
         if self._site is None:
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -3,9 +3,10 @@
 Run as ``python -m features.standins.users_platform STORE ENDPOINT...``, with
 one port for the store and one for each endpoint. ``/_rows`` of the store sets
 rows, ``/_lag`` makes it lose its history while reads are behind, with fields
-of :class:`~.store_lag.StoreLag`; its faults are ``busy`` and ``silent``. An
-endpoint answers a request that
-has a Token-Count header with a stream of numbered events, and any other
+of :class:`~.store_lag.StoreLag`, ``/_restore`` takes it away for ``away_s`` and
+brings it back as it was ``age_s`` before, in the next era; its faults are
+``busy`` and ``silent``. An endpoint answers a request that has a Token-Count
+header with a stream of numbered events, and any other
 with one body; ``/_facts`` shows what it ran. Faults of an endpoint are
 ``full``, ``reset`` (after a run), ``silent``, ``cut`` (a stream after two
 events), ``stall`` (a stream that pauses for ``delay_s`` after two events),
@@ -54,6 +55,7 @@
     draw_pauses_s,
 )
 from .serving import FaultyService, Listener, json_answer, read_body, run
+from .store_copies import StoreCopies
 from .store_lag import RowContent, StoreLag
 
 __all__ = (
@@ -112,6 +114,9 @@
         self._changed = asyncio.Event()
         self._calls: Counter[str] = Counter()
         self._lag: StoreLag | None = None
+        self._copies = StoreCopies()
+        self._era = 1
+        self._is_away = False
         #: Endpoints by the address in their entry, also after it lapsed.
         self._endpoint_ids: dict[str, str] = {}
         self._endpoints: dict[str, 'UsersEndpoint'] = {}
@@ -120,11 +125,13 @@
             web.post('/_rows', self._put_rows),
             web.post('/_compact', self._compact),
             web.post('/_lag', self._begin_lag),
+            web.post('/_restore', self._restore),
             web.get('/_facts', self._show_facts),
             web.get('/api/rows-get', self._get_rows),
             web.get('/api/rows-feed', self._follow_rows),
             web.post('/api/rows-tx', self._run_transaction),
         )
+        self.listener.add_header('Store-Era', lambda: str(self._era))
 
     def register(self, endpoint_id: str, endpoint: 'UsersEndpoint') -> None:
         """Let other endpoints find ``endpoint`` by its address."""
@@ -146,8 +153,18 @@
         self._write(_SERVERS, new_id, encoded)
 
     async def _show_facts(self, _: web.Request) -> web.Response:
-        tables = Counter(table for table, _ in self._rows)
-        return json_answer({'calls': self._calls, 'tables': tables})
+        tables = Counter(
+            table
+            for (table, _), row in self._rows.items()
+            if not row.get('deleted')
+        )
+        facts = {
+            'calls': self._calls,
+            'tables': tables,
+            'version': self._version,
+            'era': self._era,
+        }
+        return json_answer(facts)
 
     async def _put_rows(self, request: web.Request) -> web.Response:
         """Write or delete rows, as the operator and the endpoints do."""
@@ -185,13 +202,38 @@
         )
         return json_answer({})
 
-    def _lose_history(self) -> None:
-        self._compacted_version = self._version
+    async def _restore(self, request: web.Request) -> web.Response:
+        """Be away, then come back as of some seconds before.
+
+        The answer has the rows that were written since, as they were last.
+        """
+        fields = await read_body(request)
+        now_s = monotonic()
+        self._is_away = True
+        self._wake_waits()
+        await asyncio.sleep(fields['away_s'])
+        copy = self._copies.restore(now_s - fields['age_s'])
+        lost = [row for row in self._rows.values() if row['ver'] > copy.version]
+        self._rows = dict(copy.rows)
+        self._version = copy.version
+        self._compacted_version = min(self._compacted_version, copy.version)
+        self._era += 1
+        self._is_away = False
+        # What reads showed before is not a state of this store any more.
+        self._lag = None
+        self._wake_waits()
+        return json_answer({'lost': lost, 'version': self._version})
+
+    def _wake_waits(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _lose_history(self) -> None:
+        self._compacted_version = self._version
+        self._wake_waits()
+
     async def _get_rows(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse_on_fault('get')
+        refusal = await self._refuse_on_fault('get', request)
         if refusal is not None:
             return refusal
         query = request.query
@@ -211,15 +253,18 @@
         )
 
     async def _follow_rows(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse_on_fault('feed')
+        refusal = await self._refuse_on_fault('feed', request)
         if refusal is not None:
             return refusal
         query = request.query
         since = int(query['sinceRevision'])
         until_s = monotonic() + int(query['waitMs']) / 1000
         while True:
-            if since < self._compacted_version:
-                return json_answer({'error': 'compacted'}, 410)
+            if self._is_away:
+                return self._drop(request)
+            if not self._compacted_version <= since <= self._version:
+                body = {'ver': self._version, 'nowMs': _now_ms()}
+                return json_answer(body, 410)
             rows, version = self._changed_rows(query['table'], since)
             remaining_s = until_s - monotonic()
             if rows or remaining_s <= 0:
@@ -249,7 +294,7 @@
             return
 
     async def _run_transaction(self, request: web.Request) -> web.Response:
-        refusal = await self._refuse_on_fault('tx')
+        refusal = await self._refuse_on_fault('tx', request)
         if refusal is not None:
             return refusal
         transaction = await read_body(request)
@@ -277,8 +322,18 @@
             self._write(put['table'], put['key'], put['value'])
         return json_answer({'ver': self._version, 'nowMs': _now_ms()})
 
-    async def _refuse_on_fault(self, call: str) -> web.Response | None:
+    def _drop(self, request: web.Request) -> web.Response:
+        """Reset the connection of a call."""
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+
+    async def _refuse_on_fault(
+        self, call: str, request: web.Request
+    ) -> web.Response | None:
         self._calls[call] += 1
+        if self._is_away:
+            return self._drop(request)
         fault = self.fault.for_next_call()
         if fault == 'silent':
             await asyncio.sleep(_SILENT_S)
@@ -300,10 +355,10 @@
         if is_deleted:
             row.update({'deleted': True, 'value': ''})
         self._rows[(table, key)] = row
+        self._copies.note(monotonic(), self._version, self._rows)
         if self._lag is not None:
             self._lag.note_change(monotonic(), row)
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self._wake_waits()
 
     def _rows_answer(
         self,
--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -1,21 +1,25 @@
 """Steps for a store whose reads are behind after it lost its history."""
 
 from concurrent.futures import ThreadPoolExecutor
-from http import HTTPStatus
 from time import monotonic, sleep
 
 from behave import given, then, when
 
 from features.support.relay_fleet import RelayFleet
+from features.support.version_probes import (
+    BOUND_S,
+    PROBE_INTERVAL_S,
+    explain_late,
+    late_answers,
+    probe_version,
+    put_version,
+)
 
 _INSTANCES = 9
-#: Time after its acknowledgement in which a change must be in force.
-_BOUND_S = 2.0
 _SILENT_S = 1.2
 _BEHIND_S = 6.0
 #: When a change is made within the silence.
 _CHANGE_AFTER_S = 0.4
-_PROBE_INTERVAL_S = 0.25
 _VERSION = 2
 #: A waiting call that began before the silence ends in it.
 _SETTLE_S = 0.5
@@ -24,10 +28,7 @@
     'sliding for 6 s': {'slides': True},
     'and empty answers name newer versions': {'names_newest': True},
 }
-#: Log lines of an instance that a failure shows.
-_EXPLAINING_LINES = 30
 _DENIED = frozenset((401, 403, 404))
-_STARTING = frozenset((0, 503))
 
 
 @given('nine instances behind a store')
@@ -95,7 +96,7 @@
 
 @when('a version with another route and another key is confirmed meanwhile')
 def confirm_meanwhile(context):
-    context.acknowledged_s = _put_version(context.fleet, _VERSION)
+    context.acknowledged_s = put_version(context.fleet, _VERSION)
 
 
 @when('three versions are confirmed one after the other while reads are behind')
@@ -105,7 +106,7 @@
     context.confirmed_s = {_VERSION: context.acknowledged_s}
     for version in (_VERSION + 1, _VERSION + 2):
         sleep(1.0)
-        context.confirmed_s[version] = _put_version(fleet, version)
+        context.confirmed_s[version] = put_version(fleet, version)
 
 
 @when('two instances are killed and started')
@@ -153,7 +154,7 @@
 def served_again(context):
     for sender in context.senders:
         sender.result()
-    from_s = context.acknowledged_s + _BOUND_S
+    from_s = context.acknowledged_s + BOUND_S
     for port in context.left:
         arrivals = context.fleet.facts(port)['arrivals']
         again = [each for each in arrivals if each['at_s'] > from_s]
@@ -165,9 +166,9 @@
     'acknowledgement until reads are current'
 )
 def in_force_in_time(context):
-    answers = _probe(context, context.current_s, _VERSION)
-    late = _late(context, answers)
-    assert not late, _explained(context, late, answers)
+    answers = probe_version(context, context.current_s, _VERSION)
+    late = late_answers(context, answers)
+    assert not late, explain_late(context, late, answers)
     assert len(answers) > len(context.fleet.instances)
 
 
@@ -175,11 +176,11 @@
 def each_in_time(context):
     for version, confirmed_s in context.confirmed_s.items():
         context.acknowledged_s = confirmed_s
-        answers = _probe(
-            context, confirmed_s + _BOUND_S + _PROBE_INTERVAL_S, version
+        answers = probe_version(
+            context, confirmed_s + BOUND_S + PROBE_INTERVAL_S, version
         )
-        late = _late(context, answers)
-        assert not late, (version, _explained(context, late, answers))
+        late = late_answers(context, answers)
+        assert not late, (version, explain_late(context, late, answers))
 
 
 @then(
@@ -187,17 +188,17 @@
     'its acknowledgement'
 )
 def none_denied(context):
-    answers = _probe(context, context.current_s, _VERSION)
+    answers = probe_version(context, context.current_s, _VERSION)
     denied = [answer for answer in answers if answer[-1] in _DENIED]
     assert not denied, (len(denied), len(answers), denied[:9])
 
 
 @then('every instance handles requests by it once reads are current')
 def in_force_afterwards(context):
-    sleep(max(0, context.current_s + _BOUND_S - monotonic()))
-    answers = _probe(context, monotonic() + _PROBE_INTERVAL_S, _VERSION)
-    late = _late(context, answers)
-    assert not late, _explained(context, late, answers)
+    sleep(max(0, context.current_s + BOUND_S - monotonic()))
+    answers = probe_version(context, monotonic() + PROBE_INTERVAL_S, _VERSION)
+    late = late_answers(context, answers)
+    assert not late, explain_late(context, late, answers)
 
 
 @then('no lookup reaches either later than 2 seconds after its acknowledgement')
@@ -216,7 +217,7 @@
         late.extend(
             round(arrival['at_s'] - context.left_s, 3)
             for arrival in arrivals
-            if arrival['at_s'] > context.left_s + _BOUND_S
+            if arrival['at_s'] > context.left_s + BOUND_S
         )
     assert arrived, 'no lookup reached these endpoints before'
     assert not late, (len(late), max(late))
@@ -224,84 +225,10 @@
 
 def _confirm_in_silence(context, **manner):
     _begin_lag(context, **manner)
-    context.acknowledged_s = _put_version(context.fleet, _VERSION)
+    context.acknowledged_s = put_version(context.fleet, _VERSION)
 
 
 def _begin_lag(context, **manner):
     context.fleet.lag(silent_s=_SILENT_S, behind_s=_BEHIND_S, **manner)
     context.current_s = monotonic() + _SILENT_S + _BEHIND_S
     sleep(_CHANGE_AFTER_S)
-
-
-def _put_version(fleet, version):
-    """Add a route and a key, and return when that was acknowledged."""
-    base = fleet.configuration(version)
-    added = [
-        {**base['routes'][2], 'name': f'v{each}', 'prefix': f'/v{each}/'}
-        for each in range(_VERSION, version + 1)
-    ]
-    keys = [f'key-{each}' for each in range(_VERSION, version + 1)]
-    fleet.put_configuration(
-        version,
-        routes=[*base['routes'], *added],
-        tenants=[{'name': 'w', 'apiKeys': ['key-w', *keys]}],
-    )
-    return monotonic()
-
-
-def _probe(context, until_s, version):
-    """Send requests that only a version allows to each instance in turn."""
-    fleet = context.fleet
-    answers = []
-    due_s = context.acknowledged_s + _BOUND_S
-    with ThreadPoolExecutor(len(fleet.instances)) as pool:
-        while due_s < until_s:
-            sleep(max(0, due_s - monotonic()))
-            due_s += _PROBE_INTERVAL_S
-            answers.extend(
-                pool.map(
-                    lambda name: _probe_one(context, name, version),
-                    fleet.instances,
-                )
-            )
-    return answers
-
-
-def _probe_one(context, name, version):
-    fleet = context.fleet
-    after_s = round(monotonic() - context.acknowledged_s, 2)
-    answer = fleet.send_request(
-        name,
-        f'/v{version}/x',
-        f'{name}-{version}-{after_s}',
-        X_Api_Key=f'key-{version}',
-    )
-    return name, after_s, answer.status
-
-
-def _late(context, answers):
-    """Return the answers that are not those of the version that was asked for.
-
-    An instance that has just started refuses with 503 until it knows a
-    configuration, and answers nothing before it listens.
-    """
-    return [
-        answer
-        for answer in answers
-        if answer[-1] != HTTPStatus.OK
-        and not (answer[0] in context.restarted and answer[-1] in _STARTING)
-    ]
-
-
-def _explained(context, late, answers):
-    """Return the late answers with what the first one's instance logged.
-
-    Of the lines on requests, those on this answer are returned.
-    """
-    name, after_s, _ = late[0]
-    lines = [
-        line
-        for line in context.fleet.log(name)
-        if line.get('request', '').endswith(f'-{after_s}') or 'table' in line
-    ]
-    return len(late), len(answers), late[:9], lines[-_EXPLAINING_LINES:]
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -3,6 +3,7 @@
 import json
 import re
 import signal
+from base64 import b64decode
 from collections.abc import Iterator
 from contextlib import closing, contextmanager, suppress
 from http.client import HTTPConnection, HTTPException
@@ -142,6 +143,23 @@
         """Let the store lose its history while its reads are behind."""
         call(self.store, 'POST', '/_lag', fields)
 
+    def restore_store(self, away_s: float, age_s: float) -> list[Any]:
+        """Restore the store from a copy, and return the rows that it lost.
+
+        It returns when the store is back; in an older state of ``age_s``
+        seconds before the call.
+        """
+        body = {'away_s': away_s, 'age_s': age_s}
+        return call(self.store, 'POST', '/_restore', body).json()['lost']
+
+    def put_again(self, lost: list[Any]) -> None:
+        """Write rows once more as they were before they were lost."""
+        for row in lost:
+            key = {'table': row['table'], 'key': row['key']}
+            if not row.get('deleted'):
+                key['value'] = b64decode(row['value']).decode()
+            call(self.store, 'POST', '/_rows', [key])
+
     def put(self, table: str, key: str, content: Any) -> None:
         """Write a row as the operator or an endpoint does; None removes it."""
         row = {'table': table, 'key': key}
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -3,8 +3,9 @@
 ``python -m features.support.soak [--seeds N] [--seed S] [--seconds T]`` runs
 N consecutive seeds that start at S, or at a random one, and prints a line for
 each. ``--instances``, ``--engines``, ``--plain`` and ``--callers`` set the
-size; with ``--changes`` routes change, endpoints say that they leave, and the
-store loses its history while its reads are behind. With ``--pauses`` nothing
+size; with ``--changes`` routes change, endpoints say that they leave, the store
+loses its history while its reads are behind, and it is restored from a copy.
+With ``--pauses`` nothing
 fails: sound endpoints pause, endpoints are full, routes and keys change, and
 instances get SIGHUP and SIGTERM. The exit code is 1 when a check failed; the
 logs of such a run are kept.
--- a/features/support/soak/checks.py
+++ b/features/support/soak/checks.py
@@ -141,7 +141,13 @@
 
 
 def _is_excused(injector: FaultInjector, at_s: float) -> bool:
-    """Return whether a fault may have delayed a change before ``at_s``."""
+    """Return whether a fault may have delayed a change before ``at_s``.
+
+    A change that is lost before it has reached all instances is made again
+    after the store's return.
+    """
+    if injector.was_active(at_s - _PROPAGATION_S - _MARGIN_S, at_s, 'restore'):
+        return True
     return injector.was_active(
         at_s - _FAULT_EFFECT_S - _PROPAGATION_S,
         at_s,
--- a/features/support/soak/faults.py
+++ b/features/support/soak/faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
-from time import monotonic
+from time import monotonic, sleep
 from types import MappingProxyType
 from typing import Final, final
 
@@ -25,6 +25,12 @@
 #: Share of the runs with changes that begin with old reads and planned changes
 #: only. What the other faults excuse would hide most of the rest.
 _LAGS_FIRST_SHARE: Final = 0.75
+#: The same for restores of the store from a copy.
+_RESTORES: Final = 2
+_AWAY_S: Final = (0.2, 1.5)
+_COPY_AGE_S: Final = (0.5, 6.0)
+#: Time after its return in which lost changes are made again.
+_WRITTEN_AGAIN_S: Final = (0.0, 1.5)
 _LAG_SILENT_S: Final = (0.5, 1.5)
 _LAG_BEHIND_S: Final = (1.0, 6.0)
 _SLIDES_SHARE: Final = 0.4
@@ -111,6 +117,7 @@
         self._fleet = fleet
         self._random = Random(seed)
         self._lag_random = Random(f'lags/{seed}')
+        self._restore_random = Random(f'restores/{seed}')
         self._unavailable: set[str] = set()
         self._stopping: dict[str, float] = {}
         self._with_changes = with_changes
@@ -147,6 +154,7 @@
         """Return planned changes among losses of history, last one first."""
         kinds = [
             *(self._lose_history for _ in range(_LAGS - 1)),
+            *(self._restore_store for _ in range(_RESTORES)),
             *(self._change_route for _ in range(_ROUTE_CHANGES)),
             self._revoke,
             self._revoke,
@@ -186,6 +194,7 @@
             *kinds,
             *(self._change_route for _ in range(_ROUTE_CHANGES)),
             *(self._lose_history for _ in range(_LAGS)),
+            *(self._restore_store for _ in range(_RESTORES)),
             self._put_invalid,
             self._put_older,
             self._say_leaving,
@@ -532,3 +541,14 @@
         name = 'behind_unchecked' if is_unchecked else 'behind'
         self._lag = Fault(name, 'store', now_s, current_s, undo)
         return self._lag
+
+    def _restore_store(self) -> Fault:
+        """Bring the store back from a copy, and make lost changes again."""
+        random = self._restore_random
+        began_s = monotonic()
+        lost = self._fleet.restore_store(
+            away_s=random.uniform(*_AWAY_S), age_s=random.uniform(*_COPY_AGE_S)
+        )
+        sleep(random.uniform(*_WRITTEN_AGAIN_S))
+        self._fleet.put_again(lost)
+        return Fault('restore', 'store', began_s, monotonic())
