Tables: instances that others tell of changes give up lost rows in time too

An endpoint whose entry a restored store had lost could get requests for longer than the time for which entries are kept, at an instance of a large fleet that makes no call itself: the time was noted only when a call was due.

It is noted with each peer's copy now. 'A row that a restored store has lost is given up without an own call' failed before and passes here.

--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -213,6 +213,7 @@
         else:
             actions = watch.on_content(monotonic(), envelope.sender, message)
         self._carry_out(watch, actions, envelope.sender)
+        self._carry_out(watch, watch.advance(monotonic()), 'store')
         # A peer's copy may have ended the catch-up.
         self._logs[message.prefix].log_age(envelope.sender)
         self._report_doubt(watch)
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -155,6 +155,13 @@
     When a follower forwards a change
     Then the change is published and the store got no call for it
 
+  Scenario: A row that a restored store has lost is given up without an own call
+    Guards against an endpoint that stays for good at instances that get changes from followers only.
+    Given the running component of an instance that is no follower, with lost rows that are kept for 0.3 seconds
+    When a peer sends its copy, which is newer
+    And a follower sends its copy of the next era, which lacks the row
+    Then the row is published as removed after 0.3 seconds
+
   Scenario: Large rows are not forwarded
     Guards against a configuration of 64 KB that one instance sends to a whole data centre over its own small link: on
     ashby-brook-grown, mix of seed 601612032278, it was in force 1.5 to 4 seconds late and keys were refused.
--- a/features/steps/followers_steps.py
+++ b/features/steps/followers_steps.py
@@ -37,6 +37,7 @@
     store_operation,
     store_outcome,
 )
+from bergamotturn.connection.store_version import store_version
 from bergamotturn.connection.stores import Stores
 from bergamotturn.platform.daemon import watched_tables
 from bergamotturn.platform.table_format import PlatformTable
@@ -396,7 +397,7 @@
 
 
 def _start_component(
-    context, *, is_follower, is_forwarded=True, is_checked=False
+    context, *, is_follower, is_forwarded=True, is_checked=False, kept_s=0
 ):
     view = MemberView(tuple(member(f'n-{number}', 'c') for number in range(20)))
     names = [each.instance for each in view.members]
@@ -415,6 +416,7 @@
         is_forwarded=is_forwarded,
         is_checked=is_checked,
         expected_keys=('t/1',) if is_checked else (),
+        missing_kept_s=kept_s,
     )
     choice = FollowerChoice(context.name, 'c')
     MirrorTask([settings], timers, choice).register(context.store)
@@ -441,6 +443,31 @@
     assert len(context.store.follows) == 1
 
 
+@given(
+    'the running component of an instance that is no follower, with lost rows '
+    'that are kept for {kept_s:g} seconds'
+)
+def running_keeping(context, kept_s):
+    _start_component(context, is_follower=False, kept_s=kept_s)
+
+
+@when('a follower sends its copy of the next era, which lacks the row')
+def copy_of_next_era(context):
+    version = store_version(2, 5)
+    content = TableContent(prefix='t/', version=version, keys=(), rows=())
+    envelope = Envelope('n-9', 'boot', content)
+    context.store.fire(peer_message(envelope), MIRROR)
+    turn(context.store, context.lock, 0.1)
+
+
+@then('the row is published as removed after {kept_s:g} seconds')
+def published_as_removed(context, kept_s):
+    changes = context.store.changes
+    assert not any(change.removed_keys for change in changes), changes
+    turn(context.store, context.lock, 2 * kept_s)
+    assert changes[-1].removed_keys == ('t/1',), changes
+
+
 @when('its history is lost and the store refuses all further calls')
 def lost_then_refused(context):
     context.store.refuses = True
