Endless bytes: count a request that its endpoint left unread as one that reached it

Cause: the check, not the product. The stand-in writes 'done' and the bytes behind it one after the other. If either process is paused in between, the instance reads a complete answer with nothing behind it, keeps the connection, finds nothing on it when it takes it for the next request (the peek before each reuse) and sends a charge. The bytes then come in place of its answer. The endpoint still sends and reads nothing, so the charge isn't among its runs, by which alone the check counted. 502 is the right answer: a request that was sent and got other bytes may have run, and one that isn't idempotent isn't sent again. No sound endpoint was involved.

Trace of c2/charge/x856 (one connection, c2 to a faulty endpoint, both sides logged): 0 us sent c2/look/x854; 834 us read the end of its answer, 'done', nothing behind; 2467 us sent the charge on the same connection; 2537 us the stand-in goes on after writing 'done'; 2967 us c2 reads 65,536 x: 'not an HTTP/1 answer'; 13.1 ms the stand-in sees the connection closed, the charge unread on it. a0/charge/x17: the same course, and a0 was paused for 30 ms around its send. a0/charge/x709 has the same log lines; its connection was not traced.

Change: the stand-in reads nothing on a connection on which it sends without end, and names in its facts the requests that arrived there (unread). A charge left unread must get 502 with not_run false and have run nowhere; lookups and streams left unread must be answered in full, all others as before. The product is unchanged.

--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -85,6 +85,31 @@
       | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n\n   | 2           |
       | HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwholeHTTP/1.1 200 OK\r\n\r\nmixed   | 2           |
 
+  Scenario: Other bytes that arrive on an idle connection
+    Guards against a connection that is kept though its peer has sent more than the answer.
+    Given a peer that sends other bytes once its first answer has arrived
+    When a "GET" is sent to the peer by a client that keeps connections for 600 s
+    And 1 connections to the peer are closed
+    And a "GET" is sent to the peer
+    Then the peer's answer is "kept"
+    And the requests arrived on 2 connections
+
+  Scenario: Other bytes that arrive on an idle connection while the process stands still
+    Guards against a request on a connection on which other bytes wait in place of its answer.
+    Given a peer that sends other bytes once the client stands still after its first answer
+    When a "GET" is sent to the peer
+    And a "GET" is sent to the peer by a client that stands still until other bytes have arrived
+    Then the peer's answer is "kept"
+    And the requests arrived on 2 connections
+
+  Scenario: Other bytes that arrive once the next request has been sent
+    Guards against a request that may have run and is sent once more, since other bytes came in place of its answer.
+    Given a peer that sends other bytes on a kept connection when the next request arrives
+    When a "GET" is sent to the peer
+    And a "GET" is sent to the peer that may be repeated
+    Then the exchange fails as "endpoint_failed" with bytes sent
+    And the requests arrived on 1 connections
+
   Scenario: A field with bytes outside of ASCII
     Guards against a request that is never sent and gets no answer until its time limit.
     Given a peer with the answer "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole" before it closes
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -24,6 +24,10 @@
 - ``pause``: a sound endpoint pauses for 0.9 to 1.6 s: once or twice in an
   answer, before it answers an order, or while it reads a part of a prompt.
 - those in :data:`ENDLESS`: bytes without end until the connection is closed.
+  The endpoint reads nothing more on this connection; ``unread`` in its facts
+  shows the requests that arrived there. ``endless_late_tail`` is
+  ``endless_tail`` whose bytes after the answer wait for such a request, though
+  not for long.
 
 An order reserves memory for a limited time. A request that needs it is refused
 when it is not there, and is cut off when it expires.
@@ -32,6 +36,7 @@
 """
 
 import asyncio
+import re
 import socket
 import struct
 import sys
@@ -80,6 +85,7 @@
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 #: More than a socket buffers, and less than an instance buffers.
 LARGE_BYTES: Final = 6_000_000
+_LATE_TAIL: Final = 'endless_late_tail'
 #: Answers without end: what follows the fields of a head, if the answer has
 #: one, and what is sent again and again.
 ENDLESS: Final = {
@@ -91,10 +97,18 @@
         b'10000\r\n%b\r\n' % (b'x' * 65_536),
     ),
     'endless_tail': (b'Content-Length: 4\r\n\r\ndone', b'x' * 65_536),
+    _LATE_TAIL: (b'Content-Length: 4\r\n\r\ndone', b'x' * 65_536),
 }
 #: Unsent bytes above which an endless answer waits for its reader.
 _UNSENT_BYTES: Final = 1_000_000
 _WRITE_PAUSE_S: Final = 0.01
+#: More than callers send on a connection while they get other bytes on it.
+_MAX_UNREAD_BYTES: Final = 65_536
+#: Longest wait of a late tail. Instances keep idle connections for longer.
+_LATE_TAIL_S: Final = 1
+_REQUEST_ID: Final = re.compile(
+    rb'^request-id: *([^\r\n]*)\r$', re.IGNORECASE | re.MULTILINE
+)
 #: More than an instance buffers.
 HUGE_BYTES: Final = 16_000_000
 _PART_BYTES: Final = 64_000
@@ -393,6 +407,8 @@
         self._restart_task: asyncio.Task[None] | None = None
         self._arrivals: list[dict[str, Any]] = []
         self._runs: Counter[str] = Counter()
+        #: Requests that arrived behind an answer without end.
+        self._unread: list[str] = []
         self._requests: list[dict[str, Any]] = []
         self._interrupted_count = 0
         self.memory = EngineMemory()
@@ -410,6 +426,7 @@
         return json_answer(
             {
                 'runs': self._runs,
+                'unread': self._unread,
                 'seen': self._requests,
                 'cut_off': self._interrupted_count,
                 'unfinished': self._unfinished_count,
@@ -676,16 +693,31 @@
         self, request: web.Request, fault: str
     ) -> web.StreamResponse:
         """Send bytes until the caller closes the connection."""
+        transport = request.transport
+        # The kernel keeps what arrives from now on, also after a reset, until
+        # the duplicate is closed too.
+        transport.pause_reading()
+        self._unfinished_count += 1
+        with transport.get_extra_info('socket').dup() as connection:
+            await self._write_endless(request, fault, connection)
+            self._unread.extend(_received_ids(connection))
+        self._unfinished_count -= 1
+        return web.Response()
+
+    async def _write_endless(
+        self, request: web.Request, fault: str, connection: socket.socket
+    ) -> None:
         transport = request.transport
         fields, part = ENDLESS[fault]
         if fields is not None:
             transport.write(self._answer_head(request))
             transport.write(fields)
+        if fault == _LATE_TAIL:
+            await _wait_for_bytes(connection)
         while not transport.is_closing():
             if transport.get_write_buffer_size() < _UNSENT_BYTES:
                 transport.write(part)
             await asyncio.sleep(_WRITE_PAUSE_S)
-        return web.Response()
 
     def _answer_head(self, request: web.Request) -> bytes:
         """Return the status line and the fields but those of the framing."""
@@ -787,6 +819,29 @@
         run_record['answered_s'] = monotonic()
 
 
+def _received_ids(connection: socket.socket) -> list[str]:
+    """Return the ids of the requests that arrived on ``connection``."""
+    try:
+        received = connection.recv(_MAX_UNREAD_BYTES)
+    except OSError:
+        return []
+    return [name.decode() for name in _REQUEST_ID.findall(received)]
+
+
+async def _wait_for_bytes(connection: socket.socket) -> None:
+    """Wait until bytes or the end of ``connection`` arrive, or time is up."""
+    until_s = monotonic() + _LATE_TAIL_S
+    while monotonic() < until_s:
+        try:
+            connection.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            await asyncio.sleep(_WRITE_PAUSE_S)
+        except OSError:
+            return
+        else:
+            return
+
+
 def _total_tokens(token_count: str) -> int:
     counts = token_count.split(',')
     return sum(int(count) for count in counts if count.strip().isdecimal())
--- a/features/steps/endless_bytes_steps.py
+++ b/features/steps/endless_bytes_steps.py
@@ -60,18 +60,18 @@
                 context.answers.extend(calls.result())
 
 
-def _reached(context):
-    """Return the requests that reached the faulty endpoints."""
+def _requests(context, kind):
+    """Return the requests that the faulty endpoints ran or left unread."""
     return {
         request
         for port in context.faulty
-        for request in context.fleet.facts(port)['runs']
+        for request in context.fleet.facts(port)[kind]
     }
 
 
 def _reached_paths(context):
-    reached = _reached(context)
-    return {path for path, request, _ in context.answers if request in reached}
+    ran = _requests(context, 'runs')
+    return {path for path, request, _ in context.answers if request in ran}
 
 
 def _busiest_engine(fleet):
@@ -105,15 +105,53 @@
 
 @then('streams, lookups and charges reached these endpoints')
 def all_kinds_reached(context):
-    context.reached = _reached(context)
     paths = _reached_paths(context)
     assert paths == set(_HEADERS), paths
 
 
+@then('each connection on which they sent without end is closed')
+def connections_closed(context):
+    # An endpoint notes what it left unread when a connection ends.
+    fleet = context.fleet
+    for port in context.faulty:
+        fleet.wait_until(
+            lambda asked=port: not fleet.facts(asked)['unfinished'],
+            f'connections to {port} are closed',
+        )
+    context.ran = _requests(context, 'runs')
+    context.unread = _requests(context, 'unread')
+
+
+@then('they have left charges unread')
+def charges_unread(context):
+    charges = {
+        request for path, request, _ in context.answers if path == _CHARGE
+    }
+    assert charges & context.unread, context.unread
+
+
 @then('each request that reached none of them is answered in full')
 def others_answered(context):
     for path, request, answer in context.answers:
-        if request not in context.reached:
+        if request not in context.ran | context.unread:
+            assert answer.status == 200, (request, answer)
+            assert _is_whole(path, answer), (request, answer)
+
+
+@then(
+    'of those that they left unread, charges fail as ones that may have run '
+    'and all others are answered in full'
+)
+def unread_answered(context):
+    fleet = context.fleet
+    for path, request, answer in context.answers:
+        if request not in context.unread:
+            continue
+        if path == _CHARGE:
+            assert answer.status == 502, (request, answer)
+            assert b'"not_run":false' in answer.body, (request, answer)
+            assert not fleet.runs(fleet.plain, request), (request, answer)
+        else:
             assert answer.status == 200, (request, answer)
             assert _is_whole(path, answer), (request, answer)
 
@@ -121,7 +159,7 @@
 @then('no answer of these endpoints without an end looks complete')
 def none_looks_complete(context):
     for path, request, answer in context.answers:
-        if request in context.reached and answer.is_complete:
+        if request in context.ran and answer.is_complete:
             is_final = answer.status in {502, 504} or _is_whole(path, answer)
             assert is_final, (request, answer)
 
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -31,10 +31,12 @@
 
 #: Far above any expected time; exceeded only if something hangs.
 _HANG_S = 20
+_OTHER_BYTES = b'other bytes'
 #: Larger than the buffers of both ends of a connection.
 _LARGE_BODY = 16_000_000
 _READ_AT_STANDSTILL = 1_500_000
-#: Time after the standstill in which the peer reads nothing.
+#: Time in which bytes arrive, and after a standstill that in which the peer
+#: reads nothing.
 _REST_AFTER_S = 0.1
 
 
@@ -92,6 +94,20 @@
         time.sleep(self._stand_s)
 
 
+class _StandstillAtStart(Component):
+    """Blocks the event loop before an exchange until its peer has sent."""
+
+    def __init__(self, peer):
+        super().__init__()
+        self._peer = peer
+
+    @handler('start_exchange', channel='http_client', priority=1)
+    def _on_starting(self, *_):
+        self._peer.stands_still.set()
+        assert self._peer.has_answered.wait(_HANG_S)
+        time.sleep(_REST_AFTER_S)
+
+
 class _Peer:
     """A server that runs ``script`` on each of its connections."""
 
@@ -102,6 +118,7 @@
         self.closed_connections = Queue()
         self.data_seen = threading.Event()
         self.has_answered = threading.Event()
+        self.stands_still = threading.Event()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=64)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -312,6 +329,27 @@
     peer.has_answered.wait(_HANG_S)
 
 
+def _send_more(moment, peer, sock, number):
+    """Send other bytes after the first answer, at a moment of ``peer``."""
+    if number > 1:
+        _answer_with_keep_alive(peer, sock, number)
+        return
+    peer.read_request(sock, number)
+    sock.sendall(_answer('first'))
+    assert getattr(peer, moment).wait(_HANG_S)
+    sock.sendall(_OTHER_BYTES)
+    peer.has_answered.set()
+    sock.recv(1)
+
+
+def _send_more_on_reuse(peer, sock, number):
+    peer.read_request(sock, number)
+    sock.sendall(_answer('first'))
+    peer.read_request(sock, number)
+    sock.sendall(_OTHER_BYTES)
+    sock.recv(1)
+
+
 def _close_on_reuse(peer, sock, number):
     peer.read_request(sock, number)
     sock.sendall(_answer('first'))
@@ -369,6 +407,15 @@
         _answer_once, _answer('once')
     ),
     'closes a kept connection when the next request arrives': _close_on_reuse,
+    'sends other bytes once its first answer has arrived': partial(
+        _send_more, 'data_seen'
+    ),
+    'sends other bytes once the client stands still after its first answer': (
+        partial(_send_more, 'stands_still')
+    ),
+    'sends other bytes on a kept connection when the next request arrives': (
+        _send_more_on_reuse
+    ),
 }
 
 
@@ -425,6 +472,15 @@
     context.reports = _wait_for_outcome(context, exchange)
 
 
+@when(
+    'a "{method}" is sent to the peer by a client that keeps connections for '
+    '{idle_s:g} s'
+)
+def send_before_idle(context, method, idle_s):
+    _start_client(context, idle_s=idle_s)
+    context.reports = _wait_for_outcome(context, _send(context, method))
+
+
 @when('a "{method}" is sent to the peer')
 @when('a "{method}" is sent to the peer with {option} = {number:g}')
 def send_one(context, method, option='', number=0):
@@ -510,6 +566,15 @@
     context.reports = _wait_for_outcome(context, exchange)
 
 
+@when(
+    'a "{method}" is sent to the peer by a client that stands still until '
+    'other bytes have arrived'
+)
+def send_after_standstill(context, method):
+    _StandstillAtStart(context.peer).register(context.app)
+    context.reports = _wait_for_outcome(context, _send(context, method))
+
+
 @when('a "{method}" is sent to the peer and cancelled after the answer\'s head')
 def send_and_cancel(context, method):
     exchange = _send(context, method)
@@ -584,6 +649,7 @@
     assert len(numbers) == count, context.peer.requests
 
 
+@when('{count:d} connections to the peer are closed')
 @then('{count:d} connections to the peer are closed')
 def connections_end(context, count):
     for _ in range(count):
