Read whole numbers that are written as 2.0

Cause: JSON doesn't distinguish 2 from 2.0, but msgspec decodes only the former as int. One such number made the whole row unreadable, whichever field had it. The same holds for slots and born of an endpoint's entry, which then gets no requests.

Change: these fields are decoded as floats that are multiples of 1, in the same range as before, and converted. A number with another fraction is refused as before; four new examples of refusals say so.

--- a/bergamotturn/decoding.py
+++ b/bergamotturn/decoding.py
@@ -13,12 +13,16 @@
 
 import msgspec
 
-__all__ = ('ExactInteger', 'ExactNumber', 'decode', 'decode_json')
+__all__ = ('ExactNumber', 'WholeNumber', 'decode', 'decode_json')
 
 _MAX_INTEGER: Final = 9_007_199_254_740_991
 _IN_RANGE: Final = msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER)
-ExactInteger = Annotated[int, _IN_RANGE]
 ExactNumber = Annotated[float, _IN_RANGE]
+#: An integer that JSON may have as ``2.0``, which msgspec doesn't decode as
+#: ``int``. It is decoded as ``float``, exact in this range.
+WholeNumber = Annotated[
+    float, msgspec.Meta(ge=-_MAX_INTEGER, le=_MAX_INTEGER, multiple_of=1)
+]
 
 _Decoded = TypeVar('_Decoded')
 _Decoded_co = TypeVar('_Decoded_co', covariant=True)
--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -5,7 +5,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from ..decoding import ExactInteger, decode
+from ..decoding import WholeNumber, decode
 from ..errors import ErrorKind, Failure
 from ..version.serving import (
     CallerLimits,
@@ -61,8 +61,8 @@
     timeout_ms: _NotNegative = 0
     target_latency_ms: _NotNegative = 0
     gap_aim_ms: _NotNegative = 0
-    attempts: ExactInteger = 1
-    priority: ExactInteger = 0
+    attempts: WholeNumber = 1
+    priority: WholeNumber = 0
     public: bool = False
     resumable: bool = False
 
@@ -81,15 +81,15 @@
     :param stride: steps of a pass that includes decoding requests.
     """
 
-    slots: ExactInteger
-    kv_tokens: ExactInteger = msgspec.field(name='kvTokens')
+    slots: WholeNumber
+    kv_tokens: WholeNumber = msgspec.field(name='kvTokens')
     step_ms: float
     read_per_s: Annotated[float, _POSITIVE]
     per_seq_ms: float = 0
     context_per_k: float = 0
     pairs_per_m: float = 0
-    chunk: ExactInteger = 2048
-    stride: ExactInteger = 1
+    chunk: WholeNumber = 2048
+    stride: WholeNumber = 1
     report_lag_ms: float = 0
     hop_ms: float = msgspec.field(name='hopMs', default=0)
 
@@ -97,7 +97,7 @@
 @final
 class _ServiceJson(_JsonObject, frozen=True):
     name: str
-    max_connections: ExactInteger = 0
+    max_connections: WholeNumber = 0
     cold_start_s: float = msgspec.field(name='coldStartS', default=0)
     cold_per_s: float = msgspec.field(name='coldPerS', default=0)
     engine: _EngineJson | None = None
@@ -105,8 +105,8 @@
 
 @final
 class _LimitsJson(_JsonObject, frozen=True):
-    max_header_bytes: Annotated[int, _POSITIVE]
-    max_body_bytes: Annotated[int, msgspec.Meta(ge=0)]
+    max_header_bytes: Annotated[float, msgspec.Meta(gt=0, multiple_of=1)]
+    max_body_bytes: Annotated[float, msgspec.Meta(ge=0, multiple_of=1)]
     header_timeout_ms: Annotated[float, _POSITIVE]
     idle_timeout_ms: Annotated[float, _POSITIVE]
 
@@ -115,14 +115,14 @@
 class _TenantJson(_JsonObject, frozen=True):
     name: str
     api_keys: tuple[str, ...] = ()
-    priority: ExactInteger | None = None
+    priority: WholeNumber | None = None
 
 
 @final
 class _ConfigurationJson(_JsonObject, frozen=True):
     """A configuration in full; one without routes would serve nothing."""
 
-    version: ExactInteger
+    version: WholeNumber
     routes: tuple[_RouteJson, ...]
     services: tuple[_ServiceJson, ...]
     limits: _LimitsJson | None = None
@@ -142,7 +142,7 @@
         return Error(Failure(ErrorKind.configuration_invalid, str(error)))
     return Ok(
         ServingConfiguration(
-            version_number=parsed.version,
+            version_number=int(parsed.version),
             routes=tuple(map(_route, parsed.routes)),
             services=tuple(map(_service, parsed.services)),
             workspaces=tuple(map(_workspace, parsed.tenants)),
@@ -168,8 +168,8 @@
         timeout_s=parsed.timeout_ms / _MS_PER_S,
         objective_s=parsed.target_latency_ms / _MS_PER_S,
         gap_objective_s=parsed.gap_aim_ms / _MS_PER_S,
-        max_endpoints=max(1, parsed.attempts),
-        priority=parsed.priority,
+        max_endpoints=max(1, int(parsed.attempts)),
+        priority=int(parsed.priority),
         is_public=parsed.public,
     )
 
@@ -177,7 +177,7 @@
 def _service(parsed: _ServiceJson) -> ServedService:
     return ServedService(
         name=parsed.name,
-        max_connections=parsed.max_connections,
+        max_connections=int(parsed.max_connections),
         cold_s=parsed.cold_start_s,
         cold_requests_per_s=parsed.cold_per_s,
         engine=_engine_profile(parsed.engine) if parsed.engine else None,
@@ -186,8 +186,8 @@
 
 def _engine_profile(parsed: _EngineJson) -> EngineProfile:
     return EngineProfile(
-        slots=parsed.slots,
-        kv_tokens=parsed.kv_tokens,
+        slots=int(parsed.slots),
+        kv_tokens=int(parsed.kv_tokens),
         step_s=parsed.step_ms / _MS_PER_S,
         decode_step_s=parsed.per_seq_ms / _MS_PER_S,
         context_token_step_s=parsed.context_per_k
@@ -195,18 +195,19 @@
         / _THOUSAND_TOKENS,
         prefill_token_s=1 / parsed.read_per_s,
         prefill_pair_s=parsed.pairs_per_m / _MS_PER_S / _MILLION_PAIRS,
-        chunk_tokens=parsed.chunk,
-        steps_per_pass=max(1, parsed.stride),
+        chunk_tokens=int(parsed.chunk),
+        steps_per_pass=max(1, int(parsed.stride)),
         group_step_s=parsed.hop_ms / _MS_PER_S,
         report_lag_s=parsed.report_lag_ms / _MS_PER_S,
     )
 
 
 def _workspace(parsed: _TenantJson) -> ServingWorkspace:
+    priority = parsed.priority
     return ServingWorkspace(
         name=parsed.name,
         key_digests=tuple(map(key_digest, parsed.api_keys)),
-        priority=parsed.priority,
+        priority=None if priority is None else int(priority),
     )
 
 
@@ -214,8 +215,8 @@
     if parsed is None:
         return CallerLimits()
     return CallerLimits(
-        header_bytes=parsed.max_header_bytes,
-        body_bytes=parsed.max_body_bytes,
+        header_bytes=int(parsed.max_header_bytes),
+        body_bytes=int(parsed.max_body_bytes),
         head_s=parsed.header_timeout_ms / _MS_PER_S,
         idle_s=parsed.idle_timeout_ms / _MS_PER_S,
     )
--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -13,7 +13,7 @@
 from ..connection.peer_messages import OrderState, OrderUpdate
 from ..connection.store_events import Row
 from ..connection.store_version import shown_version
-from ..decoding import ExactInteger, ExactNumber, decode
+from ..decoding import ExactNumber, WholeNumber, decode
 from ..process.endpoints.entry import EndpointEntry
 from ..process.events import (
     configuration_doubted,
@@ -60,9 +60,9 @@
     address: str
     zone: str
     state: str
-    slots: ExactInteger = 1
+    slots: WholeNumber = 1
     cold_remaining_ms: ExactNumber = 0
-    born: ExactInteger = 0
+    born: WholeNumber = 0
     sequence: ExactNumber = 0
 
 
@@ -216,8 +216,8 @@
         service=parsed.service,
         address=_parse_address(parsed.address),
         data_centre=parsed.zone,
-        slots=max(1, parsed.slots),
-        born_unix_ms=parsed.born,
+        slots=max(1, int(parsed.slots)),
+        born_unix_ms=int(parsed.born),
         is_leaving=parsed.state == _LEAVING,
         cold_until_s=now_s + max(0, parsed.cold_remaining_ms) / _MS_PER_S,
         listed_s=now_s,
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -8,6 +8,14 @@
     And the engine profile is in seconds and tokens
     And API keys are kept as digests only
 
+  Scenario: A configuration with whole numbers such as 2.0
+    Guards against a valid version that no instance takes, since its writer has 2.0 where others have 2.
+    Then a configuration whose whole numbers end in .0 is read like one without
+
+  Scenario: An endpoint's entry with whole numbers such as 2.0
+    Guards against a sound endpoint that gets no requests, since its entry has 2.0 where others have 2.
+    Then an endpoint's entry whose whole numbers end in .0 is read like one without
+
   Scenario Outline: An invalid configuration is refused with a reason
     Guards against an invalid row that replaces the configuration in force.
     Then the configuration <content> is refused
@@ -24,6 +32,9 @@
       | {"version": 3, "services": [], "routes": [], "limits": {"maxHeaderBytes": 0, "maxBodyBytes": 9, "headerTimeoutMs": 9, "idleTimeoutMs": 9}} |
       | {"version": 3, "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
       | {"version": 9007199254740992, "services": [], "routes": []} |
+      | {"version": 9007199254740992.0, "services": [], "routes": []} |
+      | {"version": 3.5, "services": [], "routes": []} |
+      | {"version": 3, "services": [], "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe", "service": "x", "attempts": 1.5}]} |
       | {"version": 3, "services": [], "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe", "service": "x", "attempts": 18446744073709551616}]} |
       | {"version": 3, "routes": [], "services": [{"name": "x", "maxConnections": 18446744073709551616}]} |
       | {"version": 3, "routes": [], "services": [{"name": "x", "engine": {"slots": 18446744073709551616, "kvTokens": 1, "step_ms": 1, "read_per_s": 1}}]} |
@@ -77,6 +88,7 @@
       | {"service": "s", "address": "10.0.0.256:80", "zone": "a", "state": "ready"}                |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "born": 18446744073709551616} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "slots": 18446744073709551616} |
+      | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "slots": 1.5} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "coldRemainingMs": 1e200} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "sequence": 18446744073709551616} |
       | {"service": "s", "address": "10.0.0.1:80", "zone": "a", "state": "ready", "sequence": 1e999} |
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -424,6 +424,49 @@
     assert context.configuration.limits.head_s == 3
 
 
+@then('a configuration whose whole numbers end in .0 is read like one without')
+def configuration_of_floats(context):
+    written = json.dumps(_with_floats(_CONFIGURATION))
+    plain = read_configuration(json.dumps(_CONFIGURATION).encode())
+    assert '"version": 7.0' in written
+    read = read_configuration(written.encode())
+    assert read.is_ok(), read.error
+    # 2 == 2.0, so the types are compared as well.
+    assert repr(read.ok) == repr(plain.ok)
+
+
+@then(
+    "an endpoint's entry whose whole numbers end in .0 is read like one without"
+)
+def entry_of_floats(context):
+    content = {
+        'service': 's',
+        'address': '10.0.0.1:80',
+        'zone': 'a',
+        'state': 'ready',
+        'slots': 6,
+        'born': 1_796_563_900_000,
+        'coldRemainingMs': 0,
+        'sequence': 4,
+    }
+    for written in (content, _with_floats(content)):
+        two_entries(context, json.dumps(written))
+        found = context.recorder.entries.get('bad')
+        assert found is not None, written
+        assert repr(found.slots) == '6'
+        assert repr(found.born_unix_ms) == '1796563900000'
+
+
+def _with_floats(content):
+    """Return ``content`` with each integer as a float."""
+    if isinstance(content, dict):
+        return {name: _with_floats(each) for name, each in content.items()}
+    if isinstance(content, list):
+        return [_with_floats(each) for each in content]
+    is_integer = isinstance(content, int) and not isinstance(content, bool)
+    return float(content) if is_integer else content
+
+
 @then('API keys are kept as digests only')
 def digests_only(context):
     assert 'secret' not in repr(context.configuration)
