--- a/features/support/watched_table.py
+++ b/features/support/watched_table.py
@@ -12,10 +12,17 @@
     RowCheck,
     RowScan,
     StoreOutcome,
-    StoreStatus,
 )
+from bergamotturn.connection.store_version import (
+    FIRST_ERA,
+    era_of,
+    number_of,
+    store_version,
+)
+from bergamotturn.platform.table_answers import read_answer
 from bergamotturn.platform.table_format import PlatformTable
 from bergamotturn.process.actions import SendTo
+from bergamotturn.process.mirror.newest_version import NewestVersion
 from bergamotturn.process.mirror.table_copy import TableChange
 from bergamotturn.process.mirror.table_watch import TableWatch
 from bergamotturn.process.mirror.watch_settings import (
@@ -50,6 +57,10 @@
 class FakeTable:
     """A table with its changes, which answers reads and checks.
 
+    Its rows have the numbers of the store; answers name the era as well, as
+    those of the platform's store do once they are parsed.
+
+    :ivar era: era of the store, which rises with each restore.
     :ivar read_version: version that reads show, None for the newest one.
     :ivar check_version: the same for checks.
     :ivar pages_in_order: whether no page of a read is older than the one
@@ -60,6 +71,7 @@
         self.rows = {}
         self.changes = []
         self.version = 0
+        self.era = FIRST_ERA
         self.oldest_version = 0
         self.read_version = None
         self.check_version = None
@@ -67,6 +79,8 @@
         self._page_version = 0
         self._page_rows = page_rows
         self._states = [{}]
+        #: Number to which the store went back at the begin of each later era.
+        self._restored = {}
 
     def put(self, key, value):
         self.version += 1
@@ -86,6 +100,45 @@
     def lose_history(self):
         self.oldest_version = self.version
 
+    def restore(self, version):
+        """Go back to the state at ``version``, in the next era.
+
+        :returns: the changes that are lost.
+        """
+        lost = [row for row in self.changes if row.row_version > version]
+        self.era += 1
+        self._restored[self.era] = version
+        self.version = version
+        self.rows = dict(self._states[version])
+        self.changes = [
+            row for row in self.changes if row.row_version <= version
+        ]
+        del self._states[version + 1 :]
+        self.oldest_version = min(self.oldest_version, version)
+        if self.read_version is not None:
+            # No read is older than the copy that the store came back from.
+            self.read_version = version
+        return lost
+
+    def back_to(self, changes):
+        """Return the version some changes ago, in this era or its copy."""
+        oldest_version = self._restored.get(self.era, 0)
+        return max(oldest_version, self.version - changes)
+
+    def named(self, version):
+        """Return how answers name the number ``version`` now."""
+        return store_version(self.era, version)
+
+    def origin(self, version):
+        """Return the era and the number of the write that a version names.
+
+        Later writes have greater ones, whatever the era that names them.
+        """
+        era, number = era_of(version), number_of(version)
+        while era > FIRST_ERA and number <= self._restored[era]:
+            era -= 1
+        return era, number
+
     def answer(self, operation, *, withholds=False, repeats=False):
         """Return the outcome of an operation.
 
@@ -96,29 +149,32 @@
             return self._page(operation)
         if isinstance(operation, RowCheck):
             return self._check(operation)
-        if operation.since_version < self.oldest_version:
-            return outcome_of(operation, StoreStatus.history_lost, self.version)
+        since = number_of(operation.since_version)
+        if not self.oldest_version <= since <= self.version:
+            return self._outcome(operation, HTTPStatus.GONE, (), self.version)
         changes = [
             row
             for row in self.changes
-            if row.row_version > operation.since_version and not withholds
+            if row.row_version > since and not withholds
         ]
         if repeats:
             changes += changes[-1:]
-        return self._found(operation, changes, self.version)
+        return self._outcome(operation, HTTPStatus.OK, changes, self.version)
 
     def _page(self, operation):
         version = self.version
         if self.read_version is not None:
             version = self.read_version
         if operation.after and self.pages_in_order:
-            version = max(version, self._page_version)
+            version = max(version, min(self._page_version, self.version))
         self._page_version = version
         state = self._states[version]
         rows = [state[key] for key in sorted(state) if key > operation.after]
         has_more = len(rows) > self._page_rows
         rows = rows[: self._page_rows]
-        return self._found(operation, rows, version, has_more=has_more)
+        return self._outcome(
+            operation, HTTPStatus.OK, rows, version, has_more=has_more
+        )
 
     def _check(self, operation):
         """Answer as the platform does: with the rows that exist only."""
@@ -126,26 +182,26 @@
         if self.check_version is not None:
             version = self.check_version
         state = self._states[version]
-        rows = [
-            {
-                'key': key.partition('/')[2],
-                'ver': state[key].row_version,
-                'value': b64encode(state[key].value).decode(),
-            }
-            for key in operation.row_keys
-            if key in state
-        ]
+        rows = [state[key] for key in operation.row_keys if key in state]
         status = HTTPStatus.PRECONDITION_FAILED if rows else HTTPStatus.OK
-        body = json.dumps({'ver': version, 'rows': rows}).encode()
-        return TABLE_FORMAT.outcome(operation, status, body)
-
-    def _found(self, operation, rows, version, *, has_more=False):
-        return StoreOutcome(
-            operation_id=operation.operation_id,
-            status=StoreStatus.found,
-            rows=tuple(rows),
-            table_version=version,
-            has_more=has_more,
+        return self._outcome(operation, status, rows, version)
+
+    def _outcome(self, operation, status, rows, version, *, has_more=False):
+        body = {
+            'ver': version,
+            'rows': [
+                {
+                    'key': row.row_key.partition('/')[2],
+                    'ver': row.row_version,
+                    'value': b64encode(row.value).decode(),
+                    'deleted': row.is_removed,
+                }
+                for row in rows
+            ],
+            'hasMore': has_more,
+        }
+        return read_answer(
+            operation, status, json.dumps(body).encode(), self.era
         )
 
 
@@ -153,7 +209,8 @@
     """Runs a watch and collects the operations and messages it returns."""
 
     def __init__(self, seed=0, settings=SETTINGS):
-        self.watch = TableWatch(settings, Random(seed))
+        self.newest = NewestVersion()
+        self.watch = TableWatch(settings, Random(seed), self.newest)
         self.now_s = 0.0
         self.operations = []
         self.messages = []
@@ -194,7 +251,15 @@
             outcome = store.answer(operation, **faults)
         else:
             outcome = outcome_of(operation, status)
+        self.use(outcome)
+
+    def use(self, outcome):
+        """Handle an outcome as the component does that runs the watches."""
+        before = self.newest.version
         self.carry_out(self.watch.on_outcome(self.now_s, outcome))
+        self.newest.note(outcome)
+        if before and era_of(self.newest.version) > era_of(before):
+            self.carry_out(self.watch.on_restored(self.now_s))
 
     def values(self):
         return {key: row.value for key, row in self.watch.copy.rows.items()}
