Tables: begin a read again if the store is restored between two pages

A lost row that is on neither page counted as removed at once: the version of the read was of the earlier era, so that the copy did not keep the row.

--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -13,6 +13,7 @@
     StoreStatus,
     next_operation_id,
 )
+from ...connection.store_version import era_of
 from .call_pacing import CallPacing
 from .catch_up import CatchUp
 from .followed_version import FollowedVersion
@@ -264,6 +265,11 @@
         if outcome.has_more and outcome.rows:
             after = outcome.rows[-1].row_key
             return self._start(now_s, self._scan_after(after))
+            if era_of(version) != era_of(self._scan_version):
+                # The store was restored meanwhile, so that rows of both states
+                # are no state of the table.
+                self._scanned_rows = []
+                return self._start(now_s, self._scan_after(''))
         self.is_complete = True
         change = self.copy.replace(self._scan_version, self._scanned_rows)
         self._scanned_rows = []
--- /dev/null
+++ b/features/support/restored_course.py
@@ -0,0 +1,73 @@
+"""A copy of one table and its store, which may be restored, in virtual time."""
+
+from dataclasses import replace
+
+from bergamotturn.connection.store_events import RowFollow, StoreStatus
+from bergamotturn.connection.store_version import number_of
+from bergamotturn.platform.daemon import watched_tables
+from features.support.watched_table import FakeTable, WatchHarness
+
+__all__ = ('IN_FORCE_S', 'RestoredCourse', 'settings_of')
+
+#: Time in which changes are in force.
+IN_FORCE_S = 2
+_STEP_S = 0.02
+_ROWS = 3
+
+
+def settings_of(table):
+    """Return the daemon's settings of the watch of a table."""
+    (settings,) = [
+        each for each in watched_tables(IN_FORCE_S) if each.prefix == table
+    ]
+    return replace(settings, prefix='t/', expected_keys=('t/0',))
+
+
+class RestoredCourse:
+    """A copy that is current, and its store.
+
+    :ivar is_away: whether the store answers nothing.
+    """
+
+    def __init__(self, settings, page_rows=500, store=None):
+        self.store = store
+        if store is None:
+            self.store = FakeTable(page_rows)
+            for number in range(_ROWS):
+                self.store.put(f't/{number}', b'old')
+        self.harness = WatchHarness(settings=settings)
+        self.is_away = False
+        self.run(2)
+        assert self.is_current()
+
+    @property
+    def kept(self):
+        return self.harness.watch.copy.kept
+
+    def run(self, for_s):
+        """Let time pass; calls are answered one step after their begin."""
+        for _ in range(round(for_s / _STEP_S)):
+            if self.harness.operations and not self.is_away:
+                self._answer(self.harness.operations[0])
+            self.harness.pass_time(_STEP_S)
+
+    def restore(self, version):
+        """Let the store come back from a copy, which resets pending calls."""
+        lost = self.store.restore(version)
+        while self.harness.operations:
+            self.harness.answer(self.store, StoreStatus.unknown)
+        return lost
+
+    def is_current(self):
+        expected = {key: row.value for key, row in self.store.rows.items()}
+        return self.harness.values() == expected
+
+    def _answer(self, operation):
+        if isinstance(operation, RowFollow):
+            begun_s, _ = self.harness.started[-1]
+            since = number_of(operation.since_version)
+            is_told = since == self.store.version
+            is_due = self.harness.now_s - begun_s >= operation.wait_s
+            if is_told and not is_due:
+                return
+        self.harness.answer(self.store)
