--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -44,8 +44,14 @@
         """Return whether the copy differs from the store."""
         return bool(self.missing or self.reverted)
 
-    def note_replaced(self, row: Row) -> None:
-        """Remember a row that has another state now or is removed."""
+    def note_replaced(self, row: Row, by: Row | None = None) -> None:
+        """Remember a row that has another state now or is removed.
+
+        :param by: the row as it is now; a restored store names the same state
+            by another version.
+        """
+        if by is not None and _state_of(by) == _state_of(row):
+            return
         states = self._states.setdefault(row.row_key, deque(maxlen=_MAX_STATES))
         states.append(_state_of(row))
 
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -224,7 +224,7 @@
             return False
         known = self.rows.get(row_key)
         if known is not None:
-            self.kept.note_replaced(known)
+            self.kept.note_replaced(known, row)
         self._removed_versions.pop(row_key, None)
         self.rows[row_key] = row
         self.kept.note_changed(row_key)
