Tables: release kept rows at their time, and by a read that shows them

- The kept time began anew only once a row of the new era was taken.
Rows that a second restore lost were released with those of the first one.
- A row counted as missing and as reverted at once, so that it was removed after the shorter time, at a version above that of the row in the store.
- The one read after a release could be older than the copy.
The released rows were then never read, and stayed for good.

--- a/bergamotturn/process/mirror/kept_deadlines.py
+++ b/bergamotturn/process/mirror/kept_deadlines.py
@@ -3,7 +3,6 @@
 from math import inf
 from typing import final
 
-from ...connection.store_version import era_of
 from .table_copy import TableCopy
 from .watch_settings import WatchSettings
 
@@ -36,7 +35,7 @@
 
     def note(self, now_s: float, copy: TableCopy) -> None:
         """Note what a copy keeps; each restored store starts the times anew."""
-        era = era_of(copy.changed_version)
+        era = copy.kept.era
         is_new = era != self._era
         self._era = era
         settings = self._settings
--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -12,7 +12,7 @@
 from typing import Final, final
 
 from ...connection.store_events import Row
-from ...connection.store_version import era_of, number_of
+from ...connection.store_version import FIRST_ERA, era_of, number_of
 
 __all__ = ('KeptRows',)
 
@@ -30,19 +30,24 @@
     :ivar missing: keys of rows that the store has no more.
     :ivar reverted: keys of rows that the store has in an earlier state, also
         of those that were removed.
+    :ivar is_unread: whether rows were released whose state in the store only a
+        read of all rows tells, as of no older version than that of the copy.
+    :ivar era: newest era of the store that lacked a kept row.
     """
 
-    __slots__ = ('_states', 'missing', 'reverted')
+    __slots__ = ('_states', 'era', 'is_unread', 'missing', 'reverted')
 
     def __init__(self) -> None:
         """Start without rows."""
         self._states: dict[str, deque[_State]] = {}
         self.missing: set[str] = set()
         self.reverted: set[str] = set()
+        self.is_unread = False
+        self.era = FIRST_ERA
 
     def __bool__(self) -> bool:
         """Return whether the copy differs from the store."""
-        return bool(self.missing or self.reverted)
+        return self.is_unread or bool(self.missing or self.reverted)
 
     def note_replaced(self, row: Row, by: Row | None = None) -> None:
         """Remember a row that has another state now or is removed.
@@ -59,7 +64,10 @@
         """Return whether to keep a row that is absent as of ``version``."""
         if era_of(known.row_version) >= era_of(version):
             return False
-        self.missing.add(known.row_key)
+        if known.row_key not in self.reverted:
+            # A peer may keep the removal of a row that the store has again.
+            self.missing.add(known.row_key)
+        self.era = max(self.era, era_of(version))
         return True
 
     def rejects(self, row: Row, known_version: int) -> bool:
@@ -74,7 +82,9 @@
             return False
         if _state_of(row) not in self._states.get(row.row_key, ()):
             return False
+        self.missing.discard(row.row_key)
         self.reverted.add(row.row_key)
+        self.era = max(self.era, era_of(row.row_version))
         return True
 
     def note_changed(self, row_key: str) -> None:
@@ -86,6 +96,7 @@
         """Take the restored state of rows when it is read next."""
         self.forget_states(self.reverted)
         self.reverted.clear()
+        self.is_unread = True
 
     def forget_states(self, row_keys: Iterable[str]) -> None:
         """Take any state of rows when it is read next."""
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -277,6 +277,8 @@
         return [change, *self.advance(now_s)]
 
     def _judge_scan(self, now_s: float) -> None:
+        if self._scan_version >= self.copy.version:
+            self.copy.kept.is_unread = False
         """Schedule the next call by whether the scan shows what is proven."""
         catch_up = self.catch_up
         floor = catch_up.required_version
@@ -306,6 +308,8 @@
         if self.catch_up.is_behind and self.catch_up.is_unchecked:
             # A read that gets no answer must not hold up the next check.
             timeout_s = min(timeout_s, self.catch_up.timeout_s)
+        if self.copy.kept.is_unread:
+            self._scan_due_s = now_s + self.settings.max_retry_wait_s
         return RowScan(
             operation_id=next_operation_id(),
             owner=self.settings.owner,
@@ -318,7 +322,7 @@
         wait_s = self.settings.wait_s
         if not self._is_following:
             wait_s = max(wait_s, self.settings.long_wait_s)
-        if self.catch_up.is_behind:
+        if self.catch_up.is_behind or self.copy.kept.is_unread:
             due_s = min(self._scan_due_s, self.catch_up.check_due_s)
             wait_s = min(wait_s, max(_MIN_WAIT_S, due_s - now_s))
         return self._start(
