Tables: a copy that keeps what the store has lost tells peers its news only

Its version is in the new era, so that another copy took it for the state of the store, read nothing itself, and kept a lost row, or lacked a restored one, for good. It also tells of removed rows then, since its keys don't.

--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -107,12 +107,14 @@
         """Return the rows whose version is greater than ``above``.
 
         Removed rows are among them if the copy isn't complete up to their
-        removal. Others that are missing were removed before its version.
+        removal, or keeps rows that the store has lost. Others that are missing
+        were removed before its version.
         """
+        complete_version = 0 if self.kept else self.version
         removed = (
             Row(key, version, b'', is_removed=True)
             for key, version in self._removed_versions.items()
-            if version > self.version
+            if version > complete_version
         )
         return tuple(
             row
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -130,7 +130,11 @@
             for row in content.rows
             if ask.held.get(row.row_key, 0) < row.row_version
         )
-        return [SendTo(sender, replace(content, rows=rows))]
+        # Copies that keep what the store has lost are no state of the table, so
+        # the other one must read it itself.
+        version = 0 if self.copy.kept else content.version
+        content = replace(content, version=version, rows=rows)
+        return [SendTo(sender, content)]
 
     def message_for(self, change: TableChange) -> TableContent | TableDelta:
         """Return the message that forwards ``change`` to other instances."""
