--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -88,6 +88,9 @@
         self._check_floor = 0
         #: Monotonic time at which the store last said that history is lost.
         self._lost_s = float('-inf')
+        #: Version of the restored store when it was first heard of. Changes up
+        #: to it may be those of an earlier era.
+        self._restored_version = 0
         #: May be above the version of the copy, which then lacks changes.
         self._followed = FollowedVersion()
 
@@ -180,7 +183,7 @@
             return []
         self._pacing.note_answer()
         if isinstance(pending, RowFollow) and is_lost:
-            return self._on_history_lost(now_s, pending)
+            return self._on_history_lost(now_s, pending, outcome)
         if isinstance(pending, RowFollow):
             return self._on_changes(now_s, pending, outcome)
         return self._on_page(now_s, outcome)
@@ -205,7 +208,7 @@
         return [change, *self.advance(now_s)]
 
     def _on_history_lost(
-        self, now_s: float, pending: RowFollow
+        self, now_s: float, pending: RowFollow, outcome: StoreOutcome
     ) -> list[WatchAction]:
         """Check and read all rows: the store has changes that it can't tell."""
         self._followed.reset()
@@ -214,9 +217,12 @@
         if not was_behind and waited_s > self.settings.batch_wait_s:
             # The store still had the history when the wait began.
             self.catch_up.delayed_until_s = inf
-        self.catch_up.require(
-            now_s, pending.since_version + 1, is_follower=self._is_following
-        )
+        required = pending.since_version + 1
+        if era_of(outcome.table_version) > era_of(required):
+            # A read that names less is older than the state that was restored.
+            required = outcome.table_version
+            self._restored_version = max(self._restored_version, required)
+        self.catch_up.require(now_s, required, is_follower=self._is_following)
         if not was_behind:
             self._scan_due_s = float('-inf')
         # A first loss is followed at once, unless the last one was just now.
@@ -259,26 +265,26 @@
         # later page may be from a copy of the store that is behind.
         version = outcome.table_version
         if self._scanned_rows:
+            if era_of(version) != era_of(self._scan_version):
+                # The store was restored meanwhile, so that rows of both states
+                # are no state of the table.
+                self._scanned_rows = []
+                return self._start(now_s, self._scan_after(''))
             version = min(version, self._scan_version)
         self._scan_version = version
         self._scanned_rows.extend(outcome.rows)
         if outcome.has_more and outcome.rows:
             after = outcome.rows[-1].row_key
             return self._start(now_s, self._scan_after(after))
-            if era_of(version) != era_of(self._scan_version):
-                # The store was restored meanwhile, so that rows of both states
-                # are no state of the table.
-                self._scanned_rows = []
-                return self._start(now_s, self._scan_after(''))
         self.is_complete = True
+        if self._scan_version >= self.copy.version:
+            self.copy.kept.is_unread = False
         change = self.copy.replace(self._scan_version, self._scanned_rows)
         self._scanned_rows = []
         self._judge_scan(now_s)
         return [change, *self.advance(now_s)]
 
     def _judge_scan(self, now_s: float) -> None:
-        if self._scan_version >= self.copy.version:
-            self.copy.kept.is_unread = False
         """Schedule the next call by whether the scan shows what is proven."""
         catch_up = self.catch_up
         floor = catch_up.required_version
@@ -302,14 +308,14 @@
         self._scan_due_s = inf
         if not self.settings.wait_s:
             self._scan_due_s = now_s + self.settings.reread_s
+        if self.copy.kept.is_unread:
+            self._scan_due_s = now_s + self.settings.max_retry_wait_s
 
     def _scan_after(self, row_key: str) -> RowScan:
         timeout_s = _SCAN_TIMEOUT_S
         if self.catch_up.is_behind and self.catch_up.is_unchecked:
             # A read that gets no answer must not hold up the next check.
             timeout_s = min(timeout_s, self.catch_up.timeout_s)
-        if self.copy.kept.is_unread:
-            self._scan_due_s = now_s + self.settings.max_retry_wait_s
         return RowScan(
             operation_id=next_operation_id(),
             owner=self.settings.owner,
@@ -336,6 +342,7 @@
                     self.copy.version,
                     self._followed.version,
                     self.catch_up.follow_version,
+                    self._restored_version,
                 ),
                 wait_s=wait_s,
             ),
