--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -145,6 +145,54 @@
       | {"ver":"x"}              | 0       |
       | no content               | 0       |
 
+  Scenario: A wait of an earlier era whose number the new counter has passed
+    Guards against lost changes that nobody notices: the store answers with those of the new era above that number, as if
+    they continued the earlier one.
+    Given the store is in era 2
+    When a wait since 37 of era 1 is answered with row 40
+    Then its history is lost, at version 40 of era 2
+
+  Scenario: A wait of the current era
+    Guards against a read of all rows for each change after a restore.
+    Given the store is in era 2
+    When a wait since 37 of era 2 is answered with row 40
+    Then it has row 40 of era 2
+
+  Scenario: A wait of the current era that is answered late, from an earlier one
+    Guards against changes that were lost, as if they continued those of the current era.
+    Given the store is in era 2
+    When a wait since 37 of era 3 is answered with row 40
+    Then it says nothing, as it was late
+
+  Scenario Outline: A write expects a version of the current era only
+    Guards against a write whose condition holds by accident, since another state of the row has the same number now.
+    Given the store is in era 3
+    Then a write that expects version <number> of era <era> is sent with <expected>
+
+    Examples:
+      | number | era | expected                 |
+      | 37     | 3   | 37                       |
+      | 37     | 2   | a number that no row has |
+      | 37     | 1   | a number that no row has |
+      | 0      | 3   | 0                        |
+
+  Scenario Outline: An era that can't be read counts as the first one
+    Guards against an error that ends the handling of all answers, and against an era that no later one ever exceeds.
+    Given the store is in era 2
+    Then an answer with <content> in the header Store-Era is of the first era
+    And the era that the store named before is still known
+
+    Examples:
+      | content                 |
+      | no header               |
+      | an empty header         |
+      | a header of letters     |
+      | a fraction              |
+      | a sign                  |
+      | zero                    |
+      | a number of 20 digits   |
+      | a number of 5000 digits |
+
   Scenario: Rows of another part of a table are ignored
     Guards against a row of another part that replaces the configuration until the next scan.
     Then rows of another part of a table are ignored
