--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -64,12 +64,14 @@
         if self.settings.wait_s:
             self._pacing.call_at_once()
             return self._cancel_wait()
-        # All instances learn of it at the same time.
-        longest_s = self.settings.max_retry_wait_s
-        due_s = now_s + self._random.uniform(0, longest_s)
-        self._scan_due_s = min(self._scan_due_s, due_s)
+        self._scan_due_s = min(self._scan_due_s, self._spread(now_s))
         return []
 
+    def _spread(self, now_s: float) -> float:
+        """Return the time of a read that all instances make."""
+        longest_s = self.settings.max_retry_wait_s
+        return now_s + self._random.uniform(0, longest_s)
+
     def advance(self, now_s: float) -> list[WatchAction]:
         """Give up what is kept no longer, and start the next call if due."""
         self._kept.note(now_s, self.copy)
@@ -81,6 +83,8 @@
         if now_s >= self._kept.reverted_until_s:
             self.copy.kept.release_reverted()
             self.request_scan()
+            if not self._is_following:
+                self._scan_due_s = self._spread(now_s)
             actions.extend(self._cancel_wait())
         self._kept.note(now_s, self.copy)
         return [*actions, *super().advance(now_s)]
@@ -135,7 +139,14 @@
     def message_for(self, change: TableChange) -> TableContent | TableDelta:
         """Return the message that forwards ``change`` to other instances."""
         if change.is_snapshot:
-            return self._content(change.since_version)
+            content = self._content(change.since_version)
+            # A row that is released has a version from before the restore.
+            released = (
+                row
+                for row in change.rows
+                if row.row_version <= change.since_version
+            )
+            return replace(content, rows=(*content.rows, *released))
         return TableDelta(
             prefix=self.settings.prefix,
             since_version=change.since_version,
--- a/features/followers.feature
+++ b/features/followers.feature
@@ -146,6 +146,13 @@
       | 76        | 3       | 3     | 4     |
       | 195       | 5       | 4     | 5     |
 
+  Scenario: A lost content that nobody writes again
+    Guards against instances that keep it for good: they rely on a follower, which told them of rows above its version only.
+    They keep it for as long as the follower did once more.
+    Given 76 instances in 3 data centres with the settings of the table "servers/" and a bound of 3 seconds
+    When the store is away for 1 second and loses a content
+    Then every copy equals the table 63 seconds later
+
   Scenario: Rows change while a large fleet keeps a lost one
     Guards against instances that ask for a copy with each change, since their own one isn't of the restored store.
     Given 76 instances in 3 data centres with the settings of the table "servers/" and a bound of 3 seconds
