--- a/features/quarantine_store.feature
+++ b/features/quarantine_store.feature
@@ -132,6 +132,20 @@
     Then the row has the 64 parts that end last
     And the store gets no write in the next 1 s
 
+  Scenario Outline: A quarantine that the store has lost
+    Guards against instances that start after the store was restored, and send a prompt part that crashes engines, and
+    against a write by each instance. A first write may learn the version of the row only.
+    Given a row that quarantines "q" for 60 s
+    And 3 running instances
+    When the first one quarantines "p", and the store is restored from a copy that <lacks>
+    Then within 5 s the row has exactly "<parts>"
+    And the store got at most 2 writes since the restore
+
+    Examples:
+      | lacks         | parts |
+      | lacks it      | q, p  |
+      | has no row    | p     |
+
   Scenario Outline: A release removes the part from the row
     Given a row that quarantines "q" for 60 s
     And 2 running instances
--- a/features/steps/quarantine_store_steps.py
+++ b/features/steps/quarantine_store_steps.py
@@ -17,13 +17,20 @@
 from bergamotturn.platform.table_format import PlatformTable
 from bergamotturn.process.endpoints.quarantined_part import QuarantinedPart
 from bergamotturn.process.mirror.follower_choice import FollowerChoice
-from bergamotturn.process.mirror.mirror_task import MirrorTask
+from bergamotturn.process.mirror.mirror_task import (
+    MIRROR,
+    MirrorTask,
+    read_table,
+)
 from bergamotturn.process.quarantine_events import (
     part_suspected,
     parts_quarantined,
     parts_released,
 )
-from bergamotturn.process.quarantine_store_task import QuarantineStoreTask
+from bergamotturn.process.quarantine_store_task import (
+    QUARANTINE_TABLE,
+    QuarantineStoreTask,
+)
 from bergamotturn.process.timers import Timers
 from features.support.component_loop import turn
 from features.support.http_call import call, is_listening
@@ -150,6 +157,31 @@
         instance.reads.clear()
 
 
+@when(
+    'the first one quarantines "{part}", and the store is restored from a copy '
+    'that {lacks}'
+)
+def quarantine_lost(context, part, lacks):
+    first, *others = context.instances
+    copy = context.store.row if lacks.strip() == 'lacks it' else None
+    parts = (_quarantined(part, 60),)
+    first.fire(parts_quarantined(parts, True), '*')
+    for other in others:
+        other.fire(parts_quarantined(parts, False), '*')
+    _turn_all(context, 0.2)
+    assert part in context.store.names()
+    context.store.restore(copy)
+    context.store.write_times_s.clear()
+    # Any answer names the era, such as that of a wait for another table.
+    for instance in context.instances:
+        instance.fire(read_table(QUARANTINE_TABLE), MIRROR)
+
+
+@then('the store got at most {count:d} writes since the restore')
+def writes_since_restore(context, count):
+    compare_writes(context, count)
+
+
 @when('the first one quarantines "{part}" and ends, and the other releases it')
 def ends_before_release(context, part):
     first, other = context.instances
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -22,7 +22,11 @@
     store_outcome,
 )
 from bergamotturn.process.mirror.follower_choice import FollowerChoice
-from bergamotturn.process.mirror.mirror_task import MirrorTask
+from bergamotturn.process.mirror.mirror_task import (
+    MIRROR,
+    MirrorTask,
+    read_table,
+)
 from bergamotturn.process.mirror.watch_settings import WatchSettings
 from bergamotturn.process.registration_task import (
     INSTANCES_TABLE,
@@ -333,6 +337,37 @@
         turn(store_component, RLock(), 0.3)
 
 
+@given('an instance that has written its row')
+def registered(context):
+    context.store = FakeTable()
+    context.component = _start_registration('a', context.store)
+    turn(context.component, RLock(), 0.3)
+    context.component.complete_writes()
+    context.component.writes.clear()
+    turn(context.component, RLock(), 0.3)
+    assert set(context.store.rows) == {f'{INSTANCES_TABLE}a'}
+
+
+@when('the store loses the row and the table is read again')
+def row_lost(context):
+    context.store.restore(0)
+    context.component.fire(read_table(INSTANCES_TABLE), MIRROR)
+    # The time of a read that follows a restore is drawn from 2 s.
+    turn(context.component, RLock(), 2.5)
+
+
+@then('it writes its row once more, on condition that there is none')
+def written_once_more(context):
+    (write,) = context.component.writes
+    assert write.row_key == f'{INSTANCES_TABLE}a'
+    assert write.expected_version == 0, write
+    context.component.complete_writes()
+    context.component.writes.clear()
+    turn(context.component, RLock(), 0.3)
+    assert not context.component.writes
+    assert set(context.store.rows) == {f'{INSTANCES_TABLE}a'}
+
+
 @then('at least one of them learns of the other')
 def one_learns(context):
     first, second = context.starting
--- a/features/support/quarantine_fleet.py
+++ b/features/support/quarantine_fleet.py
@@ -14,6 +14,11 @@
     StoreStatus,
     store_outcome,
 )
+from bergamotturn.connection.store_version import (
+    era_of,
+    number_of,
+    store_version,
+)
 from bergamotturn.platform.daemon import watched_tables
 from bergamotturn.process.endpoints.quarantined_part import QuarantinedPart
 from bergamotturn.process.mirror.follower_choice import FollowerChoice
@@ -71,6 +76,15 @@
         self.row = Row(QUARANTINE_KEY, self.version, value)
         self.history.append(self.row)
 
+    def restore(self, row):
+        """Come back with an earlier state of the row, or none, in an era."""
+        era = era_of(self.version) + 1
+        number = 0 if row is None else number_of(row.row_version)
+        self.version = store_version(era, number)
+        self.row = None
+        if row is not None:
+            self.row = Row(QUARANTINE_KEY, self.version, row.value)
+
     def put_parts(self, *parts):
         self.put(encode_parts(parts, time() - monotonic()))
 
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -330,3 +330,10 @@
     When reads of the restored store name less than it did at first
     Then the copy is known to be behind
     And the copy keeps it for 25 seconds
+
+  Scenario: The own registration is lost
+    Guards against instances that find nobody, as they start after the store was restored from a copy without the rows of
+    those that run.
+    Given an instance that has written its row
+    When the store loses the row and the table is read again
+    Then it writes its row once more, on condition that there is none
