Registration, quarantine: write again what a restored store has lost

Instances that start after a restore would find neither those that run, if their rows were lost, nor the prompt parts in quarantine, which crash engines again.

Cause: both are written once. After store_restored an instance writes its row again if the next read lacks it, and those that decided on a quarantined part write it again. A conflict without a row means that there is none.

--- a/bergamotturn/process/quarantine_row.py
+++ b/bergamotturn/process/quarantine_row.py
@@ -185,6 +185,17 @@
         self._stored = {}
         self._uncertain_until_s = -inf
 
+    def note_restored(self) -> None:
+        """Handle that the store may have lost the newest content.
+
+        Those who decided on a part write it again.
+        """
+        self.row_version = 0
+        self._stored = {}
+        self._wanted.update(
+            part for part, known in self._known.items() if known.is_own
+        )
+
     def note_unknown_write(self, parts: Iterable[QuarantinedPart]) -> None:
         """Handle a write of ``parts`` that may take effect later.
 
--- a/bergamotturn/process/quarantine_store_task.py
+++ b/bergamotturn/process/quarantine_store_task.py
@@ -22,6 +22,7 @@
     next_operation_id,
     store_operation,
 )
+from ..connection.store_version import shown_version
 from .endpoints.quarantined_part import QuarantinedPart
 from .mirror.mirror_task import MIRROR, read_table
 from .mirror.table_copy import TableChange
@@ -94,6 +95,12 @@
             self._read()
         self._write()
 
+    @handler('store_restored', channel='*')
+    def _on_store_restored(self) -> None:
+        """Write again what this instance decided, as it may be lost."""
+        self._row.note_restored()
+        self._write()
+
     @handler('part_suspected', channel='*')
     def _on_part_suspected(self, *_: object) -> None:
         self._read()
@@ -122,7 +129,9 @@
             if outcome.status is StoreStatus.written
             else 'quarantine_write_failed',
             outcome=outcome.status.value,
-            row_version=outcome.row_version or self._row.row_version,
+            row_version=shown_version(
+                outcome.row_version or self._row.row_version
+            ),
             parts=[each.part for each in self._written_parts],
         )
         if outcome.status is StoreStatus.written:
@@ -171,7 +180,7 @@
         if parts:
             log_message(
                 'quarantine_read',
-                row_version=row.row_version,
+                row_version=shown_version(row.row_version),
                 parts={
                     each.part: round(each.until_s - now_s, _SECONDS_DIGITS)
                     for each in parts
@@ -227,7 +236,7 @@
     except msgspec.DecodeError as error:
         log_message(
             'quarantine_unreadable',
-            row_version=row.row_version,
+            row_version=shown_version(row.row_version),
             reason=str(error),
         )
         return ()
--- a/bergamotturn/process/registration_task.py
+++ b/bergamotturn/process/registration_task.py
@@ -1,8 +1,8 @@
 """Registers this instance in the platform's store and reads the others.
 
-Each instance has one row, written when it first starts or when its addresses
-change; a restart finds its row and writes nothing. The rows do not say which
-instances are alive: membership detects that.
+Each instance has one row, written when it first starts, when its addresses
+change or when the store has lost it; a restart finds its row and writes
+nothing. The rows do not say which instances are alive: membership detects that.
 """
 
 from typing import Final, final
@@ -21,6 +21,7 @@
     next_operation_id,
     store_operation,
 )
+from ..connection.store_version import shown_version
 from ..decoding import decode_json
 from .events import members_listed
 from .mirror.mirror_task import MIRROR, read_table
@@ -69,6 +70,7 @@
         super().__init__()
         self._timers = timers
         self._instance = me.instance
+        self._row_key = f'{INSTANCES_TABLE}{me.instance}'
         self._registration = _Registration(
             me.data_centre, me.caller_address, me.peer_address
         )
@@ -80,6 +82,9 @@
     def _on_table_changed(self, prefix: str, change: TableChange) -> None:
         if prefix != INSTANCES_TABLE:
             return
+        if self._row_key in change.removed_keys:
+            self._row_version = 0
+            self._is_registered = False
         members = []
         for row in change.rows:
             instance = row.row_key.removeprefix(INSTANCES_TABLE)
@@ -94,6 +99,11 @@
         if members:
             self.fire(members_listed(members), 'membership')
 
+    @handler('store_restored', channel='*')
+    def _on_store_restored(self) -> None:
+        """Write the row again after the next read, as it may be lost."""
+        self._is_registered = False
+
     @handler('table_read', channel='*')
     def _on_table_read(self, prefix: str) -> None:
         if prefix == INSTANCES_TABLE and not self._is_registered:
@@ -105,6 +115,8 @@
             return
         self._write_operation_id = 0
         self._is_registered = outcome.status is StoreStatus.written
+        if outcome.status is StoreStatus.conflict:
+            self._row_version = 0
         for row in outcome.rows:
             self._row_version = row.row_version
             self._is_registered = _decode(row.value) == self._registration
@@ -119,7 +131,7 @@
             if self._is_registered
             else 'registration_failed',
             outcome=outcome.status.value,
-            row_version=outcome.row_version or self._row_version,
+            row_version=shown_version(outcome.row_version or self._row_version),
         )
 
     @handler('_write_due')
@@ -131,7 +143,7 @@
             operation_id=self._write_operation_id,
             owner=self.channel,
             timeout_s=_WRITE_TIMEOUT_S,
-            row_key=f'{INSTANCES_TABLE}{self._instance}',
+            row_key=self._row_key,
             value=msgspec.json.encode(self._registration),
             expected_version=self._row_version,
         )
