Platform's store: take an era from answers with a version only

One refusal with an odd Store-Era, such as one by a proxy, raised the newest era for good, so that no later read was current. Refusals and illegible answers have no version now; a missing era is logged once in a process.

--- a/bergamotturn/platform/table_answers.py
+++ b/bergamotturn/platform/table_answers.py
@@ -25,6 +25,10 @@
 
 #: The store did not perform the operation, or refuses this caller for now.
 _REFUSAL_STATUSES: Final = frozenset((429, 503))
+#: Outcomes of answers that were not made by reading the store.
+_STATUSES_WITHOUT_VERSION: Final = frozenset(
+    (StoreStatus.refused, StoreStatus.unknown)
+)
 _STATUSES_WITH_ROWS: Final = frozenset(
     (HTTPStatus.OK, HTTPStatus.PRECONDITION_FAILED)
 )
@@ -63,7 +67,10 @@
 
     :param era: era of the store that the answer names.
     """
-    outcome = _in_era(_outcome(operation, status, body), era)
+    outcome = _outcome(operation, status, body)
+    if outcome.status in _STATUSES_WITHOUT_VERSION:
+        return outcome
+    outcome = _in_era(outcome, era)
     if not isinstance(operation, RowFollow):
         return outcome
     followed_era = era_of(operation.since_version)
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -89,7 +89,7 @@
         """Send exchanges to the store at ``address``."""
         self._address = address
         self._newest_era = FIRST_ERA
-        self._is_era_legible = True
+        self._has_lacked_era = False
 
     def exchange(self, operation: TableOperation, owner: str) -> Exchange:
         """Return the exchange that performs ``operation``."""
@@ -121,17 +121,19 @@
         After an invalid answer, the effect of a write is unknown.
         """
         era = self._era(headers)
-        self._newest_era = max(self._newest_era, era)
-        return read_answer(operation, status, body, era)
+        outcome = read_answer(operation, status, body, era)
+        if outcome.table_version or outcome.row_version:
+            self._newest_era = max(self._newest_era, era)
+        return outcome
 
     def _era(self, headers: tuple[Header, ...]) -> int:
         """Return the era that an answer names, the first one if it doesn't."""
         named = [each.value for each in headers if each.name == _ERA_HEADER]
         text = named[0].strip() if named else ''
         is_legible = text.isdecimal() and len(text) <= _MAX_ERA_DIGITS
-        if is_legible != self._is_era_legible:
-            self._is_era_legible = is_legible
-            log_message('store_era_named', is_legible=is_legible, named=named)
+        if not is_legible and not self._has_lacked_era:
+            self._has_lacked_era = True
+            log_message('store_era_missing', named=named)
         return max(FIRST_ERA, int(text)) if is_legible else FIRST_ERA
 
 
