--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -68,3 +68,41 @@
     When two plain endpoints write their first entries, and the store loses them
     And one of them writes its entry again 2 seconds after the store's return
     Then that one gets lookups all the time, and the other one none later than 5 seconds after the store's return
+
+  Scenario Outline: An entry that is lost, written again as it was, and removed later
+    Guards against a removal in the new era that is taken for a loss, so that an endpoint gets requests for 3 s more.
+    Given <count> instances behind a store
+    And 60 lookups a second are sent through all instances for 16 seconds
+    When a plain endpoint's first entry is lost, written again as it was, and removed 3 seconds later
+    Then no lookup reaches its endpoints later than 2 seconds after its acknowledgement
+
+    Examples:
+      | count |
+      | 9     |
+      | 40    |
+
+  @known_red
+  Scenario: Instances that start before a lost version is written again
+    Guards against starters that serve an older configuration than their peers.
+    Given nine instances behind a store
+    When version 2 is confirmed and lost, as the store comes back from a copy once
+    And two instances are killed and started
+    Then every instance handles requests by it for 4 seconds
+
+  @known_red
+  Scenario: Instances that start before a lost leaving is written again
+    Guards against starters that use an endpoint whose leaving was acknowledged.
+    Given nine instances behind a store
+    And 60 lookups a second are sent through all instances for 12 seconds
+    When a plain endpoint says that it leaves, another one's entry is removed, and the store loses both
+    And two instances are killed and started
+    Then no lookup reaches either later than 2 seconds after its acknowledgement
+
+  @known_red
+  Scenario: Instances that start before the end of an evacuation is written again
+    Guards against one starter that evacuates a data centre again for all.
+    Given nine instances behind a store
+    And 60 lookups a second are sent through all instances for 14 seconds
+    When a data centre is evacuated, taken back, and the store loses the latter
+    And two instances are killed and started
+    Then its endpoints get lookups again from 2 seconds after that
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -134,6 +134,25 @@
     context.returned_s = monotonic()
 
 
+@when(
+    "a plain endpoint's first entry is lost, written again as it was, and "
+    'removed {after_s:d} seconds later'
+)
+def lose_and_remove(context, after_s):
+    fleet = context.fleet
+    port = min(fleet.plain)
+    fleet.put('servers', f'i-{port}', None)
+    sleep(_COPY_AGE_S)
+    fleet.put_entry(port, sequence=2)
+    _restore(context)
+    sleep(_CHANGE_AGE_S)
+    fleet.put_again(context.lost)
+    sleep(after_s)
+    fleet.put('servers', f'i-{port}', None)
+    context.left_s = monotonic()
+    context.left = [port]
+
+
 @when(
     'one of them writes its entry again {after_s:d} seconds after the '
     "store's return"
