Platform's store: one row that can't be decoded hides no other

Callers would get 404 and 401 by an old configuration at all instances.

Cause: an answer with one odd row, such as a removed one with "value": null, counted as no answer. A wait for changes was then repeated from the same version and got the same answer, until the history was lost. Class: one row stops a table.

Null stands for what is absent; of the rows of a table or of its changes, one that can't be decoded has no content, or is left out if its key or version can't, with a line row_unreadable. Checks and conflicts stay strict.

--- a/bergamotturn/platform/table_answers.py
+++ b/bergamotturn/platform/table_answers.py
@@ -1,10 +1,11 @@
 """Parses the answers of the platform's metadata store."""
 
-from collections.abc import Iterable
+from collections.abc import Iterator
 from http import HTTPStatus
 from typing import Final
 
 import msgspec
+from eliot import log_message
 
 from ..connection.store_events import (
     Row,
@@ -19,7 +20,7 @@
 from ..connection.store_version import FIRST_ERA, era_of, store_version
 from ..connection.table_store import TableOperation
 from ..decoding import decode_json
-from .table_keys import split_key, table_of
+from .table_keys import table_of
 
 __all__ = ('read_answer',)
 
@@ -34,8 +35,8 @@
 )
 
 
-class _RowBody(msgspec.Struct):
-    """A row.
+class _RowHead(msgspec.Struct):
+    """What must be legible of a row.
 
     :param part: part of the table; rows of others than the empty one are not
         ours.
@@ -43,10 +44,15 @@
     """
 
     key: str
-    part: str = ''
-    ver: int = 0
-    value: bytes = b''
-    deleted: bool = False
+    part: str | None = None
+    ver: int | None = None
+    deleted: bool | None = None
+
+
+class _RowBody(_RowHead):
+    """A row; null stands for what is absent."""
+
+    value: bytes | None = None
 
 
 class _RowsBody(msgspec.Struct):
@@ -56,8 +62,8 @@
     """
 
     ver: int
-    rows: tuple[_RowBody, ...] = ()
-    has_more: bool = msgspec.field(name='hasMore', default=False)
+    rows: tuple[msgspec.Raw, ...] | None = None
+    has_more: bool | None = msgspec.field(name='hasMore', default=None)
 
 
 def read_answer(
@@ -96,9 +102,18 @@
     if status not in _STATUSES_WITH_ROWS:
         return _empty_outcome(operation, StoreStatus.unknown)
     try:
-        parsed = decode_json(body, _RowsBody)
+        return _legible_outcome(operation, status, decode_json(body, _RowsBody))
     except msgspec.DecodeError:
         return _empty_outcome(operation, StoreStatus.unknown)
+
+
+def _legible_outcome(
+    operation: TableOperation, status: int, parsed: _RowsBody
+) -> StoreOutcome:
+    """Return the outcome of an answer with versions.
+
+    :raises msgspec.DecodeError: if a row that was asked for is illegible.
+    """
     if isinstance(operation, RowWrite):
         return _write_outcome(operation, status, parsed)
     if isinstance(operation, RowCheck):
@@ -136,7 +151,7 @@
     return StoreOutcome(
         operation_id=operation.operation_id,
         status=StoreStatus.conflict,
-        rows=_rows(operation, (row for row in parsed.rows if row.ver)),
+        rows=_rows(operation, parsed),
         table_version=parsed.ver,
     )
 
@@ -150,14 +165,15 @@
     else:
         table = table_of(operation)
         checked = tuple(
-            f'{table}/{row.key}' for row in parsed.rows if not row.ver
+            f'{table}/{row.key}'
+            for row in _decoded_rows(operation, parsed)
+            if not row.ver
         )
     absent = (Row(key, parsed.ver, b'', is_removed=True) for key in checked)
-    present = (row for row in parsed.rows if row.ver)
     return StoreOutcome(
         operation_id=operation.operation_id,
         status=StoreStatus.found,
-        rows=(*_rows(operation, present), *absent),
+        rows=(*_rows(operation, parsed), *absent),
         table_version=parsed.ver,
     )
 
@@ -165,18 +181,16 @@
 def _read_outcome(
     operation: RowFollow | RowRead | RowScan, parsed: _RowsBody
 ) -> StoreOutcome:
-    rows: Iterable[_RowBody] = parsed.rows
+    found = _rows(operation, parsed)
     if isinstance(operation, RowRead):
-        _, key = split_key(operation.row_key)
-        rows = (row for row in parsed.rows if row.key == key)
-    found = _rows(operation, rows)
+        found = tuple(row for row in found if row.row_key == operation.row_key)
     is_absent = isinstance(operation, RowRead) and not found
     return StoreOutcome(
         operation_id=operation.operation_id,
         status=StoreStatus.absent if is_absent else StoreStatus.found,
         rows=found,
         table_version=parsed.ver,
-        has_more=parsed.has_more,
+        has_more=bool(parsed.has_more),
     )
 
 
@@ -193,17 +207,44 @@
     )
 
 
-def _rows(
-    operation: TableOperation, parsed_rows: Iterable[_RowBody]
-) -> tuple[Row, ...]:
+def _rows(operation: TableOperation, parsed: _RowsBody) -> tuple[Row, ...]:
+    """Return the rows of an answer that exist or were removed."""
     table = table_of(operation)
     return tuple(
-        Row(f'{table}/{row.key}', row.ver, row.value, row.deleted)
-        for row in parsed_rows
-        if not row.part
+        Row(f'{table}/{row.key}', row.ver, row.value or b'', bool(row.deleted))
+        for row in _decoded_rows(operation, parsed)
+        if row.ver and not row.part
     )
 
 
+def _decoded_rows(
+    operation: TableOperation, parsed: _RowsBody
+) -> Iterator[_RowBody]:
+    """Yield the rows of an answer.
+
+    Among all rows or changes of a table, one that can't be decoded has no
+    content, or is left out if its key or version can't, and hides no other.
+    """
+    is_single = not isinstance(operation, RowFollow | RowScan)
+    for encoded in parsed.rows or ():
+        try:
+            yield decode_json(encoded, _RowBody)
+        except msgspec.DecodeError as error:
+            if is_single:
+                raise
+            yield from _heads(encoded, str(error))
+
+
+def _heads(encoded: msgspec.Raw, reason: str) -> Iterator[_RowBody]:
+    try:
+        head = decode_json(encoded, _RowHead)
+    except msgspec.DecodeError as error:
+        log_message('row_unreadable', reason=str(error))
+        return
+    log_message('row_unreadable', row=head.key, reason=reason)
+    yield _RowBody(head.key, head.part, head.ver, head.deleted)
+
+
 def _empty_outcome(
     operation: TableOperation, status: StoreStatus
 ) -> StoreOutcome:
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -145,6 +145,22 @@
       | {"ver":"x"}              | 0       |
       | no content               | 0       |
 
+  Scenario Outline: One odd row hides no other
+    Guards against a row that stops all changes of its table at all instances, with refusals by an old configuration, since
+    the same answer comes again and again until the history is lost.
+    Then a wait answered with a row k and an odd one, <oddity>, has <rows>
+
+    Examples:
+      | oddity                             | rows  |
+      | "key":"x","ver":5,"value":null     | k4 x5 |
+      | "key":"x","ver":5,"value":"?"      | k4 x5 |
+      | "key":"x","ver":5,"part":null      | k4 x5 |
+      | "key":"x","ver":5,"deleted":true,"value":null | k4 x- |
+      | "key":"x","ver":5,"deleted":null   | k4 x5 |
+      | "key":"x","ver":null               | k4    |
+      | "key":null,"ver":5                 | k4    |
+      | "key":"x","ver":"5"                | k4    |
+
   Scenario: A wait of an earlier era whose number the new counter has passed
     Guards against lost changes that nobody notices: the store answers with those of the new era above that number, as if
     they continued the earlier one.
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -240,6 +240,21 @@
     assert outcome.table_version == version, outcome
 
 
+@then('a wait answered with a row k and an odd one, {oddity}, has {expected}')
+def odd_row(context, oddity, expected):
+    body = '{"ver":9,"rows":[{%s},{"key":"k","ver":4,"value":""}]}' % oddity
+    outcome = _TABLE.outcome(_follow(0), HTTPStatus.OK, body.encode())
+    assert outcome.status is StoreStatus.found, outcome
+    shown = sorted(
+        '{0}{1}'.format(
+            row.row_key.partition('/')[2],
+            '-' if row.is_removed else row.row_version,
+        )
+        for row in outcome.rows
+    )
+    assert shown == expected.split(), shown
+
+
 def _follow(since_version):
     return RowFollow(
         operation_id=1,
