Tables: names and comments of what a restored store has lost

Methods that change what is kept say so (keep_missing, reject_earlier, remember), TableCopy's say what they return and how told removals differ from rows that weren't found, MAX_NUMBER replaces number_of(-1), and TableContent says keeps_lost_rows. The lines on outdated rows are written beside the others on tables.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -422,15 +422,15 @@
 
     :param keys: keys of all rows, so that the receiver can drop the others.
     :param rows: rows with versions above the one that the receiver has.
-    :param differs: whether the copy keeps what a restored store has lost, so
-        that it is no state of the table.
+    :param keeps_lost_rows: whether the copy has what a restored store has lost,
+        so that it is no state of the table.
     """
 
     prefix: str
     version: int
     keys: tuple[str, ...]
     rows: tuple[Row, ...]
-    differs: bool = False
+    keeps_lost_rows: bool = False
 
 
 @final
--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -62,7 +62,8 @@
         self._index: ServingIndex | None = None
         self._is_leaving = False
         self._is_doubted = False
-        self._changed_s = float(0)
+        #: Monotonic time at which the configuration came into force.
+        self._in_force_since_s = float(0)
 
     @handler('configuration_doubted', channel='*')
     def _on_configuration_doubted(self, is_doubted: bool) -> None:
@@ -71,7 +72,7 @@
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         self._index = ServingIndex(configuration)
-        self._changed_s = monotonic()
+        self._in_force_since_s = monotonic()
         limits = configuration.limits
         self._guard.use_limits(
             Limits(
@@ -135,7 +136,7 @@
         """Return for how long the configuration is in force, or 0."""
         if self._index is None:
             return 0
-        return max(0, round(now_s - self._changed_s, _SECONDS_DIGITS))
+        return max(0, round(now_s - self._in_force_since_s, _SECONDS_DIGITS))
 
     def _version_number(self) -> int:
         if self._index is None:
--- a/bergamotturn/connection/store_version.py
+++ b/bergamotturn/connection/store_version.py
@@ -10,6 +10,7 @@
 
 __all__ = (
     'FIRST_ERA',
+    'MAX_NUMBER',
     'era_of',
     'number_of',
     'shown_version',
@@ -19,12 +20,14 @@
 FIRST_ERA: Final = 1
 #: Bits of a version below those of the era.
 _NUMBER_BITS: Final = 48
-_NUMBER_MASK: Final = (1 << _NUMBER_BITS) - 1
+#: Largest number in an era. A store counts its transactions, of which it takes
+#: some hundreds a second, and doesn't come near it.
+MAX_NUMBER: Final = (1 << _NUMBER_BITS) - 1
 
 
 def store_version(era: int, number: int) -> int:
     """Return the version with which the store names ``number`` in ``era``."""
-    return ((era - FIRST_ERA) << _NUMBER_BITS) | (number & _NUMBER_MASK)
+    return ((era - FIRST_ERA) << _NUMBER_BITS) | (number & MAX_NUMBER)
 
 
 def era_of(version: int) -> int:
@@ -34,7 +37,7 @@
 
 def number_of(version: int) -> int:
     """Return the number by which the store names a version in its era."""
-    return version & _NUMBER_MASK
+    return version & MAX_NUMBER
 
 
 def shown_version(version: int) -> int | str:
--- a/bergamotturn/platform/table_answers.py
+++ b/bergamotturn/platform/table_answers.py
@@ -26,7 +26,8 @@
 
 #: The store did not perform the operation, or refuses this caller for now.
 _REFUSAL_STATUSES: Final = frozenset((429, 503))
-#: Outcomes of answers that were not made by reading the store.
+#: Outcomes of answers that may not come from the store itself, such as those
+#: of a proxy, or that name no legible version.
 _STATUSES_WITHOUT_VERSION: Final = frozenset(
     (StoreStatus.refused, StoreStatus.unknown)
 )
@@ -122,7 +123,7 @@
 
 
 def _in_era(outcome: StoreOutcome, era: int) -> StoreOutcome:
-    """Return an outcome with the versions of an era."""
+    """Return an outcome whose versions are those of an era."""
     if era == FIRST_ERA:
         return outcome
     row_version = outcome.row_version
@@ -236,6 +237,7 @@
 
 
 def _heads(encoded: msgspec.Raw, reason: str) -> Iterator[_RowBody]:
+    """Yield a row without its content, or nothing if its head is illegible."""
     try:
         head = decode_json(encoded, _RowHead)
     except msgspec.DecodeError as error:
--- a/bergamotturn/platform/table_format.py
+++ b/bergamotturn/platform/table_format.py
@@ -30,6 +30,7 @@
 )
 from ..connection.store_version import (
     FIRST_ERA,
+    MAX_NUMBER,
     era_of,
     number_of,
 )
@@ -44,7 +45,7 @@
 #: More digits than these are from an odd answer.
 _MAX_ERA_DIGITS: Final = 4
 #: A number that the store gives to no row.
-_NO_ROW_NUMBER: Final = number_of(-1)
+_NO_ROW_NUMBER: Final = MAX_NUMBER
 _MS_PER_S: Final = 1000
 #: The platform's limit for one answer.
 _PAGE_ROWS: Final = 500
@@ -122,6 +123,7 @@
         """
         era = self._era(headers)
         outcome = read_answer(operation, status, body, era)
+        # Refusals may come from a proxy, and have no version.
         if outcome.table_version or outcome.row_version:
             self._newest_era = max(self._newest_era, era)
         return outcome
--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -16,7 +16,7 @@
 
 __all__ = ('KeptRows',)
 
-#: Number of a version, and hash of the content.
+#: State of a row: number of its version, and hash of its content.
 _State = tuple[int, int]
 #: Earlier states of a row that are remembered. A store comes back as of some
 #: seconds ago.
@@ -27,9 +27,9 @@
 class KeptRows:
     """What a copy keeps although the restored store says otherwise.
 
-    :ivar missing: keys of rows that the store has no more.
-    :ivar reverted: keys of rows that the store has in an earlier state, also
-        of those that were removed.
+    :ivar missing: keys of rows that the copy has and the store has no more.
+    :ivar reverted: keys of rows that the store has in an earlier state than the
+        copy, or that the copy has removed and the store has again.
     :ivar is_unread: whether rows were released whose state in the store only a
         read of all rows tells, as of no older version than that of the copy.
     :ivar era: newest era of the store that lacked a kept row.
@@ -49,19 +49,26 @@
         """Return whether the copy differs from the store."""
         return self.is_unread or bool(self.missing or self.reverted)
 
-    def note_replaced(self, row: Row, by: Row | None = None) -> None:
-        """Remember a row that has another state now or is removed.
+    def remember(self, row: Row, replaced_by: Row | None = None) -> None:
+        """Remember the state of a row that has another one now or is removed.
 
-        :param by: the row as it is now; a restored store names the same state
-            by another version.
+        :param replaced_by: the row as it is now; a restored store names the
+            same state by another version.
         """
-        if by is not None and _state_of(by) == _state_of(row):
+        state = _state_of(row)
+        if replaced_by is not None and _state_of(replaced_by) == state:
             return
         states = self._states.setdefault(row.row_key, deque(maxlen=_MAX_STATES))
-        states.append(_state_of(row))
+        states.append(state)
 
-    def keeps_absent(self, known: Row, version: int) -> bool:
-        """Return whether to keep a row that is absent as of ``version``."""
+    def keep_missing(self, known: Row, version: int) -> bool:
+        """Keep a row that is absent as of ``version``, if it may be lost.
+
+        A row that the copy has from an earlier era may be, as no answer told of
+        its removal.
+
+        :returns: whether the copy keeps it.
+        """
         if era_of(known.row_version) >= era_of(version):
             return False
         if known.row_key not in self.reverted:
@@ -70,11 +77,12 @@
         self.era = max(self.era, era_of(version))
         return True
 
-    def rejects(self, row: Row, known_version: int) -> bool:
-        """Return whether ``row`` is an earlier state than the known one.
+    def reject_earlier(self, row: Row, known_version: int) -> bool:
+        """Reject ``row`` if it is an earlier state than the known one.
 
         :param known_version: version of the row's last change, 0 if the row was
             never known.
+        :returns: whether the copy keeps the known state.
         """
         if not known_version or era_of(row.row_version) == era_of(
             known_version
@@ -94,15 +102,20 @@
 
     def release_reverted(self) -> None:
         """Take the restored state of rows when it is read next."""
-        self.forget_states(self.reverted)
+        self.forget(self.reverted)
         self.reverted.clear()
         self.is_unread = True
 
-    def forget_states(self, row_keys: Iterable[str]) -> None:
-        """Take any state of rows when it is read next."""
+    def forget(self, row_keys: Iterable[str]) -> None:
+        """Forget the earlier states of rows, so that any state is taken."""
         for row_key in row_keys:
             self._states.pop(row_key, None)
 
 
 def _state_of(row: Row) -> _State:
+    """Return what identifies a state of a row across eras.
+
+    A restored store names a state by the number that it had. It may give out
+    the number again, hence the content.
+    """
     return number_of(row.row_version), hash(row.value)
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -43,7 +43,7 @@
 from .newest_version import NewestVersion
 from .table_copy import TableChange
 from .table_watch import TableWatch
-from .watch_log import WatchLog, log_era, silent_s
+from .watch_log import WatchLog, log_era, log_outdated, silent_s
 from .watch_settings import (
     CancelStoreOperation,
     StartStoreOperation,
@@ -55,7 +55,6 @@
 
 #: Channel of the component.
 MIRROR: Final = 'mirror'
-_MAX_LOGGED_ROWS: Final = 8
 
 
 class read_table(Event):
@@ -147,10 +146,11 @@
         if era_of(after) > era_of(before):
             STORE_ERA.set(era_of(after))
             log_era(before, after)
-            # A process that starts has lost nothing.
-            for watch in self._watches.values() if before else ():
+            # The first answer to a process says nothing of a restore.
+            restored = self._watches.values() if before else ()
+            for watch in restored:
                 self._carry_out(watch, watch.on_restored(now_s), 'store')
-            if before:
+            if restored:
                 self.fire(store_restored(), '*')
         self._set_timer()
 
@@ -288,18 +288,7 @@
     def _on_change(
         self, watch: TableWatch, change: TableChange, source: str
     ) -> None:
-        if change.outdated:
-            log_message(
-                'rows_outdated',
-                table=watch.settings.prefix,
-                version=shown_version(watch.copy.version),
-                source=source,
-                count=len(change.outdated),
-                rows={
-                    row.row_key: shown_version(row.row_version)
-                    for row in change.outdated[:_MAX_LOGGED_ROWS]
-                },
-            )
+        log_outdated(watch, change, source)
         if change:
             self._publish_change(watch, change, source)
         if change.is_snapshot:
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -22,7 +22,8 @@
 class TableChange:
     """The changes that an answer made to a copy.
 
-    :param rows: rows that are new or have new content, in their last state.
+    :param rows: rows that are new or have new content, in their last state;
+        not those that a restored store names by another version only.
     :param removed_keys: keys of the rows that are removed in the end; none of
         ``rows`` is among them.
     :param version: version of the copy after the changes.
@@ -129,13 +130,14 @@
 
         :param version: version up to which the copy is complete afterwards.
         :param absent: rows that a read or a check did not find, marked as
-            removed. Those that a restored store has lost stay in the copy.
+            removed. Unlike the removed ones among ``rows``, of which the store
+            or a peer told, a restored store may have lost them; those stay.
         """
         # The store reports all changes of a row; the last one counts.
         changed: dict[str, Row] = {}
         removed: dict[str, None] = {}
         since_version = self._unchanged_since
-        gone = [row for row in absent if not self._keeps_absent(row)]
+        gone = [row for row in absent if not self._keep_missing(row)]
         answer = (*gone, *rows)
         outdated = tuple(filter(self._is_outdated, answer))
         for row in answer:
@@ -192,14 +194,15 @@
             self.version,
             [Row(key, self.version, b'', is_removed=True) for key in keys],
         )
-        self.kept.forget_states(keys)
+        self.kept.forget(keys)
         return change
 
-    def _keeps_absent(self, row: Row) -> bool:
+    def _keep_missing(self, row: Row) -> bool:
+        """Keep a row that wasn't found, and return whether that was done."""
         known = self.rows.get(row.row_key)
         if known is None or not self._keeps_lost_rows:
             return False
-        return self.kept.keeps_absent(known, row.row_version)
+        return self.kept.keep_missing(known, row.row_version)
 
     def _is_outdated(self, row: Row) -> bool:
         return row.row_version < self._newest_version(row.row_key)
@@ -213,6 +216,11 @@
         return max(newest_version, known.row_version)
 
     def _put(self, row: Row) -> bool:
+        """Take a row if it is newer, and return whether its content changed.
+
+        The first row that a restored store has anew counts as unchanged if it
+        differs in its version only.
+        """
         row_key = row.row_key
         newest_version = self._newest_version(row_key)
         if row.row_version <= newest_version:
@@ -222,15 +230,16 @@
         ):
             # The copy has all rows of the current era.
             return False
-        if self._keeps_lost_rows and self.kept.rejects(row, newest_version):
+        if self._keeps_lost_rows and self.kept.reject_earlier(
+            row, newest_version
+        ):
             return False
         known = self.rows.get(row_key)
         if known is not None:
-            self.kept.note_replaced(known, row)
+            self.kept.remember(known, row)
         self._removed_versions.pop(row_key, None)
         self.rows[row_key] = row
         self.kept.note_changed(row_key)
-        # A store that was restored names the same content by another version.
         return (
             known is None
             or known.value != row.value
@@ -238,6 +247,7 @@
         )
 
     def _remove(self, row_key: str, version: int) -> bool:
+        """Remove a row unless it is newer, and return whether there was one."""
         known = self.rows.get(row_key)
         if known is not None and known.row_version > version:
             return False
@@ -247,6 +257,6 @@
         self.kept.note_changed(row_key)
         if known is None:
             return False
-        self.kept.note_replaced(known)
+        self.kept.remember(known)
         self.rows.pop(row_key)
         return True
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -60,7 +60,11 @@
         return inf if self._ask_peer_s is None else self._ask_peer_s
 
     def on_restored(self, now_s: float) -> list[WatchAction]:
-        """Call the store again, which was restored from a copy."""
+        """Wait for changes anew, or read all rows soon.
+
+        The store was restored from a copy; a wait since an earlier era is a
+        lost history, which begins the catch-up.
+        """
         if self.settings.wait_s:
             self._pacing.call_at_once()
             return self._cancel_wait()
@@ -68,7 +72,7 @@
         return []
 
     def _spread(self, now_s: float) -> float:
-        """Return the time of a read that all instances make."""
+        """Return a time soon, at random, for a read that all instances make."""
         longest_s = self.settings.max_retry_wait_s
         return now_s + self._random.uniform(0, longest_s)
 
@@ -164,7 +168,8 @@
         if not self.is_complete:
             return [ask]
         if self.copy.version < delta.since_version:
-            # Its rows are news all the same, such as the end of a lost one.
+            # Changes between the two are missing. These rows are news all the
+            # same, and may be the removal of one that is kept as lost.
             return [self.copy.merge(self.copy.version, delta.rows), ask]
         return [self.copy.merge(delta.version, delta.rows)]
 
@@ -175,7 +180,7 @@
         if sender == self._asked_peer:
             # The copy has then all that the peer has, also if that is in part.
             self.known_version = max(self.known_version, self._asked_version)
-        if content.differs and not self._relies_on_followers:
+        if content.keeps_lost_rows and not self._relies_on_followers:
             # This instance must read the table itself. One that relies on a
             # follower is told when that gives up what it keeps.
             content = replace(content, version=0)
@@ -217,5 +222,5 @@
             version=self.copy.version,
             keys=tuple(self.copy.rows),
             rows=self.copy.newer_rows(above),
-            differs=bool(self.copy.kept),
+            keeps_lost_rows=bool(self.copy.kept),
         )
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -6,9 +6,10 @@
 
 from ...connection.store_events import RowCheck, StoreOutcome
 from ...connection.store_version import era_of, number_of, shown_version
+from .table_copy import TableChange
 from .table_watch import TableWatch
 
-__all__ = ('WatchLog', 'log_era', 'silent_s')
+__all__ = ('WatchLog', 'log_era', 'log_outdated', 'silent_s')
 
 _MAX_LOGGED_ROWS: Final = 8
 _SECONDS_DIGITS: Final = 3
@@ -23,7 +24,7 @@
         '_is_answering',
         '_is_behind',
         '_is_check',
-        '_kept',
+        '_kept_counts',
         '_pending_s',
         '_watch',
     )
@@ -34,7 +35,7 @@
         self._is_answering: bool | None = None
         self._is_behind = False
         self._is_check = False
-        self._kept = (0, 0)
+        self._kept_counts = (0, 0)
         self._pending_s = watch.started_s
         self._behind_s = watch.catch_up.behind_s(0)
 
@@ -89,8 +90,8 @@
         """Log when the number of rows changes that the store has lost."""
         kept = self._watch.copy.kept
         counts = len(kept.missing), len(kept.reverted)
-        if counts != self._kept:
-            self._kept = counts
+        if counts != self._kept_counts:
+            self._kept_counts = counts
             log_message(
                 'rows_kept',
                 table=self._watch.settings.prefix,
@@ -116,6 +117,26 @@
         )
 
 
+def log_outdated(watch: TableWatch, change: TableChange, source: str) -> None:
+    """Log the rows of an answer that are older than those that are known.
+
+    :param source: ``store``, or the instance that sent them.
+    """
+    if not change.outdated:
+        return
+    log_message(
+        'rows_outdated',
+        table=watch.settings.prefix,
+        version=shown_version(watch.copy.version),
+        source=source,
+        count=len(change.outdated),
+        rows={
+            row.row_key: shown_version(row.row_version)
+            for row in change.outdated[:_MAX_LOGGED_ROWS]
+        },
+    )
+
+
 def log_era(before: int, after: int) -> None:
     """Log the era of the store at the first contact, or that it was restored.
 
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -47,12 +47,8 @@
 @when('the store loses a {change}')
 def lose_change(context, change):
     course = context.course
-    version = course.store.version
-    key, value = _CHANGES[change]
-    course.store.put(key, value)
-    course.run(_SETTLE_S)
+    version = _put_known(context, *_CHANGES[change])
     assert course.is_current()
-    context.key, context.value = key, value
     context.restored_s = course.harness.now_s
     course.restore(version)
     course.run(_SETTLE_S)
@@ -149,10 +145,7 @@
 )
 def lose_between_pages(context):
     course = context.course
-    version = course.store.version
-    course.store.put('t/9', b'new')
-    course.run(_SETTLE_S)
-    context.key, context.value = 't/9', b'new'
+    version = _put_known(context, 't/9', b'new')
     harness = course.harness
     harness.watch.request_scan()
     while not isinstance(harness.operations[0], RowScan):
@@ -221,10 +214,7 @@
 @when('it hears of the new era from a peer while the store is away')
 def peer_first(context):
     course = context.course
-    version = course.store.version
-    course.store.put('t/9', b'new')
-    course.run(_SETTLE_S)
-    context.key, context.value = 't/9', b'new'
+    version = _put_known(context, 't/9', b'new')
     peer = RestoredCourse(context.settings, store=course.store)
     course.is_away = True
     course.restore(version)
@@ -254,10 +244,7 @@
 @when('a copy that keeps a removal is asked by one that has the row again')
 def ask_keeper(context):
     course = context.course
-    version = course.store.version
-    course.store.put('t/1', b'')
-    course.run(_SETTLE_S)
-    course.restore(version)
+    course.restore(_put_known(context, 't/1', b''))
     course.run(_SETTLE_S)
     assert 't/1' not in course.harness.values()
     started = RestoredCourse(context.settings, store=course.store)
@@ -277,10 +264,7 @@
 @when('rows are released while reads are behind for {behind_s:d} seconds')
 def released_behind(context, behind_s):
     course = context.course
-    version = course.store.version
-    course.store.put('t/1', b'new')
-    course.run(_SETTLE_S)
-    course.restore(version)
+    course.restore(_put_known(context, 't/1', b'new'))
     course.run(_SETTLE_S)
     course.store.read_version = course.store.version
     course.store.put('t/2', b'newer')
@@ -300,10 +284,7 @@
     course.store.put('t/1', b'')
     course.store.put('t/1', b'back')
     old_version = course.store.version - 2
-    version = course.store.version
-    course.store.put('t/1', b'new')
-    course.run(_SETTLE_S)
-    context.key, context.value = 't/1', b'new'
+    version = _put_known(context, 't/1', b'new')
     context.restored_s = course.harness.now_s
     course.restore(version)
     course.store.read_version = old_version
@@ -315,6 +296,16 @@
     assert context.course.harness.watch.catch_up.is_behind
 
 
+def _put_known(context, key, value):
+    """Write a row that the copy gets to know, and return the version before."""
+    course = context.course
+    version = course.store.version
+    course.store.put(key, value)
+    course.run(_SETTLE_S)
+    context.key, context.value = key, value
+    return version
+
+
 def _value(context):
     return context.course.harness.values().get(context.key, b'')
 
--- a/features/steps/store_era_steps.py
+++ b/features/steps/store_era_steps.py
@@ -15,8 +15,8 @@
 )
 from bergamotturn.connection.store_version import (
     FIRST_ERA,
+    MAX_NUMBER,
     era_of,
-    number_of,
     store_version,
 )
 from bergamotturn.platform.table_format import PlatformTable
@@ -93,7 +93,7 @@
     (condition,) = body['expectedRevision']
     if expected == 'a number that no row has':
         # The store counts its transactions, of which it takes few a second.
-        assert condition['ver'] == number_of(-1), condition
+        assert condition['ver'] == MAX_NUMBER, condition
         assert condition['ver'] > 2**40
     else:
         assert condition['ver'] == int(expected), condition
