Tests: an endpoint that crashes completes no answer

Cause: the stand-in. Its crash closes the port and resets the connections that it knows. One that was accepted in the same turn of its loop was left out, its deadly request found the crash under way, and its answer ended as a complete one without an event. The instance took that for a success with the part and called it sound, each time anew.

Requests on such a connection are reset now.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -175,3 +175,10 @@
     When 5 rows are written and read in pages of 2
     Then each row is in one page, in order of key
     And an object that is written and removed twice is absent
+
+  Scenario: An endpoint that crashes completes no answer
+    Guards against a stand-in that completes an empty answer on a connection that it accepted while it crashed, so that a
+    prompt that crashes endpoints looks sound.
+    Given an endpoint that crashes on one prompt part and restarts after 0.1 seconds
+    When requests with that part come on new connections until it has crashed 20 times
+    Then none of them got a complete answer
--- a/features/standins/serving.py
+++ b/features/standins/serving.py
@@ -35,6 +35,7 @@
         self._frozen: WeakSet[asyncio.BaseTransport] = WeakSet()
         self._runner = web.AppRunner(self._app, access_log=None)
         self._site: web.TCPSite | None = None
+        self._is_stopped = False
 
     def add_header(self, name: str, content: Callable[[], str]) -> None:
         """Add a header field to all answers."""
@@ -46,6 +47,7 @@
 
     async def start(self) -> None:
         """Listen; may be called again after :meth:`stop`."""
+        self._is_stopped = False
         if self._site is None:
             await self._runner.setup()
         self._site = web.TCPSite(
@@ -54,7 +56,11 @@
         await self._site.start()
 
     async def stop(self) -> None:
-        """Close the port and reset all connections, as a crash does."""
+        """Close the port and reset all connections, as a crash does.
+
+        A connection that is accepted meanwhile is reset by its first request.
+        """
+        self._is_stopped = True
         await self._site.stop()
         self.reset_connections()
 
@@ -88,14 +94,20 @@
     async def _wrap_handler(
         self, request: web.Request, handler: _Handler
     ) -> web.StreamResponse:
+        self._reset_if_stopped(request)
         await self.wait_while_frozen(request)
         try:
             response = await handler(request)
         except (ValueError, KeyError, TypeError) as error:
             response = json_answer({'error': repr(error)}, 400)
         await self.wait_while_frozen(request)
+        self._reset_if_stopped(request)
         return response
 
+    def _reset_if_stopped(self, request: web.Request) -> None:
+        if self._is_stopped and request.transport is not None:
+            request.transport.abort()
+
 
 @final
 @dataclass(slots=True)
--- /dev/null
+++ b/features/steps/engine_crash_steps.py
@@ -0,0 +1,103 @@
+"""Steps for the crashes of the stand-in for an endpoint."""
+
+import asyncio
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic, sleep
+
+from behave import given, then, when
+
+from bergamotturn.connection.exchange import Address
+from features.support.http_call import call, is_listening
+from features.support.processes import ProcessGroup, free_ports
+
+_HOST = '127.0.0.1'
+_STARTED_S = 20
+_CRASHED_S = 60
+_REQUEST_INTERVAL_S = 0.0005
+_ROUND_REQUESTS = 400
+_PART = 'dead1'
+_LAST_CHUNK = b'0\r\n\r\n'
+
+
+@given(
+    'an endpoint that crashes on one prompt part and restarts after {delay_s:g} '
+    'seconds'
+)
+def crashing_endpoint(context, delay_s):
+    folder = TemporaryDirectory(prefix='bergamotturn-')
+    context.add_cleanup(folder.cleanup)
+    processes = ProcessGroup(Path(folder.name))
+    context.add_cleanup(processes.kill_all)
+    ports = free_ports(2)
+    context.endpoint = Address(_HOST, ports[1])
+    processes.start(
+        'standins', 'features.standins.users_platform', *map(str, ports)
+    )
+    end_s = monotonic() + _STARTED_S
+    while not is_listening(context.endpoint):
+        assert monotonic() < end_s, processes.log_tail('standins')
+        sleep(0.05)
+    fault = {'fault': 'deadly', 'parts': [_PART], 'delay_s': delay_s}
+    call(context.endpoint, 'POST', '/_faults', fault)
+
+
+@when(
+    'requests with that part come on new connections until it has crashed '
+    '{count:d} times'
+)
+def requests_until_crashed(context, count):
+    context.answers = []
+    end_s = monotonic() + _CRASHED_S
+    while _crash_count(context.endpoint) < count:
+        assert monotonic() < end_s, 'too few crashes'
+        context.answers += asyncio.run(_send_round(context.endpoint))
+
+
+def _crash_count(endpoint):
+    try:
+        return len(call(endpoint, 'GET', '/_facts').json()['crashes'])
+    except OSError:
+        return 0
+
+
+async def _send_round(endpoint):
+    """Begin requests at short intervals, and return all that was answered."""
+    requests = []
+    for number in range(_ROUND_REQUESTS):
+        requests.append(asyncio.create_task(_send(endpoint, number)))
+        await asyncio.sleep(_REQUEST_INTERVAL_S)
+    return await asyncio.gather(*requests)
+
+
+async def _send(endpoint, number):
+    """Return the bytes that arrived before the end of the connection."""
+    answer = bytearray()
+    head = (
+        'POST /draft/x HTTP/1.1',
+        f'Host: {_HOST}',
+        f'Request-Id: request-{number}',
+        'Request-Deadline: 5000',
+        'Token-Count: 1000,100',
+        f'Prompt-Prefix: f1:40,{_PART}:95,own:500',
+        'Content-Length: 0',
+        'Connection: close',
+    )
+    try:
+        reader, writer = await asyncio.open_connection(
+            endpoint.host, endpoint.port
+        )
+        writer.write('\r\n'.join((*head, '', '')).encode())
+        while received := await reader.read(65536):
+            answer += received
+    except ConnectionError:
+        return bytes(answer)
+    writer.close()
+    return bytes(answer)
+
+
+@then('none of them got a complete answer')
+def none_complete(context):
+    assert any(context.answers), 'no answer began'
+    complete = [each for each in context.answers if _LAST_CHUNK in each]
+    assert not complete, (len(complete), len(context.answers), complete[0])
