Tests: a deadly part whose engines another one crashes counts from its first request

In 1 of 26 plays of deadly_parts.feature:16 all requests with dead2 reached engines that dead1 crashed in the same moment. dead2 was quarantined with it, crashed no engine, and the load waited until its time limit for a crash that can't come. The bounds start at the part's first request at an engine then, which is earlier than any crash by it.

--- a/features/support/part_load.py
+++ b/features/support/part_load.py
@@ -111,7 +111,8 @@
     def limit_s(self, part: str) -> float:
         """Return the time of the fifth crash by ``part``, or of the last.
 
-        Without a crash it is infinite.
+        A part that only reached engines which crashed by another one counts
+        from its first request there; before that the time is infinite.
         """
         times_s = sorted(
             each['at_s']
@@ -119,7 +120,17 @@
             for each in crashes
             if each['part'] == part
         )
-        return times_s[:5][-1] if times_s else float('inf')
+        if times_s:
+            return times_s[:5][-1]
+        return min(
+            (
+                each['at_s']
+                for arrivals in self.arrivals.values()
+                for each in arrivals
+                if part in each['parts']
+            ),
+            default=float('inf'),
+        )
 
     def poll(self) -> None:
         """Read the facts of the engines that are up."""
