Relay: a stream without an event tells nothing of its prompt

A complete answer without any event counted as a success with all parts of the prompt, which ends the evidence against them at all instances, although its engine had written nothing of the answer. Found in the trace of deadly_parts.feature:16, where a stand-in ended such answers. At least one event is needed now. The scenario failed before for 0 events.

--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -325,7 +325,8 @@
             )
         return [
             *self._note_prefilled(),
-            *self._note_decoding(),
+            # An answer without an event doesn't tell how the prompt was taken.
+            *self._note_decoding(min_events=1),
             *self._forward_head(),
             *self._end(ReplyEnd()),
         ]
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -23,6 +23,18 @@
       | has received 1 event                | goes on                           |
       | is to be sent again after one break | ends with endpoint_lost           |
 
+  Scenario Outline: A complete stream reports a success with its parts only after an event
+    Guards against an empty answer of an engine that crashes, which would clear the part that crashed it.
+    Given a stream with shared parts that has received <events> events on an attempt
+    When its answer ends
+    Then <reports> successes with its parts are reported
+
+    Examples:
+      | events | reports |
+      | 0      | 0       |
+      | 1      | 1       |
+      | 2      | 1       |
+
   Scenario Outline: Each attempt reports how its engine took the prompt
     Guards against evidence from answers that had begun, and against successes that are not reported.
     Given a stream with shared parts that has received <events> events on an attempt
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -144,6 +144,17 @@
     )
 
 
+@when('its answer ends')
+def answer_ends(context):
+    run = context.run
+    run.record(run.flow.on_end(run.now_s))
+
+
+@then('{reports:d} successes with its parts are reported')
+def successes_reported(context, reports):
+    assert len(context.run.actions_of(ReportDecoding)) == reports
+
+
 @then(
     '{reports:d} successes with its parts are reported, and the failure has '
     '{events:d} events'
