--- a/features/steps/engine_crash_steps.py
+++ b/features/steps/engine_crash_steps.py
@@ -1,6 +1,7 @@
 """Steps for the crashes of the stand-in for an endpoint."""
 
 import asyncio
+from contextlib import closing, suppress
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -21,8 +22,8 @@
 
 
 @given(
-    'an endpoint that crashes on one prompt part and restarts after {delay_s:g} '
-    'seconds'
+    'an endpoint that crashes on one prompt part and restarts after '
+    '{delay_s:g} seconds'
 )
 def crashing_endpoint(context, delay_s):
     folder = TemporaryDirectory(prefix='bergamotturn-')
@@ -83,16 +84,14 @@
         'Content-Length: 0',
         'Connection: close',
     )
-    try:
+    with suppress(ConnectionError):
         reader, writer = await asyncio.open_connection(
             endpoint.host, endpoint.port
         )
-        writer.write('\r\n'.join((*head, '', '')).encode())
-        while received := await reader.read(65536):
-            answer += received
-    except ConnectionError:
-        return bytes(answer)
-    writer.close()
+        with closing(writer):
+            writer.write('\r\n'.join((*head, '', '')).encode())
+            while received := await reader.read(65536):
+                answer += received
     return bytes(answer)
 
 
