Tables: an instance that starts after a restore takes what its peers keep

Cause: it read the restored state only. The copies of its peers keep what the store has lost, but the rows they keep have versions of an earlier era, below all that the starter had read, so that nothing told it of them.

The first answer that a starter gets from the store in a later era is held until a peer has told of the rows that its copy has from earlier eras, with their earlier states and the time for which it still keeps them. The starter's copy begins with these rows, and takes the held answer as any copy that was there before the restore. A peer that hasn't heard of the restore yet sends all its rows, which comes to the same. Without an answer the starter goes on after 1.5 s. Earlier states are told by a digest of the content, since hash() differs from process to process.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -13,7 +13,7 @@
 
 from ..decoding import decode
 from .exchange import Address
-from .store_events import Row
+from .store_events import Row, RowStates
 
 __all__ = (
     'CHANNELS',
@@ -26,6 +26,8 @@
     'ConfigurationOffer',
     'CoordinatorAnnounce',
     'Cost',
+    'EarlierRows',
+    'EarlierRowsAsk',
     'EndpointIncarnation',
     'Envelope',
     'LeaseAnnounce',
@@ -447,6 +449,40 @@
     rows: tuple[Row, ...]
 
 
+@final
+class EarlierRowsAsk(_Message, frozen=True, kw_only=True):
+    """Question of an instance that has started in an era of the store.
+
+    :param era: era of its first read; rows from before it are asked for.
+    """
+
+    prefix: str
+    era: int
+
+
+@final
+class EarlierRows(_Message, frozen=True, kw_only=True):
+    """Answer to an :class:`EarlierRowsAsk`: what a copy has from before.
+
+    A peer that knows of the restore names what it keeps although the store has
+    lost it; one that doesn't yet, all its rows.
+
+    :param rows: rows that the copy has as of an earlier era, removed ones too.
+    :param states: earlier states of these rows by row key, each the number of
+        its version and the digest of its content.
+    :param missing_ms: time for which the peer still keeps rows that the store
+        has no more; None for the time from now on that the settings name.
+    :param reverted_ms: the same for rows that the store has in an earlier
+        state.
+    """
+
+    prefix: str
+    rows: tuple[Row, ...]
+    states: dict[str, RowStates] = {}
+    missing_ms: int | None = None
+    reverted_ms: int | None = None
+
+
 @final
 class StoreUnreachable(_Message, frozen=True, kw_only=True):
     """Notification that the store does not answer its sender."""
@@ -642,6 +678,8 @@
     | TableAsk
     | TableContent
     | TableDelta
+    | EarlierRowsAsk
+    | EarlierRows
     | StoreUnreachable
 )
 _PermitMessage = (
@@ -706,6 +744,8 @@
         TableAsk: 'mirror',
         TableContent: 'mirror',
         TableDelta: 'mirror',
+        EarlierRowsAsk: 'mirror',
+        EarlierRows: 'mirror',
         StoreUnreachable: 'mirror',
         **dict.fromkeys(get_args(_WorkMessage), 'relay'),
         **dict.fromkeys(get_args(_RateMessage), 'relay'),
--- a/bergamotturn/connection/store_events.py
+++ b/bergamotturn/connection/store_events.py
@@ -24,6 +24,7 @@
     'RowFollow',
     'RowRead',
     'RowScan',
+    'RowStates',
     'RowWrite',
     'StoreOutcome',
     'StoreStatus',
@@ -36,6 +37,9 @@
 #: Channel of the component that accesses the platform's stores.
 STORES: Final = 'stores'
 
+#: States of a row, each the number of its version and a digest of its content.
+RowStates = tuple[tuple[int, int], ...]
+
 #: Maximum number of rows in one check.
 MAX_CHECKED_ROWS: Final = 100
 
--- a/bergamotturn/process/mirror/follower_choice.py
+++ b/bergamotturn/process/mirror/follower_choice.py
@@ -41,16 +41,16 @@
     __slots__ = (
         '_cut_off_until_s',
         '_data_centre',
-        '_instance',
         'audience',
         'followers',
+        'instance',
         'is_shared',
         'neighbours',
     )
 
     def __init__(self, instance: str, data_centre: str) -> None:
         """Start as the only instance, which follows the tables itself."""
-        self._instance = instance
+        self.instance = instance
         self._data_centre = data_centre
         self._cut_off_until_s: dict[str, float] = {}
         #: Instances of the data centre that follow the tables.
@@ -66,7 +66,7 @@
     @property
     def is_follower(self) -> bool:
         """Return whether this instance follows the tables."""
-        return self._instance in self.followers
+        return self.instance in self.followers
 
     def note_cut_off(self, now_s: float, instance: str) -> None:
         """Pass over a follower that does not reach the store."""
@@ -79,7 +79,7 @@
         listed = tuple(members)
         self.is_shared = len(listed) > _MAX_SMALL_FLEET
         if not self.is_shared:
-            self.followers = (self._instance,)
+            self.followers = (self.instance,)
             self.audience = ()
             self.neighbours = ()
             return
@@ -107,7 +107,7 @@
     def _is_neighbour(self, member: MemberUpdate) -> bool:
         return (
             member.data_centre == self._data_centre
-            and member.instance != self._instance
+            and member.instance != self.instance
             and member.state < MemberState.dead
         )
 
@@ -115,7 +115,7 @@
         """Return the neighbours to which no other follower forwards."""
         if not self.is_follower:
             return ()
-        place = self.followers.index(self._instance)
+        place = self.followers.index(self.instance)
         return tuple(
             instance
             for instance in self.neighbours
--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -8,19 +8,21 @@
 """
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
 from typing import Final, final
 
-from ...connection.store_events import Row
+from ...connection.store_events import Row, RowStates
 from ...connection.store_version import FIRST_ERA, era_of, number_of
 
 __all__ = ('KeptRows',)
 
-#: State of a row: number of its version, and hash of its content.
+#: State of a row: number of its version, and digest of its content.
 _State = tuple[int, int]
 #: Earlier states of a row that are remembered. A store comes back as of some
 #: seconds ago.
 _MAX_STATES: Final = 8
+_DIGEST_BYTES: Final = 8
 
 
 @final
@@ -61,6 +63,15 @@
         states = self._states.setdefault(row.row_key, deque(maxlen=_MAX_STATES))
         states.append(state)
 
+    def states_of(self, row_key: str) -> RowStates:
+        """Return the earlier states of a row that are remembered."""
+        return tuple(self._states.get(row_key, ()))
+
+    def take_states(self, states: Mapping[str, RowStates]) -> None:
+        """Remember earlier states that a peer has told of."""
+        for row_key, told in states.items():
+            self._states[row_key] = deque(told, maxlen=_MAX_STATES)
+
     def keep_missing(self, known: Row, version: int) -> bool:
         """Keep a row that is absent as of ``version``, if it may be lost.
 
@@ -118,4 +129,5 @@
     A restored store names a state by the number that it had. It may give out
     the number again, hence the content.
     """
-    return number_of(row.row_version), hash(row.value)
+    digest = blake2b(row.value, digest_size=_DIGEST_BYTES).digest()
+    return number_of(row.row_version), int.from_bytes(digest)
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -12,7 +12,10 @@
 
 from ...connection.peer_link import PEERS
 from ...connection.peer_messages import (
+    EarlierRows,
+    EarlierRowsAsk,
     Envelope,
+    MemberState,
     StoreUnreachable,
     TableAsk,
     TableContent,
@@ -57,6 +60,11 @@
 MIRROR: Final = 'mirror'
 
 
+_TableMessage = (
+    EarlierRows | EarlierRowsAsk | TableAsk | TableContent | TableDelta
+)
+
+
 class read_table(Event):
     """Ask :data:`MIRROR` to read all rows of the table with ``prefix``."""
 
@@ -121,6 +129,14 @@
     @handler('members_changed', channel='*')
     def _on_members_changed(self, view: MemberView) -> None:
         self._view = view
+        peers = tuple(
+            member.instance
+            for member in view.members
+            if member.instance != self._choice.instance
+            and member.state < MemberState.dead
+        )
+        for watch in self._watches.values():
+            watch.peer_wait.peers = peers
         self._choose_followers('members_changed')
 
     @handler('_watches_due')
@@ -201,7 +217,7 @@
             self._choice.note_cut_off(monotonic(), envelope.sender)
             self._choose_followers('store_unreachable')
             return
-        if not isinstance(message, TableAsk | TableContent | TableDelta):
+        if not isinstance(message, _TableMessage):
             return
         watch = self._watches.get(message.prefix)
         if watch is None:
@@ -210,6 +226,14 @@
             actions = watch.on_ask(envelope.sender, message)
         elif isinstance(message, TableDelta):
             actions = watch.on_delta(envelope.sender, message)
+        elif isinstance(message, EarlierRowsAsk):
+            actions = watch.on_earlier_rows_ask(
+                monotonic(), envelope.sender, message
+            )
+        elif isinstance(message, EarlierRows):
+            actions = watch.on_earlier_rows(
+                monotonic(), envelope.sender, message
+            )
         else:
             actions = watch.on_content(monotonic(), envelope.sender, message)
         self._carry_out(watch, actions, envelope.sender)
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -5,17 +5,22 @@
 which the store's answers and other instances' copies arrive.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from heapq import nlargest
 from itertools import chain
-from typing import final
+from operator import attrgetter
+from typing import Final, final
 
-from ...connection.store_events import Row
+from ...connection.store_events import Row, RowStates
 from ...connection.store_version import era_of
 from .kept_rows import KeptRows
 
 __all__ = ('TableChange', 'TableCopy')
 
+#: Rows from earlier eras that another instance is told of.
+_MAX_TOLD_ROWS: Final = 4096
+
 
 @final
 @dataclass(slots=True, frozen=True)
@@ -184,6 +189,37 @@
         self._unchanged_since = self.version
         return replace(change, is_snapshot=True)
 
+    def rows_before(self, era: int) -> tuple[Row, ...]:
+        """Return the newest rows whose version is of an era before ``era``.
+
+        Removed ones are among them if their earlier states are remembered.
+        """
+        removed = (
+            Row(key, version, b'', is_removed=True)
+            for key, version in self._removed_versions.items()
+            if self.kept.states_of(key)
+        )
+        found = (
+            row
+            for row in chain(self.rows.values(), removed)
+            if era_of(row.row_version) < era
+        )
+        return tuple(nlargest(_MAX_TOLD_ROWS, found, attrgetter('row_version')))
+
+    def take_earlier(
+        self,
+        rows: Iterable[Row],
+        states: Mapping[str, RowStates],
+    ) -> TableChange:
+        """Start a copy that is empty with the earlier rows of a peer's copy.
+
+        :param states: earlier states of these rows.
+        """
+        change = self.merge(self.version, rows)
+        self.kept.take_states(states)
+        removed = tuple(row.row_key for row in change.answer if row.is_removed)
+        return replace(change, removed_keys=removed)
+
     def release_missing(self) -> TableChange:
         """Remove the rows that a restored store lost and that it still lacks.
 
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -16,10 +16,10 @@
 
 from ...connection.peer_messages import TableAsk, TableContent, TableDelta
 from ..actions import SendTo
-from .kept_deadlines import KeptDeadlines
 from .newest_version import NewestVersion
+from .starting_reader import StartingReader
 from .table_copy import TableChange
-from .table_reader import FOLLOW_GRACE_S, TableReader
+from .table_reader import FOLLOW_GRACE_S
 from .watch_settings import WatchAction, WatchSettings
 
 __all__ = ('TableWatch',)
@@ -30,7 +30,7 @@
 
 
 @final
-class TableWatch(TableReader):
+class TableWatch(StartingReader):
     """Keeps a copy of a table current, from the store and from peers."""
 
     def __init__(
@@ -47,12 +47,6 @@
         self._asked_version = 0
         self._ask_peer_s: float | None = None
         self._random = random
-        self._kept = KeptDeadlines(settings)
-
-    @property
-    def due_s(self) -> float:
-        """Return when :meth:`advance` is due, or infinity."""
-        return min(super().due_s, self._kept.due_s)
 
     @property
     def peer_check_s(self) -> float:
@@ -177,6 +171,9 @@
         self, now_s: float, sender: str, content: TableContent
     ) -> list[WatchAction]:
         """Apply a peer's answer with the rows that this copy lacks."""
+        if self.peer_wait.is_pending:
+            # It would be taken for the whole table.
+            return []
         if sender == self._asked_peer:
             # The copy has then all that the peer has, also if that is in part.
             self.known_version = max(self.known_version, self._asked_version)
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -1,5 +1,6 @@
 """Log lines on the state of the store and of the copy of one table."""
 
+from time import monotonic
 from typing import Final, final
 
 from eliot import log_message
@@ -23,6 +24,7 @@
         '_behind_s',
         '_is_answering',
         '_is_behind',
+        '_is_awaiting',
         '_is_check',
         '_kept_counts',
         '_pending_s',
@@ -34,6 +36,7 @@
         self._watch = watch
         self._is_answering: bool | None = None
         self._is_behind = False
+        self._is_awaiting = False
         self._is_check = False
         self._kept_counts = (0, 0)
         self._pending_s = watch.started_s
@@ -87,7 +90,11 @@
             )
 
     def log_kept(self) -> None:
-        """Log when the number of rows changes that the store has lost."""
+        """Log when the number of rows changes that the store has lost.
+
+        A copy that starts takes them from a peer.
+        """
+        self._log_wait()
         kept = self._watch.copy.kept
         counts = len(kept.missing), len(kept.reverted)
         if counts != self._kept_counts:
@@ -102,6 +109,26 @@
                 reverted=sorted(kept.reverted)[:_MAX_LOGGED_ROWS],
             )
 
+    def _log_wait(self) -> None:
+        """Log the wait for what a peer knows of earlier eras."""
+        wait = self._watch.peer_wait
+        if wait.is_pending == self._is_awaiting:
+            return
+        self._is_awaiting = wait.is_pending
+        if wait.is_pending:
+            log_message(
+                'earlier_rows_awaited',
+                table=self._watch.settings.prefix,
+                peer_count=len(wait.peers),
+            )
+            return
+        log_message(
+            'earlier_rows_told' if wait.told_by else 'earlier_rows_untold',
+            table=self._watch.settings.prefix,
+            told_by=wait.told_by,
+            after_s=round(monotonic() - wait.began_s, _SECONDS_DIGITS),
+        )
+
     def _log_store(self, now_s: float, outcome: StoreOutcome) -> None:
         watch = self._watch
         if watch.is_store_answering == self._is_answering:
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -81,7 +81,6 @@
       | 9     |
       | 40    |
 
-  @known_red
   Scenario: Instances that start before a lost version is written again
     Guards against starters that serve an older configuration than their peers.
     Given nine instances behind a store
@@ -89,7 +88,6 @@
     And two instances are killed and started
     Then every instance handles requests by it for 4 seconds
 
-  @known_red
   Scenario: Instances that start before a lost leaving is written again
     Guards against starters that use an endpoint whose leaving was acknowledged.
     Given nine instances behind a store
@@ -98,7 +96,6 @@
     And two instances are killed and started
     Then no lookup reaches either later than 2 seconds after its acknowledgement
 
-  @known_red
   Scenario: Instances that start before the end of an evacuation is written again
     Guards against one starter that evacuates a data centre again for all.
     Given nine instances behind a store
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -2,7 +2,12 @@
 
 from behave import given, then, when
 
-from bergamotturn.connection.peer_messages import TableAsk, TableContent
+from bergamotturn.connection.peer_messages import (
+    EarlierRows,
+    EarlierRowsAsk,
+    TableAsk,
+    TableContent,
+)
 from bergamotturn.connection.store_events import RowScan, StoreStatus
 from bergamotturn.connection.store_version import era_of
 from features.support.restored_course import (
@@ -11,6 +16,7 @@
     settings_of,
 )
 from features.support.restored_history import RestoredHistory
+from features.support.watched_table import WatchHarness
 
 #: Time in which a copy finds out that the store was restored, and reads it.
 _SETTLE_S = 1.0
@@ -296,6 +302,145 @@
     assert context.course.harness.watch.catch_up.is_behind
 
 
+@when(
+    'an instance starts {after_s:g} seconds later and asks the one with the '
+    'copy'
+)
+def starts_later(context, after_s):
+    course = context.course
+    course.run(after_s - _SETTLE_S)
+    assert _value(context) == context.value
+    _start(context)
+    _ask_keeper(context)
+
+
+@when(
+    'an instance starts after the loss of a {change}, before the one with the '
+    'copy hears of it'
+)
+def starts_first(context, change):
+    course = context.course
+    version = _put_known(context, *_CHANGES[change])
+    course.store.restore(version)
+    assert not course.kept
+    _start(context)
+    _ask_keeper(context)
+
+
+@when(
+    'another content replaces a lost one, and only an instance that starts has '
+    'read it'
+)
+def starts_with_news(context):
+    course = context.course
+    course.restore(_put_known(context, 't/1', b'new'))
+    course.run(_SETTLE_S)
+    course.store.put('t/1', b'other')
+    context.value = b'other'
+    _start(context)
+    _ask_keeper(context)
+
+
+@then('it has the other content and keeps nothing')
+def has_other(context):
+    harness = context.started
+    for _ in range(3):
+        _pass_started(context)
+    assert harness.values()['t/1'] == context.value
+    assert not harness.watch.copy.kept
+
+
+@when("{what}, and an instance starts whose peers don't answer")
+def starts_alone(context, what):
+    course = context.course
+    if what == 'the store is restored':
+        course.restore(course.store.version)
+        course.run(IN_FORCE_S)
+    _start(context)
+
+
+@then('it has the rows of the store after {after_s:g} seconds')
+def has_rows(context, after_s):
+    harness = context.started
+    expected = {
+        key: row.value for key, row in context.course.store.rows.items()
+    }
+    while harness.now_s < after_s - _MARGIN_S:
+        assert not harness.values()
+        _pass_started(context)
+    while harness.now_s < after_s + _MARGIN_S:
+        _pass_started(context)
+    assert harness.values() == expected, harness.values()
+    assert harness.watch.is_complete
+
+
+@then('it has what the other one keeps, and had nothing else before')
+def has_kept(context):
+    harness = context.started
+    for change in harness.changes:
+        for row in change.rows:
+            assert row.row_key != context.key or row.value == context.value
+    for _ in range(3):
+        _pass_started(context)
+    assert harness.watch.is_complete
+    assert harness.values().get(context.key, b'') == context.value
+    expected = {
+        key: row.value for key, row in context.course.store.rows.items()
+    }
+    expected[context.key] = context.value
+    assert {**harness.values(), context.key: context.value} == expected
+
+
+@then(
+    'both have given it up at most {late_s:d} seconds after {kept_s:d} seconds '
+    'since the restore'
+)
+def both_released_in_time(context, late_s, kept_s):
+    course, harness = context.course, context.started
+    until_s = context.restored_s + kept_s + late_s
+    while course.harness.now_s < until_s:
+        course.run(_STEP_S)
+        _pass_started(context)
+    for copy in (course.harness.watch.copy, harness.watch.copy):
+        values = {key: row.value for key, row in copy.rows.items()}
+        assert values == course.harness.values(), values
+        kept = copy.kept
+        assert not kept, (kept.missing, kept.reverted, kept.is_unread)
+    assert course.is_current(), course.harness.values()
+
+
+def _start(context):
+    """Start an instance, up to its first answer of the store."""
+    context.started = WatchHarness(settings=context.settings)
+    harness = context.started
+    harness.watch.peer_wait.peers = ('b',)
+    harness.pass_time(0)
+    harness.answer(context.course.store)
+
+
+def _ask_keeper(context):
+    """Let the instance ask the one with the copy, and use its answer."""
+    harness, keeper = context.started, context.course.harness
+    assert not harness.values()
+    (ask,) = [
+        sent.message
+        for sent in harness.messages
+        if isinstance(sent.message, EarlierRowsAsk)
+    ]
+    (answer,) = keeper.watch.on_earlier_rows_ask(keeper.now_s, 'a', ask)
+    assert isinstance(answer.message, EarlierRows)
+    now_s = harness.now_s
+    harness.carry_out(harness.watch.on_earlier_rows(now_s, 'b', answer.message))
+
+
+def _pass_started(context):
+    """Let the time of the started instance pass, as in its course."""
+    harness = context.started
+    if harness.operations and not harness.watch.peer_wait.is_pending:
+        context.course.answer_due(harness)
+    harness.pass_time(_STEP_S)
+
+
 def _put_known(context, key, value):
     """Write a row that the copy gets to know, and return the version before."""
     course = context.course
--- a/features/support/restored_course.py
+++ b/features/support/restored_course.py
@@ -48,7 +48,7 @@
         """Let time pass; calls are answered one step after their begin."""
         for _ in range(round(for_s / _STEP_S)):
             if self.harness.operations and not self.is_away:
-                self._answer(self.harness.operations[0])
+                self.answer_due(self.harness)
             self.harness.pass_time(_STEP_S)
 
     def restore(self, version):
@@ -62,12 +62,14 @@
         expected = {key: row.value for key, row in self.store.rows.items()}
         return self.harness.values() == expected
 
-    def _answer(self, operation):
+    def answer_due(self, harness):
+        """Answer the pending call of a copy, unless it waits for changes."""
+        operation = harness.operations[0]
         if isinstance(operation, RowFollow):
-            begun_s, _ = self.harness.started[-1]
+            begun_s, _ = harness.started[-1]
             since = number_of(operation.since_version)
             is_told = since == self.store.version
-            is_due = self.harness.now_s - begun_s >= operation.wait_s
+            is_due = harness.now_s - begun_s >= operation.wait_s
             if is_told and not is_due:
                 return
-        self.harness.answer(self.store)
+        harness.answer(self.store)
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -331,6 +331,52 @@
     Then the copy is known to be behind
     And the copy keeps it for 25 seconds
 
+  Scenario Outline: An instance that starts after the store was restored
+    Guards against a starter that has, and tells others, what the restored store shows in place of what they keep.
+    Given a copy of the table "<table>" that is current
+    When the store loses a <change>
+    And an instance starts <after> seconds later and asks the one with the copy
+    Then it has what the other one keeps, and had nothing else before
+    And both have given it up at most 2 seconds after <kept> seconds since the restore
+
+    Examples:
+      | table    | change  | after | kept |
+      | servers/ | row     | 1.5   | 3    |
+      | servers/ | content | 1.5   | 30   |
+      | op/      | row     | 10    | 30   |
+      | op/      | content | 10    | 30   |
+      | op/      | removal | 10    | 30   |
+
+  Scenario Outline: An instance that starts before its peer has heard of the restore
+    Guards against a starter that takes a peer which keeps nothing yet for one that knows of no loss.
+    Given a copy of the table "op/" that is current
+    When an instance starts after the loss of a <change>, before the one with the copy hears of it
+    Then it has what the other one keeps, and had nothing else before
+
+    Examples:
+      | change  |
+      | row     |
+      | content |
+      | removal |
+
+  Scenario: A change in the new era that an instance reads as it starts
+    Guards against a lost content that a peer keeps, and that replaces one which was written since the restore.
+    Given a copy of the table "op/" that is current
+    When another content replaces a lost one, and only an instance that starts has read it
+    Then it has the other content and keeps nothing
+
+  Scenario Outline: An instance that starts gets no answer from a peer
+    Guards against an instance that is never ready, as it waits for peers that are gone, and against one that waits though
+    nothing can be lost.
+    Given a copy of the table "op/" that is current
+    When <what>, and an instance starts whose peers don't answer
+    Then it has the rows of the store after <after> seconds
+
+    Examples:
+      | what                  | after |
+      | the store is restored | 1.5   |
+      | nothing happens       | 0     |
+
   @known_red
   Scenario: A removal in the new era that is found before the copy has reached it
     Guards against requests to an endpoint whose removal was acknowledged after the restore: a check found its entry
