Daemons: print the stacks of all threads at a fault in native code

Nothing told where. faulthandler writes the stacks to the error output, as the process ends with the same code. The scenario failed before.

--- a/bergamotturn/platform/__main__.py
+++ b/bergamotturn/platform/__main__.py
@@ -5,6 +5,7 @@
 restarted instance, which serves no requests until they are done, starts sooner.
 """
 
+import faulthandler
 import signal
 import sys
 from importlib import import_module
@@ -14,6 +15,8 @@
 
 def start() -> None:
     """Run the daemon without setuptools."""
+    # A fault in native code leaves no other trace than the exit code.
+    faulthandler.enable()
     # The default action ends the process; the daemon handles the signal once it
     # runs, and reads its settings after this.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/bergamotturn/process/daemon.py
+++ b/bergamotturn/process/daemon.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import faulthandler
 import sys
 from pathlib import Path
 from random import Random
@@ -88,6 +89,8 @@
 
 def main() -> None:
     """Run the daemon until it is stopped."""
+    # A fault in native code leaves no other trace than the exit code.
+    faulthandler.enable()
     parser = argparse.ArgumentParser(prog='bergamotturnd', description=__doc__)
     parser.add_argument('--settings', type=Path, required=True)
     settings = load_settings(parser.parse_args().settings)
--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -25,6 +25,12 @@
     And a stream that breaks off is resumed at another engine
     And an answer to another request is not passed to the caller
 
+  Scenario: A fault in native code
+    Guards against an instance that ends by itself and leaves nothing in its log but lines on requests.
+    Given a relay fleet
+    When an instance ends by a segmentation fault
+    Then the end of its output has the stacks of its threads
+
   Scenario: An engine pauses while all others are full
     Guards against a stream of a sound engine that is cut off because the engine was silent for a second.
     Given a relay fleet
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -496,6 +496,21 @@
     assert fleet.wait_end('b1', 9) == 0
 
 
+@when('an instance ends by a segmentation fault')
+def native_fault(context):
+    context.fleet.signal('b1', signal.SIGSEGV)
+    code = context.fleet.wait_end('b1', 9)
+    assert code == -signal.SIGSEGV, code
+
+
+@then('the end of its output has the stacks of its threads')
+def stacks_in_output(context):
+    output = (context.fleet.folder / 'b1.log').read_text(errors='replace')
+    stacks = output.partition('Fatal Python error: Segmentation fault')[2]
+    assert 'most recent call first' in stacks, output[-500:]
+    assert 'daemon.py' in stacks, stacks
+
+
 @then('a killed instance is no longer listed after 6 seconds')
 def killed(context):
     fleet = context.fleet
