--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -113,6 +113,14 @@
     course.store.put(context.key, context.value)
 
 
+@when('the store is restored, and a row is removed before its first answer')
+def removed_before(context):
+    course = context.course
+    context.key, context.value = _CHANGES['removal']
+    course.restore(course.store.version)
+    course.store.put(context.key, context.value)
+
+
 @when('another content is written at the number of the lost one')
 def write_other(context):
     context.value = b'other'
