Tables: ask for changes since what any instance heard first of a restored store

Cause: an instance asks for the changes since the number that the store named to it first. What was removed before can't be told from what was lost, and was kept. Others had their first answer earlier, and knew of the removal.

Instances tell the number with the versions of their copies in pings; one that hears of a lower one in the same era ends its wait and asks for the changes since that number. In the first era nothing is added to the pings. Nothing more can be known: a removal before the first answer to any instance is still taken for a loss.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -185,14 +185,17 @@
 
 
 @final
-class TableVersion(msgspec.Struct, frozen=True):
+class TableVersion(msgspec.Struct, frozen=True, omit_defaults=True):
     """Version of the latest change in a copy of a table.
 
     :param prefix: prefix of the keys of the table's rows.
+    :param first_version: the lowest version that the store is known to have
+        named since it was restored last; 0 if it was not.
     """
 
     prefix: str
     version: int
+    first_version: int = 0
 
 
 @final
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -46,7 +46,13 @@
 from .newest_version import NewestVersion
 from .table_copy import TableChange
 from .table_watch import TableWatch
-from .watch_log import WatchLog, log_era, log_outdated, silent_s
+from .watch_log import (
+    WatchLog,
+    log_era,
+    log_outdated,
+    log_told_again,
+    silent_s,
+)
 from .watch_settings import (
     CancelStoreOperation,
     StartStoreOperation,
@@ -168,6 +174,7 @@
                 self._carry_out(watch, watch.on_restored(now_s), 'store')
             if restored:
                 self.fire(store_restored(), '*')
+                self._publish_versions()
         self._set_timer()
 
     def _use_outcome(
@@ -207,6 +214,10 @@
         for table in tables:
             watch = self._watches.get(table.prefix)
             if watch is not None:
+                actions = watch.on_peer_first_version(table.first_version)
+                if actions:
+                    log_told_again(watch, table.first_version, instance)
+                self._carry_out(watch, actions, instance)
                 watch.on_peer_version(now_s, instance, table.version)
         self._set_timer()
 
@@ -313,27 +324,30 @@
         self, watch: TableWatch, change: TableChange, source: str
     ) -> None:
         log_outdated(watch, change, source)
+        prefix = watch.settings.prefix
         if change:
-            self._publish_change(watch, change, source)
+            log_message(
+                'table_changed',
+                table=prefix,
+                version=shown_version(change.version),
+                source=source,
+                rows=[row.row_key for row in change.rows],
+                removed=list(change.removed_keys),
+            )
+            self.fire(table_changed(prefix, change), '*')
+            self._forward(watch, watch.message_for(change))
+            self._publish_versions()
         if change.is_snapshot:
-            self.fire(table_read(watch.settings.prefix), '*')
+            self.fire(table_read(prefix), '*')
 
-    def _publish_change(
-        self, watch: TableWatch, change: TableChange, source: str
-    ) -> None:
-        prefix = watch.settings.prefix
-        log_message(
-            'table_changed',
-            table=prefix,
-            version=shown_version(change.version),
-            source=source,
-            rows=[row.row_key for row in change.rows],
-            removed=list(change.removed_keys),
-        )
-        self.fire(table_changed(prefix, change), '*')
-        self._forward(watch, watch.message_for(change))
+    def _publish_versions(self) -> None:
+        """Publish what the pings tell of the copies."""
         tables = tuple(
-            TableVersion(each.settings.prefix, each.copy.changed_version)
+            TableVersion(
+                each.settings.prefix,
+                each.copy.changed_version,
+                self._newest.first_version,
+            )
             for each in self._watches.values()
             if each.is_complete
         )
--- a/bergamotturn/process/mirror/newest_version.py
+++ b/bergamotturn/process/mirror/newest_version.py
@@ -18,8 +18,8 @@
     """The highest version among the store's answers.
 
     :ivar version: 0 before the first answer.
-    :ivar first_version: what the first answer of a later era named; 0 before
-        the store was restored.
+    :ivar first_version: what the first answer of a later era named, to this
+        instance or to one that has told of it; 0 before the store was restored.
     """
 
     __slots__ = ('first_version', 'version')
@@ -29,6 +29,11 @@
         self.version = 0
         self.first_version = 0
 
+    def note_first(self, version: int) -> None:
+        """Note the version that another instance has heard first."""
+        if era_of(version) == era_of(self.first_version):
+            self.first_version = min(self.first_version, version)
+
     def note(self, outcome: StoreOutcome) -> None:
         """Note the versions that an answer names."""
         rows = (row.row_version for row in outcome.rows)
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -95,6 +95,8 @@
         #: then were told; 0 if they need not be. Reads don't tell rows that
         #: were removed since then from lost ones.
         self._untold_since = 0
+        #: Version since which they were told or are to be told.
+        self._told_since = 0
         #: May be above the version of the copy, which then lacks changes.
         self._followed = FollowedVersion()
 
@@ -228,6 +230,7 @@
             required = outcome.table_version
             self._restored_version = max(self._restored_version, required)
             self._untold_since = self._newest.first_version
+            self._told_since = self._untold_since
         self.catch_up.require(now_s, required, is_follower=self._is_following)
         if not was_behind:
             self._scan_due_s = float('-inf')
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -15,6 +15,7 @@
 from msgspec.structs import replace
 
 from ...connection.peer_messages import TableAsk, TableContent, TableDelta
+from ...connection.store_version import era_of
 from ..actions import SendTo
 from .newest_version import NewestVersion
 from .starting_reader import StartingReader
@@ -87,6 +88,21 @@
         self._kept.note(now_s, self.copy)
         return [*actions, *super().advance(now_s)]
 
+    def on_peer_first_version(self, version: int) -> list[WatchAction]:
+        """Wait for the changes since an earlier version of the restored store.
+
+        :param version: what the store named first to another instance.
+        """
+        if era_of(version) != era_of(self._told_since):
+            return []
+        if not 0 < version < self._told_since:
+            return []
+        self._newest.note_first(version)
+        self._untold_since = version
+        self._told_since = version
+        self._pacing.call_at_once()
+        return self._cancel_wait()
+
     def on_peer_version(
         self, now_s: float, instance: str, version: int
     ) -> None:
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -10,7 +10,13 @@
 from .table_copy import TableChange
 from .table_watch import TableWatch
 
-__all__ = ('WatchLog', 'log_era', 'log_outdated', 'silent_s')
+__all__ = (
+    'WatchLog',
+    'log_era',
+    'log_outdated',
+    'log_told_again',
+    'silent_s',
+)
 
 _MAX_LOGGED_ROWS: Final = 8
 _SECONDS_DIGITS: Final = 3
@@ -183,6 +189,17 @@
     )
 
 
+def log_told_again(watch: TableWatch, version: int, told_by: str) -> None:
+    """Log that changes are asked for since what a peer heard first."""
+    log_message(
+        'changes_asked_again',
+        table=watch.settings.prefix,
+        since=shown_version(version),
+        version=shown_version(watch.copy.version),
+        told_by=told_by,
+    )
+
+
 def silent_s(watch: TableWatch, now_s: float) -> float | None:
     """Return the time since the last answer, if there was one."""
     if watch.last_answer_s < 0:
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -9,7 +9,11 @@
     TableContent,
 )
 from bergamotturn.connection.store_events import RowScan, StoreStatus
-from bergamotturn.connection.store_version import era_of
+from bergamotturn.connection.store_version import (
+    era_of,
+    number_of,
+    store_version,
+)
 from features.support.restored_course import (
     IN_FORCE_S,
     RestoredCourse,
@@ -121,6 +125,42 @@
     course.store.put(context.key, context.value)
 
 
+@when('a peer tells what the store named before the removal')
+def peer_heard_first(context):
+    course = context.course
+    course.run(_SETTLE_S)
+    assert context.key in course.harness.values()
+    _tell_first(
+        course, store_version(course.store.era, course.store.version - 1)
+    )
+
+
+@when('a peer tells of {what}')
+def peer_heard(context, what):
+    course = context.course
+    course.run(IN_FORCE_S)
+    first = course.harness.newest.first_version
+    told = {
+        'the same version': first,
+        'a later version': first + 1,
+        'no version': 0,
+        'an earlier era': number_of(first) - 1,
+    }
+    context.waiting = list(course.harness.operations)
+    assert context.waiting
+    _tell_first(course, told[what])
+
+
+@then('its wait goes on')
+def wait_goes_on(context):
+    assert context.course.harness.operations == context.waiting
+
+
+def _tell_first(course, version):
+    harness = course.harness
+    harness.carry_out(harness.watch.on_peer_first_version(version))
+
+
 @when('another content is written at the number of the lost one')
 def write_other(context):
     context.value = b'other'
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -384,14 +384,28 @@
     When the store is restored, and a row is removed between its first answer and the next one
     Then the copy has it in time and keeps nothing
 
-  @known_red
   Scenario: A removal between the return of the store and its first answer
     Guards against requests to an endpoint whose removal was acknowledged before the instance heard of the restore: it was
     taken for a loss.
     Given a copy of the table "servers/" that is current
     When the store is restored, and a row is removed before its first answer
+    And a peer tells what the store named before the removal
     Then the copy has it in time and keeps nothing
 
+  Scenario Outline: A peer's word on the return of the store that tells nothing new
+    Guards against waits that are called off without need, and against changes of an earlier era.
+    Given a copy of the table "servers/" that is current
+    When the store is restored, and a row is removed between its first answer and the next one
+    And a peer tells of <what>
+    Then its wait goes on
+
+    Examples:
+      | what                  |
+      | the same version      |
+      | a later version       |
+      | no version            |
+      | an earlier era        |
+
   Scenario: The own registration is lost
     Guards against instances that find nobody, as they start after the store was restored from a copy without the rows of
     those that run.
