Tables: a kept removal that is made again is news

What callers saw: a data centre whose evacuation had ended could stay evacuated. An instance that read the evacuation from the restored store tells it to all as newer; those that keep its end knew of the row's new removal, but published nothing, as they had no such row.

A removal counts as a change if the restored store had the row again.

--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -30,7 +30,8 @@
     :param rows: rows that are new or have new content, in their last state;
         not those that a restored store names by another version only.
     :param removed_keys: keys of the rows that are removed in the end; none of
-        ``rows`` is among them.
+        ``rows`` is among them. A removal that was kept and is made again after
+        a restore is one.
     :param version: version of the copy after the changes.
     :param is_snapshot: whether the answer was a snapshot of the table.
     :param answer: all rows of the answer. A row that was added and removed
@@ -283,16 +284,20 @@
         )
 
     def _remove(self, row_key: str, version: int) -> bool:
-        """Remove a row unless it is newer, and return whether there was one."""
+        """Remove a row unless it is newer, and return whether that is news.
+
+        It is if there was one, or if only a restored store had it again.
+        """
         known = self.rows.get(row_key)
         if known is not None and known.row_version > version:
             return False
         self._removed_versions[row_key] = max(
             version, self._removed_versions.get(row_key, 0)
         )
+        was_kept = row_key in self.kept.reverted
         self.kept.note_changed(row_key)
         if known is None:
-            return False
+            return was_kept
         self.kept.remember(known)
         self.rows.pop(row_key)
         return True
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -389,6 +389,19 @@
     _ask_keeper(context)
 
 
+@then('it has told the others of the removal')
+def removal_told(context):
+    harness = context.course.harness
+    era = context.course.store.era
+    told = [
+        change.removal_version(context.key)
+        for change in harness.changes
+        if context.key in change.removed_keys
+    ]
+    assert told
+    assert era_of(told[-1]) == era, told
+
+
 @then('it has the other content and keeps nothing')
 def has_other(context):
     harness = context.started
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -347,6 +347,15 @@
       | op/      | content | 10    | 30   |
       | op/      | removal | 10    | 30   |
 
+  Scenario: A removal that is kept and made again
+    Guards against an evacuation that stays in force at others, who read it from the restored store, since those that kept
+    its end didn't tell them of the new one.
+    Given a copy of the table "op/" that is current
+    When the store loses a removal
+    And the lost change is written again at a higher number
+    Then the copy has it in time and keeps nothing
+    And it has told the others of the removal
+
   Scenario Outline: An instance that starts before its peer has heard of the restore
     Guards against a starter that takes a peer which keeps nothing yet for one that knows of no loss.
     Given a copy of the table "op/" that is current
