Tables: instances that have started learn earlier states before the store loses a change

What callers saw: an instance that started between a change and the loss of it, or that had a peer's copy before the store answered it, took the restored state for news and told all: a data centre was evacuated again for all instances, in part for good. A starter that got no answer told other starters that nothing is kept.

Cause: only the states that a copy had itself tell a restored state from a new one, and an instance that has started has none. The first form of the questions to peers covered a start after the restore only.

A copy that no peer has told of them holds the store's first answer in a later era, whether it is complete or not. One that started alone in a later era answers no starter.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -456,11 +456,14 @@
 class EarlierRowsAsk(_Message, frozen=True, kw_only=True):
     """Question of an instance that has started in an era of the store.
 
-    :param era: era of its first read; rows from before it are asked for.
+    :param era: rows from before it are asked for.
+    :param is_brief: whether rows that are there are left out, and only their
+        earlier states are asked for.
     """
 
     prefix: str
     era: int
+    is_brief: bool = False
 
 
 @final
--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -70,7 +70,9 @@
     def take_states(self, states: Mapping[str, RowStates]) -> None:
         """Remember earlier states that a peer has told of."""
         for row_key, told in states.items():
-            self._states[row_key] = deque(told, maxlen=_MAX_STATES)
+            known = self._states.get(row_key, ())
+            states_of_row = dict.fromkeys((*told, *known))
+            self._states[row_key] = deque(states_of_row, maxlen=_MAX_STATES)
 
     def keep_missing(self, known: Row, version: int) -> bool:
         """Keep a row that is absent as of ``version``, if it may be lost.
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -143,7 +143,9 @@
         )
         for watch in self._watches.values():
             watch.peer_wait.peers = peers
+            self._carry_out(watch, watch.advance(monotonic()), 'store')
         self._choose_followers('members_changed')
+        self._set_timer()
 
     @handler('_watches_due')
     def _on_watches_due(self) -> None:
--- a/bergamotturn/process/mirror/starting_reader.py
+++ b/bergamotturn/process/mirror/starting_reader.py
@@ -26,7 +26,10 @@
 
 
 class StartingReader(TableReader):
-    """Reads a table; the first answer in a later era waits for a peer.
+    """Reads a table; its first answer in a later era may wait for a peer.
+
+    It does for a copy that is new, and for one that no peer has told of the
+    earlier states of its rows.
 
     :ivar peer_wait: the wait for the answer of a peer.
     """
@@ -42,27 +45,24 @@
         self._kept = KeptDeadlines(settings)
         self.peer_wait = PeerWait(random)
         self._held_outcome: StoreOutcome | None = None
+        self._held_era = FIRST_ERA
 
     @property
     def due_s(self) -> float:
         """Return when :meth:`advance` is due, or infinity."""
         if self.peer_wait.is_pending:
             return self.peer_wait.due_s
-        return min(super().due_s, self._kept.due_s)
+        return min(super().due_s, self._kept.due_s, self.peer_wait.due_s)
 
     def advance(self, now_s: float) -> list[WatchAction]:
-        """Start the next call if it is due, or ask peers for earlier rows."""
+        """Start the next call if it is due, and ask peers if that is due."""
         held = self._held_outcome
         if held is None:
-            return super().advance(now_s)
+            return [*super().advance(now_s), *self._ask_states(now_s)]
         if self.peer_wait.is_overdue(now_s):
-            return self._use_held(now_s, held, told_by='')
-        ask = EarlierRowsAsk(
-            prefix=self.settings.prefix, era=era_of(held.table_version)
-        )
-        return [
-            SendTo(peer, ask) for peer in self.peer_wait.peers_to_ask(now_s)
-        ]
+            self.peer_wait.end()
+            return self._use_held(now_s, held)
+        return self._ask_peers(now_s, era_of(held.table_version))
 
     def on_outcome(
         self, now_s: float, outcome: StoreOutcome
@@ -72,6 +72,7 @@
             return super().on_outcome(now_s, outcome)
         # The call stays the pending one, so that no other is started.
         self._held_outcome = outcome
+        self._held_era = era_of(outcome.table_version)
         self.peer_wait.begin(now_s)
         return self.advance(now_s)
 
@@ -79,11 +80,14 @@
         self, now_s: float, sender: str, ask: EarlierRowsAsk
     ) -> list[WatchAction]:
         """Tell an instance that has started what the store may have lost."""
-        if not self.is_complete:
+        is_ignorant = self._held_era > FIRST_ERA and not self.peer_wait.is_told
+        if not self.is_complete or (is_ignorant and not ask.is_brief):
             return []
         rows = self.copy.rows_before(ask.era)
         states_of = self.copy.kept.states_of
         states = {row.row_key: states_of(row.row_key) for row in rows}
+        if ask.is_brief:
+            rows = tuple(row for row in rows if row.is_removed)
         answer = EarlierRows(
             prefix=self.settings.prefix, rows=rows, states=states
         )
@@ -103,27 +107,65 @@
         """Use the held answer, together with what a peer has from before."""
         held = self._held_outcome
         if held is None:
-            return []
+            return self._take_states(sender, earlier)
         self._kept.limit(
             era_of(held.table_version),
             _until_s(now_s, earlier.missing_ms),
             _until_s(now_s, earlier.reverted_ms),
         )
+        self.peer_wait.note_answer(sender)
         before = self.copy.take_earlier(earlier.rows, earlier.states)
-        return [before, *self._use_held(now_s, held, told_by=sender)]
+        return [before, *self._use_held(now_s, held)]
 
     def _is_held(self, outcome: StoreOutcome) -> bool:
         """Return whether peers may know what the store lost before it."""
-        if self.is_complete or not self.peer_wait.is_new:
+        era = era_of(outcome.table_version)
+        if era <= self._held_era or not self.settings.missing_kept_s:
+            return False
+        if outcome.status is StoreStatus.found and not self.is_complete:
+            return True
+        if not self.peer_wait.peers or self.peer_wait.is_told:
             return False
-        is_restored = era_of(outcome.table_version) > FIRST_ERA
-        is_found = outcome.status is StoreStatus.found
-        return is_found and is_restored and self.settings.missing_kept_s > 0
+        is_answer = outcome.status in {
+            StoreStatus.found,
+            StoreStatus.history_lost,
+        }
+        return is_answer and era > era_of(self.copy.version)
+
+    def _ask_states(self, now_s: float) -> list[WatchAction]:
+        """Ask for the earlier states of rows, in case the store loses some.
+
+        An instance that starts between a change and the loss of it has read the
+        later state only.
+        """
+        if not self.is_complete or not self.settings.missing_kept_s:
+            return []
+        self.peer_wait.begin_asking(now_s)
+        if self.peer_wait.is_overdue(now_s):
+            self.peer_wait.end()
+        era = era_of(self.copy.version) + 1
+        return self._ask_peers(now_s, era, is_brief=True)
 
-    def _use_held(
-        self, now_s: float, held: StoreOutcome, *, told_by: str
+    def _ask_peers(
+        self, now_s: float, era: int, *, is_brief: bool = False
     ) -> list[WatchAction]:
-        self.peer_wait.end(told_by)
+        ask = EarlierRowsAsk(
+            prefix=self.settings.prefix, era=era, is_brief=is_brief
+        )
+        return [
+            SendTo(peer, ask) for peer in self.peer_wait.peers_to_ask(now_s)
+        ]
+
+    def _take_states(
+        self, sender: str, earlier: EarlierRows
+    ) -> list[WatchAction]:
+        if not self.is_complete:
+            return []
+        self.peer_wait.note_answer(sender)
+        removed = [row for row in earlier.rows if row.is_removed]
+        return [self.copy.take_earlier(removed, earlier.states)]
+
+    def _use_held(self, now_s: float, held: StoreOutcome) -> list[WatchAction]:
         self._held_outcome = None
         return self.on_outcome(now_s, held)
 
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -18,8 +18,10 @@
 
 __all__ = ('TableChange', 'TableCopy')
 
-#: Rows from earlier eras that another instance is told of.
-_MAX_TOLD_ROWS: Final = 4096
+#: Removed rows that another instance is told of. A store loses the changes of
+#: some seconds.
+_MAX_TOLD_REMOVALS: Final = 256
+_VERSION_OF: Final = attrgetter('row_version')
 
 
 @final
@@ -191,33 +193,37 @@
         return replace(change, is_snapshot=True)
 
     def rows_before(self, era: int) -> tuple[Row, ...]:
-        """Return the newest rows whose version is of an era before ``era``.
+        """Return the rows whose version is of an era before ``era``.
 
-        Removed ones are among them if their earlier states are remembered.
+        The newest removed ones are among them if their earlier states are
+        remembered.
         """
         removed = (
             Row(key, version, b'', is_removed=True)
             for key, version in self._removed_versions.items()
-            if self.kept.states_of(key)
+            if self.kept.states_of(key) and era_of(version) < era
         )
-        found = (
-            row
-            for row in chain(self.rows.values(), removed)
-            if era_of(row.row_version) < era
+        newest = nlargest(_MAX_TOLD_REMOVALS, removed, _VERSION_OF)
+        present = (
+            row for row in self.rows.values() if era_of(row.row_version) < era
         )
-        return tuple(nlargest(_MAX_TOLD_ROWS, found, attrgetter('row_version')))
+        return (*present, *newest)
 
     def take_earlier(
         self,
         rows: Iterable[Row],
         states: Mapping[str, RowStates],
     ) -> TableChange:
-        """Start a copy that is empty with the earlier rows of a peer's copy.
+        """Add the earlier rows of a peer's copy.
 
         :param states: earlier states of these rows.
         """
+        is_empty = not self.rows
         change = self.merge(self.version, rows)
         self.kept.take_states(states)
+        if not is_empty:
+            return change
+        # Others that are told of the rows may have them.
         removed = tuple(row.row_key for row in change.answer if row.is_removed)
         return replace(change, removed_keys=removed)
 
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -103,3 +103,11 @@
     When a data centre is evacuated, taken back, and the store loses the latter
     And two instances are killed and started
     Then its endpoints get lookups again from 2 seconds after that
+
+  Scenario: Instances that start between the end of an evacuation and its loss
+    Guards against a starter that never had the evacuation, takes it for news when the store comes back with it, and
+    evacuates the data centre again for all.
+    Given nine instances behind a store
+    And 60 lookups a second are sent through all instances for 14 seconds
+    When a data centre is evacuated and taken back, two instances start, and the store loses the end
+    Then its endpoints get lookups again from 2 seconds after that
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -21,6 +21,8 @@
 #: Age of a copy that lacks it.
 _COPY_AGE_S = 1.2
 _BEHIND_S = 4.0
+#: Time in which instances start and are told of earlier states.
+_STARTED_S = 3.0
 _LOST_WRITES = 30
 #: Longest time between lookups at one of the endpoints.
 _GAP_S = 1.5
@@ -120,6 +122,27 @@
     context.acknowledged_s += _AWAY_S + _CHANGE_AGE_S
 
 
+@when(
+    'a data centre is evacuated and taken back, two instances start, and the '
+    'store loses the end'
+)
+def lose_return_after_starts(context):
+    fleet = context.fleet
+    _evacuate(context)
+    sleep(_COPY_AGE_S)
+    fleet.put('op', 'evacuate/a', None)
+    context.acknowledged_s = monotonic()
+    context.restarted = list(fleet.instances)[:2]
+    for name in context.restarted:
+        fleet.kill(name)
+        fleet.start_instance(name)
+    sleep(_STARTED_S)
+    context.lost = fleet.restore_store(
+        away_s=_AWAY_S, age_s=_STARTED_S + _COPY_AGE_S / 2
+    )
+    context.acknowledged_s += _AWAY_S + _STARTED_S
+
+
 @when('two plain endpoints write their first entries, and the store loses them')
 def lose_new_endpoints(context):
     fleet = context.fleet
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -480,11 +480,102 @@
     assert course.is_current(), course.harness.values()
 
 
+@when('an instance starts after a {change}, and then the store loses that')
+def starts_between(context, change):
+    course = context.course
+    version = _put_known(context, *_CHANGES[change])
+    context.started = _started(context)
+    _run_both(context, 2)
+    assert context.started.watch.is_complete
+    course.restore(version)
+    while context.started.operations:
+        context.started.answer(course.store, StoreStatus.unknown)
+
+
+@when(
+    'an instance starts after the loss of a {change} and has the copy of the '
+    'other one first'
+)
+def starts_with_copy(context, change):
+    lose_change(context, change)
+    context.started = _started(context)
+    harness = context.started
+    version = context.course.harness.watch.copy.changed_version
+    harness.pass_time(0)
+    harness.watch.on_peer_version(harness.now_s, 'b', version)
+    for _ in range(2):
+        harness.pass_time(_MARGIN_S)
+        _ask_each_other(context)
+    assert harness.values()
+
+
+@then(
+    'it has what the other one keeps at the end, and never had the restored '
+    'state'
+)
+def has_kept_at_end(context):
+    harness = context.started
+    before = len(harness.changes)
+    _run_both(context, 2)
+    assert harness.values() == context.course.harness.values()
+    assert harness.values().get(context.key, b'') == context.value
+    for change in harness.changes[before:]:
+        for row in change.rows:
+            assert row.row_key != context.key or row.value == context.value
+
+
+@then('it answers no other one that starts after {after_s:d} seconds')
+def answers_none(context, after_s):
+    harness = context.started
+    while harness.now_s < after_s:
+        _pass_started(context)
+    assert harness.watch.is_complete
+    era = context.course.store.era
+    ask = EarlierRowsAsk(prefix='t/', era=era)
+    assert not harness.watch.on_earlier_rows_ask(harness.now_s, 'c', ask)
+
+
+def _started(context):
+    harness = WatchHarness(settings=context.settings)
+    harness.watch.peer_wait.peers = ('b',)
+    return harness
+
+
+def _run_both(context, for_s):
+    """Let the time of both pass, and the started one be told by the other."""
+    for _ in range(round(for_s / _STEP_S)):
+        _pass_started(context)
+        context.course.run(_STEP_S)
+        _ask_each_other(context)
+
+
+def _ask_each_other(context):
+    """Let the one with the copy answer the started one."""
+    harness, keeper = context.started, context.course.harness
+    for sent in harness.messages:
+        if isinstance(sent.message, TableAsk):
+            answers = keeper.watch.on_ask('a', sent.message)
+        else:
+            answers = keeper.watch.on_earlier_rows_ask(
+                keeper.now_s, 'a', sent.message
+            )
+        for answer in answers:
+            _use_answer(harness, answer.message)
+    harness.messages.clear()
+
+
+def _use_answer(harness, message):
+    watch = harness.watch
+    if isinstance(message, TableContent):
+        harness.carry_out(watch.on_content(harness.now_s, 'b', message))
+    else:
+        harness.carry_out(watch.on_earlier_rows(harness.now_s, 'b', message))
+
+
 def _start(context):
     """Start an instance, up to its first answer of the store."""
-    context.started = WatchHarness(settings=context.settings)
+    context.started = _started(context)
     harness = context.started
-    harness.watch.peer_wait.peers = ('b',)
     harness.pass_time(0)
     harness.answer(context.course.store)
 
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -347,6 +347,39 @@
       | op/      | content | 10    | 30   |
       | op/      | removal | 10    | 30   |
 
+  Scenario Outline: An instance that started between a change and the loss of it
+    Guards against an instance that never had the earlier state, takes it for news when the store comes back with it, and
+    tells all others.
+    Given a copy of the table "op/" that is current
+    When an instance starts after a <change>, and then the store loses that
+    Then it has what the other one keeps at the end, and never had the restored state
+
+    Examples:
+      | change  |
+      | row     |
+      | content |
+      | removal |
+
+  Scenario Outline: An instance that has a peer's copy before the first answer of the store
+    Guards against a copy that counts as one from before the restore, although it has no earlier states.
+    Given a copy of the table "<table>" that is current
+    When an instance starts after the loss of a <change> and has the copy of the other one first
+    Then it has what the other one keeps at the end, and never had the restored state
+
+    Examples:
+      | table    | change  |
+      | op/      | row     |
+      | op/      | content |
+      | op/      | removal |
+      | servers/ | row     |
+      | servers/ | content |
+
+  Scenario: An instance that started alone is asked by one that starts
+    Guards against a starter that is told by a peer which knows nothing itself.
+    Given a copy of the table "op/" that is current
+    When the store is restored, and an instance starts whose peers don't answer
+    Then it answers no other one that starts after 2 seconds
+
   Scenario: A removal that is kept and made again
     Guards against an evacuation that stays in force at others, who read it from the restored store, since those that kept
     its end didn't tell them of the new one.
