Tables: ask peers also while the first read is under way

An instance that was told by one peer and whose read got no answer then had a time in the past at which to ask the next one, and looked again and again, without a pause, until the read was answered.

--- a/bergamotturn/process/mirror/starting_reader.py
+++ b/bergamotturn/process/mirror/starting_reader.py
@@ -138,12 +138,11 @@
         An instance that starts between a change and the loss of it has read the
         later state only.
         """
-        if not self.is_complete or not self.settings.missing_kept_s:
-            return []
-        self.peer_wait.begin_asking(now_s)
+        if self.is_complete and self.settings.missing_kept_s:
+            self.peer_wait.begin_asking(now_s)
         if self.peer_wait.is_overdue(now_s):
             self.peer_wait.end()
-        era = era_of(self.copy.version) + 1
+        era = max(self._held_era, era_of(self.copy.version)) + 1
         return self._ask_peers(now_s, era, is_brief=True)
 
     def _ask_peers(
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -537,7 +537,7 @@
 
 def _started(context):
     harness = WatchHarness(settings=context.settings)
-    harness.watch.peer_wait.peers = ('b',)
+    harness.watch.peer_wait.peers = ('b', 'c', 'd')
     return harness
 
 
@@ -572,6 +572,21 @@
         harness.carry_out(watch.on_earlier_rows(harness.now_s, 'b', message))
 
 
+@when('the store answers nothing more for {for_s:d} seconds')
+def answers_nothing(context, for_s):
+    harness = context.started
+    context.overdue = []
+    for _ in range(round(for_s / _STEP_S)):
+        harness.pass_time(_STEP_S)
+        if harness.watch.due_s <= harness.now_s:
+            context.overdue.append(harness.now_s)
+
+
+@then('nothing was due without being done')
+def nothing_overdue(context):
+    assert not context.overdue, context.overdue
+
+
 def _start(context):
     """Start an instance, up to its first answer of the store."""
     context.started = _started(context)
@@ -584,11 +599,12 @@
     """Let the instance ask the one with the copy, and use its answer."""
     harness, keeper = context.started, context.course.harness
     assert not harness.values()
-    (ask,) = [
+    ask, *others = [
         sent.message
         for sent in harness.messages
         if isinstance(sent.message, EarlierRowsAsk)
     ]
+    assert others == [ask, ask]
     (answer,) = keeper.watch.on_earlier_rows_ask(keeper.now_s, 'a', ask)
     assert isinstance(answer.message, EarlierRows)
     now_s = harness.now_s
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -380,6 +380,14 @@
     When the store is restored, and an instance starts whose peers don't answer
     Then it answers no other one that starts after 2 seconds
 
+  Scenario: An instance that was told by a peer gets no further answer of the store
+    Guards against a process that does nothing but look whether something is due.
+    Given a copy of the table "op/" that is current
+    When the store loses a content
+    And an instance starts 2 seconds later and asks the one with the copy
+    And the store answers nothing more for 4 seconds
+    Then nothing was due without being done
+
   Scenario: A removal that is kept and made again
     Guards against an evacuation that stays in force at others, who read it from the restored store, since those that kept
     its end didn't tell them of the new one.
