Tables, tests: names and comments of instances that start beside a restored store

No behaviour is changed.

- PeerQuestions (before: PeerWait) says when peers are asked, and what waits for them; a wait is "awaited" and "answered".
- RestoredChanges holds from where a restored store is asked to tell its changes, in place of two numbers in the reader.
- KeptDeadlines has one object for each of its two times.
- TableWatch.receive hands peers' messages to their handlers, in place of the same chain in three places.
- EarlierRowsAsk.omits_present (before: is_brief); earlier_rows_missed in the log (before: earlier_rows_untold).
- The scenarios on starts have a feature, steps and an instance (StartedInstance) of their own; the stand-ins of the users' platform are started in one place.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -55,6 +55,7 @@
     'TableAsk',
     'TableContent',
     'TableDelta',
+    'TableMessage',
     'TableVersion',
     'WorkAsk',
     'WorkBegan',
@@ -454,21 +455,21 @@
 
 @final
 class EarlierRowsAsk(_Message, frozen=True, kw_only=True):
-    """Question of an instance that has started in an era of the store.
+    """Request of an instance that has started for what the store may have lost.
 
-    :param era: rows from before it are asked for.
-    :param is_brief: whether rows that are there are left out, and only their
-        earlier states are asked for.
+    :param era: rows that a peer's copy has as of an earlier era are asked for.
+    :param omits_present: whether the answer leaves out rows that are not
+        removed, and tells of these the earlier states only.
     """
 
     prefix: str
     era: int
-    is_brief: bool = False
+    omits_present: bool = False
 
 
 @final
 class EarlierRows(_Message, frozen=True, kw_only=True):
-    """Answer to an :class:`EarlierRowsAsk`: what a copy has from before.
+    """Answer to an :class:`EarlierRowsAsk`.
 
     A peer that knows of the restore names what it keeps although the store has
     lost it; one that doesn't yet, all its rows.
@@ -477,7 +478,7 @@
     :param states: earlier states of these rows by row key, each the number of
         its version and the digest of its content.
     :param missing_ms: time for which the peer still keeps rows that the store
-        has no more; None for the time from now on that the settings name.
+        has no more; None if it sets no limit.
     :param reverted_ms: the same for rows that the store has in an earlier
         state.
     """
@@ -489,6 +490,12 @@
     reverted_ms: int | None = None
 
 
+#: Messages about a copy of a table.
+TableMessage = (
+    EarlierRows | EarlierRowsAsk | TableAsk | TableContent | TableDelta
+)
+
+
 @final
 class StoreUnreachable(_Message, frozen=True, kw_only=True):
     """Notification that the store does not answer its sender."""
@@ -681,12 +688,8 @@
     ConfigurationOffer
     | ConfigurationFetch
     | ConfigurationContent
-    | TableAsk
-    | TableContent
-    | TableDelta
-    | EarlierRowsAsk
-    | EarlierRows
     | StoreUnreachable
+    | TableMessage
 )
 _PermitMessage = (
     PermitAsk
@@ -747,12 +750,8 @@
         PromiseGiven: 'admission',
         BurnAsk: 'burn',
         BurnReply: 'burn',
-        TableAsk: 'mirror',
-        TableContent: 'mirror',
-        TableDelta: 'mirror',
-        EarlierRowsAsk: 'mirror',
-        EarlierRows: 'mirror',
         StoreUnreachable: 'mirror',
+        **dict.fromkeys(get_args(TableMessage), 'mirror'),
         **dict.fromkeys(get_args(_WorkMessage), 'relay'),
         **dict.fromkeys(get_args(_RateMessage), 'relay'),
         PartSuspicion: 'quarantine',
--- a/bergamotturn/process/mirror/follower_choice.py
+++ b/bergamotturn/process/mirror/follower_choice.py
@@ -41,16 +41,16 @@
     __slots__ = (
         '_cut_off_until_s',
         '_data_centre',
+        '_instance',
         'audience',
         'followers',
-        'instance',
         'is_shared',
         'neighbours',
     )
 
     def __init__(self, instance: str, data_centre: str) -> None:
         """Start as the only instance, which follows the tables itself."""
-        self.instance = instance
+        self._instance = instance
         self._data_centre = data_centre
         self._cut_off_until_s: dict[str, float] = {}
         #: Instances of the data centre that follow the tables.
@@ -66,7 +66,13 @@
     @property
     def is_follower(self) -> bool:
         """Return whether this instance follows the tables."""
-        return self.instance in self.followers
+        return self._instance in self.followers
+
+    def live_others(self, members: Iterable[MemberUpdate]) -> tuple[str, ...]:
+        """Return the other instances that are not known to be dead."""
+        return tuple(
+            member.instance for member in members if self._is_live_other(member)
+        )
 
     def note_cut_off(self, now_s: float, instance: str) -> None:
         """Pass over a follower that does not reach the store."""
@@ -79,7 +85,7 @@
         listed = tuple(members)
         self.is_shared = len(listed) > _MAX_SMALL_FLEET
         if not self.is_shared:
-            self.followers = (self.instance,)
+            self.followers = (self._instance,)
             self.audience = ()
             self.neighbours = ()
             return
@@ -105,17 +111,18 @@
         self.audience = self._own_part()
 
     def _is_neighbour(self, member: MemberUpdate) -> bool:
-        return (
-            member.data_centre == self._data_centre
-            and member.instance != self.instance
-            and member.state < MemberState.dead
-        )
+        is_near = member.data_centre == self._data_centre
+        return is_near and self._is_live_other(member)
+
+    def _is_live_other(self, member: MemberUpdate) -> bool:
+        is_other = member.instance != self._instance
+        return is_other and member.state < MemberState.dead
 
     def _own_part(self) -> tuple[str, ...]:
         """Return the neighbours to which no other follower forwards."""
         if not self.is_follower:
             return ()
-        place = self.followers.index(self.instance)
+        place = self.followers.index(self._instance)
         return tuple(
             instance
             for instance in self.neighbours
--- a/bergamotturn/process/mirror/kept_deadlines.py
+++ b/bergamotturn/process/mirror/kept_deadlines.py
@@ -10,34 +10,65 @@
 
 
 @final
-class KeptDeadlines:
-    """The times until which a copy differs from the store.
+class _Deadline:
+    """The time until which a copy keeps one kind of rows.
 
-    :ivar missing_until_s: monotonic time at which missing rows are removed, inf
-        for none.
-    :ivar reverted_until_s: the same for rows that the store has in an earlier
-        state.
+    :param kept_s: time for which they are kept.
+    :ivar until_s: monotonic time of the end, inf if there are no such rows.
     """
 
-    __slots__ = (
-        '_era',
-        '_limit_era',
-        '_missing_limit_s',
-        '_reverted_limit_s',
-        '_settings',
-        'missing_until_s',
-        'reverted_until_s',
-    )
+    __slots__ = ('_era', '_kept_s', '_limit_era', '_limit_s', 'until_s')
 
-    def __init__(self, settings: WatchSettings) -> None:
-        """Start with a copy that does not differ."""
-        self._settings = settings
+    def __init__(self, kept_s: float) -> None:
+        """Start without rows and without a limit."""
+        self._kept_s = kept_s
         self._era = 0
         self._limit_era = 0
-        self._missing_limit_s = inf
-        self._reverted_limit_s = inf
-        self.missing_until_s = inf
-        self.reverted_until_s = inf
+        self._limit_s = inf
+        self.until_s = inf
+
+    def limit(self, era: int, until_s: float) -> None:
+        """Keep rows that ``era`` lacks until then at most."""
+        self._limit_era = era
+        self._limit_s = until_s
+
+    def note(self, now_s: float, era: int, *, is_kept: bool) -> None:
+        """Note whether there are such rows; a new era starts the time anew.
+
+        :param era: newest era of the store that lacked a row.
+        """
+        is_new_era = era != self._era
+        self._era = era
+        if not is_kept:
+            self.until_s = inf
+            return
+        if self.until_s < inf and not is_new_era:
+            return
+        self.until_s = now_s + self._kept_s
+        if era == self._limit_era:
+            self.until_s = min(self.until_s, max(now_s, self._limit_s))
+
+
+@final
+class KeptDeadlines:
+    """The times until which a copy differs from the store."""
+
+    __slots__ = ('_missing', '_reverted')
+
+    def __init__(self, settings: WatchSettings) -> None:
+        """Start with a copy that does not differ."""
+        self._missing = _Deadline(settings.missing_kept_s)
+        self._reverted = _Deadline(settings.reverted_kept_s)
+
+    @property
+    def missing_until_s(self) -> float:
+        """Return the monotonic time at which missing rows are removed."""
+        return self._missing.until_s
+
+    @property
+    def reverted_until_s(self) -> float:
+        """Return the same for rows that the store has in an earlier state."""
+        return self._reverted.until_s
 
     @property
     def due_s(self) -> float:
@@ -47,32 +78,12 @@
     def limit(
         self, era: int, missing_until_s: float, reverted_until_s: float
     ) -> None:
-        """Give up no later than a peer what it told of in ``era``."""
-        self._limit_era = era
-        self._missing_limit_s = missing_until_s
-        self._reverted_limit_s = reverted_until_s
+        """Give up what a peer told of in ``era`` no later than the peer."""
+        self._missing.limit(era, missing_until_s)
+        self._reverted.limit(era, reverted_until_s)
 
     def note(self, now_s: float, copy: TableCopy) -> None:
         """Note what a copy keeps; each restored store starts the times anew."""
-        era = copy.kept.era
-        is_new = era != self._era
-        self._era = era
-        settings = self._settings
-        if not copy.kept.missing:
-            self.missing_until_s = inf
-        elif is_new or self.missing_until_s == inf:
-            self.missing_until_s = self._limited_s(
-                now_s, settings.missing_kept_s, self._missing_limit_s
-            )
-        if not copy.kept.reverted:
-            self.reverted_until_s = inf
-        elif is_new or self.reverted_until_s == inf:
-            self.reverted_until_s = self._limited_s(
-                now_s, settings.reverted_kept_s, self._reverted_limit_s
-            )
-
-    def _limited_s(self, now_s: float, kept_s: float, limit_s: float) -> float:
-        until_s = now_s + kept_s
-        if self._era != self._limit_era:
-            return until_s
-        return min(until_s, max(now_s, limit_s))
+        kept = copy.kept
+        self._missing.note(now_s, kept.era, is_kept=bool(kept.missing))
+        self._reverted.note(now_s, kept.era, is_kept=bool(kept.reverted))
--- a/bergamotturn/process/mirror/kept_rows.py
+++ b/bergamotturn/process/mirror/kept_rows.py
@@ -70,9 +70,8 @@
     def take_states(self, states: Mapping[str, RowStates]) -> None:
         """Remember earlier states that a peer has told of."""
         for row_key, told in states.items():
-            known = self._states.get(row_key, ())
-            states_of_row = dict.fromkeys((*told, *known))
-            self._states[row_key] = deque(states_of_row, maxlen=_MAX_STATES)
+            distinct = dict.fromkeys((*told, *self.states_of(row_key)))
+            self._states[row_key] = deque(distinct, maxlen=_MAX_STATES)
 
     def keep_missing(self, known: Row, version: int) -> bool:
         """Keep a row that is absent as of ``version``, if it may be lost.
--- a/bergamotturn/process/mirror/mirror_task.py
+++ b/bergamotturn/process/mirror/mirror_task.py
@@ -12,14 +12,11 @@
 
 from ...connection.peer_link import PEERS
 from ...connection.peer_messages import (
-    EarlierRows,
-    EarlierRowsAsk,
     Envelope,
-    MemberState,
     StoreUnreachable,
-    TableAsk,
     TableContent,
     TableDelta,
+    TableMessage,
     TableVersion,
     multicast_message,
     send_message,
@@ -50,7 +47,7 @@
     WatchLog,
     log_era,
     log_outdated,
-    log_told_again,
+    log_asked_again,
     silent_s,
 )
 from .watch_settings import (
@@ -66,11 +63,6 @@
 MIRROR: Final = 'mirror'
 
 
-_TableMessage = (
-    EarlierRows | EarlierRowsAsk | TableAsk | TableContent | TableDelta
-)
-
-
 class read_table(Event):
     """Ask :data:`MIRROR` to read all rows of the table with ``prefix``."""
 
@@ -135,14 +127,10 @@
     @handler('members_changed', channel='*')
     def _on_members_changed(self, view: MemberView) -> None:
         self._view = view
-        peers = tuple(
-            member.instance
-            for member in view.members
-            if member.instance != self._choice.instance
-            and member.state < MemberState.dead
-        )
+        peers = self._choice.live_others(view.members)
         for watch in self._watches.values():
-            watch.peer_wait.peers = peers
+            watch.questions.peers = peers
+            # The first peers may be asked at once.
             self._carry_out(watch, watch.advance(monotonic()), 'store')
         self._choose_followers('members_changed')
         self._set_timer()
@@ -154,7 +142,7 @@
         for watch in self._watches.values():
             actions = [*watch.advance(now_s), *watch.ask_peer(now_s)]
             self._carry_out(watch, actions, 'store')
-            self._logs[watch.settings.prefix].log_kept()
+            self._logs[watch.settings.prefix].log_lost()
         self._set_timer()
 
     @handler('store_outcome', channel='*')
@@ -218,7 +206,7 @@
             if watch is not None:
                 actions = watch.on_peer_first_version(table.first_version)
                 if actions:
-                    log_told_again(watch, table.first_version, instance)
+                    log_asked_again(watch, table.first_version, instance)
                 self._carry_out(watch, actions, instance)
                 watch.on_peer_version(now_s, instance, table.version)
         self._set_timer()
@@ -230,25 +218,12 @@
             self._choice.note_cut_off(monotonic(), envelope.sender)
             self._choose_followers('store_unreachable')
             return
-        if not isinstance(message, _TableMessage):
+        if not isinstance(message, TableMessage):
             return
         watch = self._watches.get(message.prefix)
         if watch is None:
             return
-        if isinstance(message, TableAsk):
-            actions = watch.on_ask(envelope.sender, message)
-        elif isinstance(message, TableDelta):
-            actions = watch.on_delta(envelope.sender, message)
-        elif isinstance(message, EarlierRowsAsk):
-            actions = watch.on_earlier_rows_ask(
-                monotonic(), envelope.sender, message
-            )
-        elif isinstance(message, EarlierRows):
-            actions = watch.on_earlier_rows(
-                monotonic(), envelope.sender, message
-            )
-        else:
-            actions = watch.on_content(monotonic(), envelope.sender, message)
+        actions = watch.receive(monotonic(), envelope.sender, message)
         self._carry_out(watch, actions, envelope.sender)
         self._carry_out(watch, watch.advance(monotonic()), 'store')
         # A peer's copy may have ended the catch-up.
--- a/bergamotturn/process/mirror/newest_version.py
+++ b/bergamotturn/process/mirror/newest_version.py
@@ -1,8 +1,9 @@
-"""The newest version that the platform's store has named to this process.
+"""The versions that the platform's store has named to this process.
 
 The store has one version counter for all its tables. A read that was sent after
 an answer with some version, and is answered with a lower one, is therefore out
-of date, whatever the table.
+of date, whatever the table. Versions above the first one of an era were given
+out since the store was restored.
 """
 
 from typing import final
@@ -15,7 +16,7 @@
 
 @final
 class NewestVersion:
-    """The highest version among the store's answers.
+    """The highest version among the store's answers, and the first of its era.
 
     :ivar version: 0 before the first answer.
     :ivar first_version: what the first answer of a later era named, to this
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -32,8 +32,8 @@
     :param rows: rows that are new or have new content, in their last state;
         not those that a restored store names by another version only.
     :param removed_keys: keys of the rows that are removed in the end; none of
-        ``rows`` is among them. A removal that was kept and is made again after
-        a restore is one.
+        ``rows`` is among them. A row that the copy didn't have is one if only a
+        restored store had it again.
     :param version: version of the copy after the changes.
     :param is_snapshot: whether the answer was a snapshot of the table.
     :param answer: all rows of the answer. A row that was added and removed
@@ -195,8 +195,8 @@
     def rows_before(self, era: int) -> tuple[Row, ...]:
         """Return the rows whose version is of an era before ``era``.
 
-        The newest removed ones are among them if their earlier states are
-        remembered.
+        Of the removed ones, the newest are among them whose earlier states are
+        remembered; the store may have them again.
         """
         removed = (
             Row(key, version, b'', is_removed=True)
@@ -214,16 +214,17 @@
         rows: Iterable[Row],
         states: Mapping[str, RowStates],
     ) -> TableChange:
-        """Add the earlier rows of a peer's copy.
+        """Add what a peer's copy has from earlier eras.
 
         :param states: earlier states of these rows.
         """
-        is_empty = not self.rows
+        was_empty = not self.rows
         change = self.merge(self.version, rows)
         self.kept.take_states(states)
-        if not is_empty:
+        if not was_empty:
             return change
-        # Others that are told of the rows may have them.
+        # The copy didn't have the rows, but other instances that learn of the
+        # change may have them.
         removed = tuple(row.row_key for row in change.answer if row.is_removed)
         return replace(change, removed_keys=removed)
 
@@ -292,7 +293,7 @@
     def _remove(self, row_key: str, version: int) -> bool:
         """Remove a row unless it is newer, and return whether that is news.
 
-        It is if there was one, or if only a restored store had it again.
+        It is if the copy had the row, or if a restored store had it again.
         """
         known = self.rows.get(row_key)
         if known is not None and known.row_version > version:
@@ -300,10 +301,10 @@
         self._removed_versions[row_key] = max(
             version, self._removed_versions.get(row_key, 0)
         )
-        was_kept = row_key in self.kept.reverted
+        was_reverted = row_key in self.kept.reverted
         self.kept.note_changed(row_key)
         if known is None:
-            return was_kept
+            return was_reverted
         self.kept.remember(known)
         self.rows.pop(row_key)
         return True
--- a/bergamotturn/process/mirror/table_reader.py
+++ b/bergamotturn/process/mirror/table_reader.py
@@ -18,6 +18,7 @@
 from .catch_up import CatchUp
 from .followed_version import FollowedVersion
 from .newest_version import NewestVersion
+from .restored_changes import RestoredChanges
 from .table_copy import TableCopy
 from .watch_settings import (
     CancelStoreOperation,
@@ -56,10 +57,7 @@
     """
 
     def __init__(
-        self,
-        settings: WatchSettings,
-        random: Random,
-        newest: NewestVersion | None = None,
+        self, settings: WatchSettings, random: Random, newest: NewestVersion
     ) -> None:
         """Start with an empty copy.
 
@@ -74,7 +72,7 @@
         self.known_version = 0
         self.catch_up = CatchUp(settings, random)
         self.catch_up.request_check(float('-inf'), is_follower=True)
-        self._newest = newest or NewestVersion()
+        self._newest = newest
         self._pacing = CallPacing(settings, random)
         self._is_following = True
         self.pending_operation: WatchOperation | None = None
@@ -91,12 +89,7 @@
         #: Version of the restored store when it was first heard of. Changes up
         #: to it may be those of an earlier era.
         self._restored_version = 0
-        #: What the store named first in its newest era, until the changes since
-        #: then were told; 0 if they need not be. Reads don't tell rows that
-        #: were removed since then from lost ones.
-        self._untold_since = 0
-        #: Version since which they were told or are to be told.
-        self._told_since = 0
+        self._restored_changes = RestoredChanges()
         #: May be above the version of the copy, which then lacks changes.
         self._followed = FollowedVersion()
 
@@ -188,11 +181,13 @@
                 self._scan_due_s = retry_s + self.catch_up.failed_read_wait_s
             return []
         self._pacing.note_answer()
-        if isinstance(pending, RowFollow) and is_lost:
+        if isinstance(pending, RowScan):
+            return self._on_page(now_s, outcome)
+        # This answer tells them, or they can't be told any more.
+        self._restored_changes.end()
+        if is_lost:
             return self._on_history_lost(now_s, pending, outcome)
-        if isinstance(pending, RowFollow):
-            return self._on_changes(now_s, pending, outcome)
-        return self._on_page(now_s, outcome)
+        return self._on_changes(now_s, pending, outcome)
 
     def _on_checked(
         self, now_s: float, pending: RowCheck, outcome: StoreOutcome
@@ -223,14 +218,12 @@
         if not was_behind and waited_s > self.settings.batch_wait_s:
             # The store still had the history when the wait began.
             self.catch_up.delayed_until_s = inf
-        self._untold_since = 0
         required = pending.since_version + 1
         if era_of(outcome.table_version) > era_of(required):
             # A read that names less is older than the state that was restored.
             required = outcome.table_version
             self._restored_version = max(self._restored_version, required)
-            self._untold_since = self._newest.first_version
-            self._told_since = self._untold_since
+            self._restored_changes.begin(self._newest.first_version)
         self.catch_up.require(now_s, required, is_follower=self._is_following)
         if not was_behind:
             self._scan_due_s = float('-inf')
@@ -254,7 +247,6 @@
     ) -> list[WatchAction]:
         if not self.catch_up.is_behind:
             self.catch_up.delayed_until_s = inf
-        self._untold_since = 0
         is_long = pending.wait_s > self.settings.wait_s
         version = self._followed.note(pending, outcome, is_long=is_long)
         if pending.since_version > self.copy.version:
@@ -348,7 +340,7 @@
                 owner=self.settings.owner,
                 timeout_s=wait_s + FOLLOW_GRACE_S,
                 prefix=self.settings.prefix,
-                since_version=self._untold_since
+                since_version=self._restored_changes.untold_since
                 or max(
                     self.copy.version,
                     self._followed.version,
--- a/bergamotturn/process/mirror/table_watch.py
+++ b/bergamotturn/process/mirror/table_watch.py
@@ -14,8 +14,14 @@
 
 from msgspec.structs import replace
 
-from ...connection.peer_messages import TableAsk, TableContent, TableDelta
-from ...connection.store_version import era_of
+from ...connection.peer_messages import (
+    EarlierRows,
+    EarlierRowsAsk,
+    TableAsk,
+    TableContent,
+    TableDelta,
+    TableMessage,
+)
 from ..actions import SendTo
 from .newest_version import NewestVersion
 from .starting_reader import StartingReader
@@ -35,10 +41,7 @@
     """Keeps a copy of a table current, from the store and from peers."""
 
     def __init__(
-        self,
-        settings: WatchSettings,
-        random: Random,
-        newest: NewestVersion | None = None,
+        self, settings: WatchSettings, random: Random, newest: NewestVersion
     ) -> None:
         """Start with an empty copy."""
         super().__init__(settings, random, newest)
@@ -89,17 +92,13 @@
         return [*actions, *super().advance(now_s)]
 
     def on_peer_first_version(self, version: int) -> list[WatchAction]:
-        """Wait for the changes since an earlier version of the restored store.
+        """Ask for the changes since a peer's first answer of a restored store.
 
-        :param version: what the store named first to another instance.
+        :param version: what the store named in it, 0 for no restore.
         """
-        if era_of(version) != era_of(self._told_since):
-            return []
-        if not 0 < version < self._told_since:
+        if not self._restored_changes.extend(version):
             return []
         self._newest.note_first(version)
-        self._untold_since = version
-        self._told_since = version
         self._pacing.call_at_once()
         return self._cancel_wait()
 
@@ -138,6 +137,20 @@
         cancellations = self._cancel_wait()
         return [*cancellations, *self.advance(now_s)] if cancellations else []
 
+    def receive(
+        self, now_s: float, sender: str, message: TableMessage
+    ) -> list[WatchAction]:
+        """Handle a peer's question or what it tells of its copy."""
+        if isinstance(message, TableAsk):
+            return self.on_ask(sender, message)
+        if isinstance(message, TableDelta):
+            return self.on_delta(sender, message)
+        if isinstance(message, EarlierRowsAsk):
+            return self.on_earlier_rows_ask(now_s, sender, message)
+        if isinstance(message, EarlierRows):
+            return self.on_earlier_rows(now_s, sender, message)
+        return self.on_content(now_s, sender, message)
+
     def on_ask(self, sender: str, ask: TableAsk) -> list[WatchAction]:
         """Answer a peer whose copy is older."""
         if not self.is_complete or self.copy.changed_version <= ask.above:
@@ -187,8 +200,8 @@
         self, now_s: float, sender: str, content: TableContent
     ) -> list[WatchAction]:
         """Apply a peer's answer with the rows that this copy lacks."""
-        if self.peer_wait.is_pending:
-            # It would be taken for the whole table.
+        if self.questions.is_awaited:
+            # It has no earlier states, and the answer that waits has the rows.
             return []
         if sender == self._asked_peer:
             # The copy has then all that the peer has, also if that is in part.
--- a/bergamotturn/process/mirror/watch_log.py
+++ b/bergamotturn/process/mirror/watch_log.py
@@ -1,6 +1,5 @@
 """Log lines on the state of the store and of the copy of one table."""
 
-from time import monotonic
 from typing import Final, final
 
 from eliot import log_message
@@ -14,7 +13,7 @@
     'WatchLog',
     'log_era',
     'log_outdated',
-    'log_told_again',
+    'log_asked_again',
     'silent_s',
 )
 
@@ -29,8 +28,8 @@
     __slots__ = (
         '_behind_s',
         '_is_answering',
-        '_is_behind',
         '_is_awaiting',
+        '_is_behind',
         '_is_check',
         '_kept_counts',
         '_pending_s',
@@ -41,8 +40,8 @@
         """Start before the first call."""
         self._watch = watch
         self._is_answering: bool | None = None
-        self._is_behind = False
         self._is_awaiting = False
+        self._is_behind = False
         self._is_check = False
         self._kept_counts = (0, 0)
         self._pending_s = watch.started_s
@@ -79,7 +78,7 @@
         :param reason: the outcome, or the peer, that made the difference.
         :param named_version: version of the store that the outcome named.
         """
-        self.log_kept()
+        self.log_lost()
         watch = self._watch
         catch_up = watch.catch_up
         if catch_up.is_behind != self._is_behind:
@@ -95,11 +94,8 @@
                 behind_s=self._behind_s,
             )
 
-    def log_kept(self) -> None:
-        """Log when the number of rows changes that the store has lost.
-
-        A copy that starts takes them from a peer.
-        """
+    def log_lost(self) -> None:
+        """Log changes in what is known of rows that the store has lost."""
         self._log_wait()
         kept = self._watch.copy.kept
         counts = len(kept.missing), len(kept.reverted)
@@ -116,23 +112,24 @@
             )
 
     def _log_wait(self) -> None:
-        """Log the wait for what a peer knows of earlier eras."""
-        wait = self._watch.peer_wait
-        if wait.is_pending == self._is_awaiting:
+        """Log when an answer of the store waits for a peer, and its end."""
+        questions = self._watch.questions
+        if questions.is_awaited == self._is_awaiting:
             return
-        self._is_awaiting = wait.is_pending
-        if wait.is_pending:
+        self._is_awaiting = questions.is_awaited
+        prefix = self._watch.settings.prefix
+        if questions.is_awaited:
+            peer_count = len(questions.peers)
             log_message(
-                'earlier_rows_awaited',
-                table=self._watch.settings.prefix,
-                peer_count=len(wait.peers),
+                'earlier_rows_awaited', table=prefix, peer_count=peer_count
             )
             return
+        told_by = questions.answered_by
         log_message(
-            'earlier_rows_told' if wait.told_by else 'earlier_rows_untold',
-            table=self._watch.settings.prefix,
-            told_by=wait.told_by,
-            after_s=round(monotonic() - wait.began_s, _SECONDS_DIGITS),
+            'earlier_rows_told' if told_by else 'earlier_rows_missed',
+            table=prefix,
+            told_by=told_by,
+            after_s=round(questions.waited_s, _SECONDS_DIGITS),
         )
 
     def _log_store(self, now_s: float, outcome: StoreOutcome) -> None:
@@ -189,7 +186,7 @@
     )
 
 
-def log_told_again(watch: TableWatch, version: int, told_by: str) -> None:
+def log_asked_again(watch: TableWatch, version: int, told_by: str) -> None:
     """Log that changes are asked for since what a peer heard first."""
     log_message(
         'changes_asked_again',
--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -109,5 +109,5 @@
     evacuates the data centre again for all.
     Given nine instances behind a store
     And 60 lookups a second are sent through all instances for 14 seconds
-    When a data centre is evacuated and taken back, two instances start, and the store loses the end
+    When a data centre is evacuated and taken back, two instances are restarted, and the store loses the end
     Then its endpoints get lookups again from 2 seconds after that
--- a/features/steps/engine_crash_steps.py
+++ b/features/steps/engine_crash_steps.py
@@ -2,18 +2,13 @@
 
 import asyncio
 from contextlib import closing, suppress
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from time import monotonic, sleep
 
 from behave import given, then, when
 
-from bergamotturn.connection.exchange import Address
-from features.support.http_call import call, is_listening
-from features.support.processes import ProcessGroup, free_ports
+from features.support.http_call import call
+from features.support.standin_process import start_standins
 
-_HOST = '127.0.0.1'
-_STARTED_S = 20
 _CRASHED_S = 60
 _REQUEST_INTERVAL_S = 0.0005
 _ROUND_REQUESTS = 400
@@ -29,19 +24,7 @@
     '{delay_s:g} seconds'
 )
 def crashing_endpoint(context, delay_s):
-    folder = TemporaryDirectory(prefix='bergamotturn-')
-    context.add_cleanup(folder.cleanup)
-    processes = ProcessGroup(Path(folder.name))
-    context.add_cleanup(processes.kill_all)
-    ports = free_ports(2)
-    context.endpoint = Address(_HOST, ports[1])
-    processes.start(
-        'standins', 'features.standins.users_platform', *map(str, ports)
-    )
-    end_s = monotonic() + _STARTED_S
-    while not is_listening(context.endpoint):
-        assert monotonic() < end_s, processes.log_tail('standins')
-        sleep(0.05)
+    context.endpoint = start_standins(context, endpoints=1)[-1]
     fault = {'fault': 'deadly', 'parts': [_PART], 'delay_s': delay_s}
     call(context.endpoint, 'POST', '/_faults', fault)
 
@@ -62,9 +45,7 @@
 def _crash_count(endpoint, end_s):
     """Return how often the endpoint has crashed, once it is up again."""
     while True:
-        assert monotonic() < end_s, (
-            'the endpoint is down, or crashes too little'
-        )
+        assert monotonic() < end_s, 'too few crashes in time'
         with suppress(OSError):
             return len(call(endpoint, 'GET', '/_facts').json()['crashes'])
         sleep(_POLL_S)
@@ -84,7 +65,7 @@
     answer = bytearray()
     head = (
         'POST /draft/x HTTP/1.1',
-        f'Host: {_HOST}',
+        'Host: h.example',
         f'Request-Id: request-{number}',
         'Request-Deadline: 5000',
         'Token-Count: 1000,100',
--- a/features/steps/quarantine_store_steps.py
+++ b/features/steps/quarantine_store_steps.py
@@ -1,8 +1,6 @@
 """Steps for the quarantined prompt parts in the platform's store."""
 
 from math import inf
-from pathlib import Path
-from tempfile import TemporaryDirectory
 from threading import RLock
 from time import monotonic, sleep
 from unittest.mock import patch
@@ -10,7 +8,6 @@
 from behave import given, then, when
 from circuits import Component, handler
 
-from bergamotturn.connection.exchange import Address
 from bergamotturn.connection.http_client import HttpClient
 from bergamotturn.connection.poller import SocketPoller
 from bergamotturn.connection.stores import Stores
@@ -33,14 +30,14 @@
 )
 from bergamotturn.process.timers import Timers
 from features.support.component_loop import turn
-from features.support.http_call import call, is_listening
-from features.support.processes import ProcessGroup, free_ports
+from features.support.http_call import call
 from features.support.quarantine_fleet import (
     QuarantineHistory,
     QuarantineInstance,
     SharedStore,
     watched_quarantine,
 )
+from features.support.standin_process import start_standins
 
 _TURN_S = 0.02
 
@@ -349,16 +346,7 @@
 
 @given("two instances at the stand-in of the platform's store")
 def start_stand_in(context):
-    folder = TemporaryDirectory(prefix='bergamotturn-')
-    context.add_cleanup(folder.cleanup)
-    processes = ProcessGroup(Path(folder.name))
-    context.add_cleanup(processes.kill_all)
-    (port,) = free_ports(1)
-    processes.start('store', 'features.standins.users_platform', str(port))
-    context.address = Address('127.0.0.1', port)
-    end_s = monotonic() + 20
-    while not is_listening(context.address):
-        assert monotonic() < end_s, processes.log_tail('store')
+    (context.address,) = start_standins(context)
     context.networked = [_NetworkedInstance(context.address) for _ in range(2)]
     _turn_networked(context, 0.5)
 
--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -114,8 +114,7 @@
     sleep(_SILENT_S)
     context.restarted = list(context.fleet.instances)[:2]
     for name in context.restarted:
-        context.fleet.kill(name)
-        context.fleet.start_instance(name)
+        context.fleet.restart(name)
 
 
 @when(
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -123,8 +123,8 @@
 
 
 @when(
-    'a data centre is evacuated and taken back, two instances start, and the '
-    'store loses the end'
+    'a data centre is evacuated and taken back, two instances are restarted, '
+    'and the store loses the end'
 )
 def lose_return_after_starts(context):
     fleet = context.fleet
@@ -134,8 +134,7 @@
     context.acknowledged_s = monotonic()
     context.restarted = list(fleet.instances)[:2]
     for name in context.restarted:
-        fleet.kill(name)
-        fleet.start_instance(name)
+        fleet.restart(name)
     sleep(_STARTED_S)
     context.lost = fleet.restore_store(
         away_s=_AWAY_S, age_s=_STARTED_S + _COPY_AGE_S / 2
--- a/features/steps/restored_tables_steps.py
+++ b/features/steps/restored_tables_steps.py
@@ -2,12 +2,7 @@
 
 from behave import given, then, when
 
-from bergamotturn.connection.peer_messages import (
-    EarlierRows,
-    EarlierRowsAsk,
-    TableAsk,
-    TableContent,
-)
+from bergamotturn.connection.peer_messages import TableAsk, TableContent
 from bergamotturn.connection.store_events import RowScan, StoreStatus
 from bergamotturn.connection.store_version import (
     era_of,
@@ -15,15 +10,14 @@
     store_version,
 )
 from features.support.restored_course import (
+    CHANGES,
     IN_FORCE_S,
+    SETTLE_S,
     RestoredCourse,
     settings_of,
 )
 from features.support.restored_history import RestoredHistory
-from features.support.watched_table import WatchHarness
 
-#: Time in which a copy finds out that the store was restored, and reads it.
-_SETTLE_S = 1.0
 _MARGIN_S = 0.2
 _STEP_S = 0.02
 
@@ -57,18 +51,11 @@
 @when('the store loses a {change}')
 def lose_change(context, change):
     course = context.course
-    version = _put_known(context, *_CHANGES[change])
+    version = _put_known(context, *CHANGES[change])
     assert course.is_current()
     context.restored_s = course.harness.now_s
     course.restore(version)
-    course.run(_SETTLE_S)
-
-
-_CHANGES = {
-    'row': ('t/9', b'new'),
-    'content': ('t/1', b'new'),
-    'removal': ('t/1', b''),
-}
+    course.run(SETTLE_S)
 
 
 @then('the copy keeps it for {kept_s:d} seconds')
@@ -90,7 +77,7 @@
 @when('the store is restored once more {after_s:d} seconds later')
 def restore_again(context, after_s):
     course = context.course
-    course.run(after_s - _SETTLE_S)
+    course.run(after_s - SETTLE_S)
     context.restored_s = course.harness.now_s
     course.restore(course.store.version)
 
@@ -110,7 +97,7 @@
 )
 def removed_at_once(context):
     course = context.course
-    context.key, context.value = _CHANGES['removal']
+    context.key, context.value = CHANGES['removal']
     course.restore(course.store.version)
     while not course.harness.watch.catch_up.is_behind:
         course.run(_STEP_S)
@@ -120,7 +107,7 @@
 @when('the store is restored, and a row is removed before its first answer')
 def removed_before(context):
     course = context.course
-    context.key, context.value = _CHANGES['removal']
+    context.key, context.value = CHANGES['removal']
     course.restore(course.store.version)
     course.store.put(context.key, context.value)
 
@@ -128,7 +115,7 @@
 @when('a peer tells what the store named before the removal')
 def peer_heard_first(context):
     course = context.course
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     assert context.key in course.harness.values()
     _tell_first(
         course, store_version(course.store.era, course.store.version - 1)
@@ -218,12 +205,12 @@
     course = context.course
     version = course.store.version
     course.store.put('t/1', b'new')
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     course.store.put('t/2', b'lost')
     (operation,) = course.harness.operations
     late = course.store.answer(operation)
     course.restore(version)
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     course.store.put('t/1', b'newer')
     course.run(IN_FORCE_S)
     context.before = dict(course.harness.watch.copy.rows)
@@ -250,7 +237,7 @@
     version = course.store.version
     course.store.put('t/1', b'new')
     course.store.put('t/9', b'new')
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     late = TableContent(
         prefix='t/',
         version=copy.version,
@@ -262,7 +249,7 @@
     assert course.is_current(), course.harness.values()
     harness = course.harness
     harness.carry_out(harness.watch.on_content(harness.now_s, 'b', late))
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
 
 
 @when('it hears of the new era from a peer while the store is away')
@@ -299,7 +286,7 @@
 def ask_keeper(context):
     course = context.course
     course.restore(_put_known(context, 't/1', b''))
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     assert 't/1' not in course.harness.values()
     started = RestoredCourse(context.settings, store=course.store)
     course.store.put('t/0', b'news')
@@ -319,7 +306,7 @@
 def released_behind(context, behind_s):
     course = context.course
     course.restore(_put_known(context, 't/1', b'new'))
-    course.run(_SETTLE_S)
+    course.run(SETTLE_S)
     course.store.read_version = course.store.version
     course.store.put('t/2', b'newer')
     course.run(context.settings.reverted_kept_s + behind_s)
@@ -350,45 +337,6 @@
     assert context.course.harness.watch.catch_up.is_behind
 
 
-@when(
-    'an instance starts {after_s:g} seconds later and asks the one with the '
-    'copy'
-)
-def starts_later(context, after_s):
-    course = context.course
-    course.run(after_s - _SETTLE_S)
-    assert _value(context) == context.value
-    _start(context)
-    _ask_keeper(context)
-
-
-@when(
-    'an instance starts after the loss of a {change}, before the one with the '
-    'copy hears of it'
-)
-def starts_first(context, change):
-    course = context.course
-    version = _put_known(context, *_CHANGES[change])
-    course.store.restore(version)
-    assert not course.kept
-    _start(context)
-    _ask_keeper(context)
-
-
-@when(
-    'another content replaces a lost one, and only an instance that starts has '
-    'read it'
-)
-def starts_with_news(context):
-    course = context.course
-    course.restore(_put_known(context, 't/1', b'new'))
-    course.run(_SETTLE_S)
-    course.store.put('t/1', b'other')
-    context.value = b'other'
-    _start(context)
-    _ask_keeper(context)
-
-
 @then('it has told the others of the removal')
 def removal_told(context):
     harness = context.course.harness
@@ -402,231 +350,10 @@
     assert era_of(told[-1]) == era, told
 
 
-@when(
-    'an instance starts {after_s:g} seconds later and reads the table '
-    '{slow_s:g} seconds after it has asked'
-)
-def starts_slowly(context, after_s, slow_s):
-    starts_later(context, after_s)
-    context.course.run(slow_s)
-    context.started.pass_time(slow_s)
-
-
-@then('it has the other content and keeps nothing')
-def has_other(context):
-    harness = context.started
-    for _ in range(3):
-        _pass_started(context)
-    assert harness.values()['t/1'] == context.value
-    assert not harness.watch.copy.kept
-
-
-@when("{what}, and an instance starts whose peers don't answer")
-def starts_alone(context, what):
-    course = context.course
-    if what == 'the store is restored':
-        course.restore(course.store.version)
-        course.run(IN_FORCE_S)
-    _start(context)
-
-
-@then('it has the rows of the store after {after_s:g} seconds')
-def has_rows(context, after_s):
-    harness = context.started
-    expected = {
-        key: row.value for key, row in context.course.store.rows.items()
-    }
-    while harness.now_s < after_s - _MARGIN_S:
-        assert not harness.values()
-        _pass_started(context)
-    while harness.now_s < after_s + _MARGIN_S:
-        _pass_started(context)
-    assert harness.values() == expected, harness.values()
-    assert harness.watch.is_complete
-
-
-@then('it has what the other one keeps, and had nothing else before')
-def has_kept(context):
-    harness = context.started
-    for change in harness.changes:
-        for row in change.rows:
-            assert row.row_key != context.key or row.value == context.value
-    for _ in range(3):
-        _pass_started(context)
-    assert harness.watch.is_complete
-    assert harness.values().get(context.key, b'') == context.value
-    expected = {
-        key: row.value for key, row in context.course.store.rows.items()
-    }
-    expected[context.key] = context.value
-    assert {**harness.values(), context.key: context.value} == expected
-
-
-@then(
-    'both have given it up at most {late_s:d} seconds after {kept_s:d} seconds '
-    'since the restore'
-)
-def both_released_in_time(context, late_s, kept_s):
-    course, harness = context.course, context.started
-    until_s = context.restored_s + kept_s + late_s
-    while course.harness.now_s < until_s:
-        course.run(_STEP_S)
-        _pass_started(context)
-    for copy in (course.harness.watch.copy, harness.watch.copy):
-        values = {key: row.value for key, row in copy.rows.items()}
-        assert values == course.harness.values(), values
-        kept = copy.kept
-        assert not kept, (kept.missing, kept.reverted, kept.is_unread)
-    assert course.is_current(), course.harness.values()
-
-
-@when('an instance starts after a {change}, and then the store loses that')
-def starts_between(context, change):
-    course = context.course
-    version = _put_known(context, *_CHANGES[change])
-    context.started = _started(context)
-    _run_both(context, 2)
-    assert context.started.watch.is_complete
-    course.restore(version)
-    while context.started.operations:
-        context.started.answer(course.store, StoreStatus.unknown)
-
-
-@when(
-    'an instance starts after the loss of a {change} and has the copy of the '
-    'other one first'
-)
-def starts_with_copy(context, change):
-    lose_change(context, change)
-    context.started = _started(context)
-    harness = context.started
-    version = context.course.harness.watch.copy.changed_version
-    harness.pass_time(0)
-    harness.watch.on_peer_version(harness.now_s, 'b', version)
-    for _ in range(2):
-        harness.pass_time(_MARGIN_S)
-        _ask_each_other(context)
-    assert harness.values()
-
-
-@then(
-    'it has what the other one keeps at the end, and never had the restored '
-    'state'
-)
-def has_kept_at_end(context):
-    harness = context.started
-    before = len(harness.changes)
-    _run_both(context, 2)
-    assert harness.values() == context.course.harness.values()
-    assert harness.values().get(context.key, b'') == context.value
-    for change in harness.changes[before:]:
-        for row in change.rows:
-            assert row.row_key != context.key or row.value == context.value
-
-
-@then('it answers no other one that starts after {after_s:d} seconds')
-def answers_none(context, after_s):
-    harness = context.started
-    while harness.now_s < after_s:
-        _pass_started(context)
-    assert harness.watch.is_complete
-    era = context.course.store.era
-    ask = EarlierRowsAsk(prefix='t/', era=era)
-    assert not harness.watch.on_earlier_rows_ask(harness.now_s, 'c', ask)
-
-
-def _started(context):
-    harness = WatchHarness(settings=context.settings)
-    harness.watch.peer_wait.peers = ('b', 'c', 'd')
-    return harness
-
-
-def _run_both(context, for_s):
-    """Let the time of both pass, and the started one be told by the other."""
-    for _ in range(round(for_s / _STEP_S)):
-        _pass_started(context)
-        context.course.run(_STEP_S)
-        _ask_each_other(context)
-
-
-def _ask_each_other(context):
-    """Let the one with the copy answer the started one."""
-    harness, keeper = context.started, context.course.harness
-    for sent in harness.messages:
-        if isinstance(sent.message, TableAsk):
-            answers = keeper.watch.on_ask('a', sent.message)
-        else:
-            answers = keeper.watch.on_earlier_rows_ask(
-                keeper.now_s, 'a', sent.message
-            )
-        for answer in answers:
-            _use_answer(harness, answer.message)
-    harness.messages.clear()
-
-
-def _use_answer(harness, message):
-    watch = harness.watch
-    if isinstance(message, TableContent):
-        harness.carry_out(watch.on_content(harness.now_s, 'b', message))
-    else:
-        harness.carry_out(watch.on_earlier_rows(harness.now_s, 'b', message))
-
-
-@when('the store answers nothing more for {for_s:d} seconds')
-def answers_nothing(context, for_s):
-    harness = context.started
-    context.overdue = []
-    for _ in range(round(for_s / _STEP_S)):
-        harness.pass_time(_STEP_S)
-        if harness.watch.due_s <= harness.now_s:
-            context.overdue.append(harness.now_s)
-
-
-@then('nothing was due without being done')
-def nothing_overdue(context):
-    assert not context.overdue, context.overdue
-
-
-def _start(context):
-    """Start an instance, up to its first answer of the store."""
-    context.started = _started(context)
-    harness = context.started
-    harness.pass_time(0)
-    harness.answer(context.course.store)
-
-
-def _ask_keeper(context):
-    """Let the instance ask the one with the copy, and use its answer."""
-    harness, keeper = context.started, context.course.harness
-    assert not harness.values()
-    ask, *others = [
-        sent.message
-        for sent in harness.messages
-        if isinstance(sent.message, EarlierRowsAsk)
-    ]
-    assert others == [ask, ask]
-    (answer,) = keeper.watch.on_earlier_rows_ask(keeper.now_s, 'a', ask)
-    assert isinstance(answer.message, EarlierRows)
-    now_s = harness.now_s
-    harness.carry_out(harness.watch.on_earlier_rows(now_s, 'b', answer.message))
-
-
-def _pass_started(context):
-    """Let the time of the started instance pass, as in its course."""
-    harness = context.started
-    if harness.operations and not harness.watch.peer_wait.is_pending:
-        context.course.answer_due(harness)
-    harness.pass_time(_STEP_S)
-
-
 def _put_known(context, key, value):
     """Write a row that the copy gets to know, and return the version before."""
-    course = context.course
-    version = course.store.version
-    course.store.put(key, value)
-    course.run(_SETTLE_S)
     context.key, context.value = key, value
-    return version
+    return context.course.put_known(key, value)
 
 
 def _value(context):
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -219,6 +219,11 @@
             f'{name} uses its new settings',
         )
 
+    def restart(self, name: str) -> None:
+        """Kill an instance and start it, without waiting until it is ready."""
+        self.kill(name)
+        self.start_instance(name)
+
     def wait_ready(self, name: str, timeout_s: float = _READY_S) -> None:
         """Wait until an instance reports that it is ready."""
         self.wait_until(lambda: self.is_ready(name), f'{name} ready', timeout_s)
--- a/features/support/restored_course.py
+++ b/features/support/restored_course.py
@@ -7,11 +7,26 @@
 from bergamotturn.platform.daemon import watched_tables
 from features.support.watched_table import FakeTable, WatchHarness
 
-__all__ = ('IN_FORCE_S', 'RestoredCourse', 'settings_of')
+__all__ = (
+    'CHANGES',
+    'IN_FORCE_S',
+    'SETTLE_S',
+    'STEP_S',
+    'RestoredCourse',
+    'settings_of',
+)
 
 #: Time in which changes are in force.
 IN_FORCE_S = 2
-_STEP_S = 0.02
+#: Time in which a copy finds out that the store was restored, and reads it.
+SETTLE_S = 1.0
+STEP_S = 0.02
+#: A key and its new content, by what the store loses.
+CHANGES = {
+    'row': ('t/9', b'new'),
+    'content': ('t/1', b'new'),
+    'removal': ('t/1', b''),
+}
 _ROWS = 3
 
 
@@ -46,10 +61,17 @@
 
     def run(self, for_s):
         """Let time pass; calls are answered one step after their begin."""
-        for _ in range(round(for_s / _STEP_S)):
+        for _ in range(round(for_s / STEP_S)):
             if self.harness.operations and not self.is_away:
                 self.answer_due(self.harness)
-            self.harness.pass_time(_STEP_S)
+            self.harness.pass_time(STEP_S)
+
+    def put_known(self, key, value):
+        """Write a row that the copy gets to know; return the version before."""
+        version = self.store.version
+        self.store.put(key, value)
+        self.run(SETTLE_S)
+        return version
 
     def restore(self, version):
         """Let the store come back from a copy, which resets pending calls."""
--- a/features/support/restored_history.py
+++ b/features/support/restored_history.py
@@ -4,7 +4,6 @@
 from dataclasses import replace
 from random import Random
 
-from bergamotturn.connection.peer_messages import TableAsk
 from bergamotturn.connection.store_events import RowFollow, StoreStatus
 from bergamotturn.connection.store_version import era_of
 from features.support.watched_table import (
@@ -288,9 +287,6 @@
     def _receive(self, copy):
         harness = copy.harness
         for message in copy.letters:
-            if isinstance(message, TableAsk):
-                actions = harness.watch.on_ask('a', message)
-            else:
-                actions = harness.watch.on_content(harness.now_s, 'b', message)
+            actions = harness.watch.receive(harness.now_s, 'b', message)
             harness.carry_out(actions)
         copy.letters.clear()
--- a/features/support/watch_fleet.py
+++ b/features/support/watch_fleet.py
@@ -18,9 +18,6 @@
     MemberState,
     MemberUpdate,
     StoreUnreachable,
-    TableAsk,
-    TableContent,
-    TableDelta,
 )
 from bergamotturn.connection.store_events import (
     Row,
@@ -332,12 +329,9 @@
         if isinstance(message, StoreUnreachable):
             node.choice.note_cut_off(self.now_s, sender)
             self._choose_for(node)
-        elif isinstance(message, TableAsk):
-            self._carry_out(node, watch.on_ask(sender, message))
-        elif isinstance(message, TableDelta):
-            self._carry_out(node, watch.on_delta(sender, message))
-        elif isinstance(message, TableContent):
-            self._carry_out(node, watch.on_content(self.now_s, sender, message))
+        else:
+            actions = watch.receive(self.now_s, sender, message)
+            self._carry_out(node, actions)
 
     def _carry_out(self, node, actions):
         for action in actions:
