--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -278,3 +278,89 @@
       | end                         |
       | is cancelled                |
       | reaches its total timeout   |
+
+  @known_red
+  Scenario Outline: An answer without a length that ends while its request is still being sent
+    Guards against a caller that takes a part of an answer for the whole: the peer has not got all of the request, so
+    that the end of its connection, by a reset or not, is not the end of an answer.
+    Given an endpoint that answers a part of an upload without a length and <ending>
+    When a "POST" of <size> bytes is sent to the peer over the daemon's poller
+    Then the exchange fails as "endpoint_lost" with bytes sent
+
+    Examples:
+      | ending                              | size     |
+      | resets the connection               | 16000000 |
+      | resets the connection               | 60000    |
+      | resets it when the part has arrived | 16000000 |
+      | resets it when the part has arrived | 60000    |
+      | closes it with bytes unread         | 16000000 |
+      | closes it with bytes unread         | 60000    |
+      | ends its side and reads no more     | 16000000 |
+      | ends its side and reads no more     | 60000    |
+      | ends its side and reads on          | 16000000 |
+
+  @known_red
+  Scenario Outline: An answer without a length that ends once its request has arrived
+    Guards against a whole answer that counts as lost, and against a reset that counts as its end.
+    Given an endpoint that answers a whole upload without a length and <ending>
+    When a "POST" of <size> bytes is sent to the peer over the daemon's poller
+    Then the outcome of the exchange is "<outcome>"
+
+    Examples:
+      | ending                                       | size     | outcome       |
+      | closes it                                    | 16000000 | complete      |
+      | closes it                                    | 60000    | complete      |
+      | closes it                                    | 0        | complete      |
+      | resets it when the part has arrived          | 60000    | endpoint_lost |
+      | resets it while the client stands still      | 60000    | endpoint_lost |
+      | ends its side and resets it at a standstill  | 60000    | endpoint_lost |
+
+  @known_red
+  Scenario Outline: A refusal with a length that comes while the request is still being sent
+    Guards against a refusal that is lost with the rest of the upload, so that its caller is told that the request may
+    have run.
+    Given an endpoint that refuses a part of an upload and <ending>
+    When a "POST" of <size> bytes is sent to the peer over the daemon's poller
+    Then the peer's answer is "full"
+
+    Examples:
+      | ending                      | size     |
+      | resets the connection       | 16000000 |
+      | closes it with bytes unread | 16000000 |
+      | closes it with bytes unread | 60000    |
+
+  @known_red
+  Scenario Outline: An answer with a status that does not exist
+    Guards against a caller that gets a status which no answer can have, and against an interim answer that is taken for
+    the final one.
+    Given a peer with the answer "HTTP/1.1 <status line>\r\n<framing>\r\nwhole" before it closes
+    When a "GET" is sent to the peer
+    Then the exchange fails as "endpoint_failed" with bytes sent
+    And no head of an answer was reported
+
+    Examples:
+      | status line | framing                |
+      | 000 OK      | Content-Length: 5\r\n  |
+      | 000 OK      |                        |
+      | 000         | Content-Length: 5\r\n  |
+      | 099 OK      | Content-Length: 5\r\n  |
+      | 100 OK      | Content-Length: 5\r\n  |
+      | 102 OK      |                        |
+      | 199 OK      | Content-Length: 5\r\n  |
+      | 101 OK      |                        |
+      | 600 OK      | Content-Length: 5\r\n  |
+      | 700 OK      |                        |
+      | 999 OK      | Content-Length: 5\r\n  |
+      | 20 OK       | Content-Length: 5\r\n  |
+      | 2000 OK     | Content-Length: 5\r\n  |
+      | 20x OK      | Content-Length: 5\r\n  |
+      | -20 OK      | Content-Length: 5\r\n  |
+      | OK          | Content-Length: 5\r\n  |
+
+  @known_red
+  Scenario: An earlier answer without a length in place of the next one
+    Guards against a request that gets no report of its end, since the end of the connection completes an answer to an
+    earlier request.
+    Given an endpoint that answers the second request with the id of the first, without a length
+    When the requests "first" and "second" are sent to this peer one after the other
+    Then the status 200 is reported for the first and the second is lost
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -25,6 +25,7 @@
     start_exchange,
 )
 from bergamotturn.connection.http_client import HttpClient
+from bergamotturn.connection.poller import SocketPoller
 from bergamotturn.errors import ErrorKind
 from bergamotturn.process.timers import Timers
 from features.support.processes import ROOT
@@ -38,6 +39,7 @@
 #: Time in which bytes arrive, and after a standstill that in which the peer
 #: reads nothing.
 _REST_AFTER_S = 0.1
+_SMALL_BUFFER_BYTES = 4096
 
 
 class _ReportRecorder(Component):
@@ -187,9 +189,11 @@
     context.address = Address(*context.peer.listener.getsockname())
 
 
-def _start_client(context, **options):
+def _start_client(context, poller=None, **options):
     timers = Timers()
     context.owner = _ReportRecorder()
+    if poller is not None:
+        poller.register(timers)
     context.app = timers + HttpClient(timers, **options) + context.owner
     context.exchanges = []
     context.app.start()
@@ -248,9 +252,7 @@
 def _reset_mid_answer(peer, sock, number):
     peer.read_request(sock)
     sock.sendall(_answer('half', 8))
-    peer.data_seen.wait(_HANG_S)
-    linger = struct.pack('ii', 1, 0)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    _reset_when_arrived(peer, sock)
 
 
 def _answer_once(answer, peer, sock, number):
@@ -717,6 +719,11 @@
     first, second = context.reports
     assert _status(first) == status, first
     assert len({number for number, _ in context.peer.requests}) == 1
+    if outcome == 'is lost':
+        last, rest = second[-1]
+        assert last == 'exchange_failed', second
+        assert rest[0].kind is ErrorKind.endpoint_lost, rest
+        return
     if outcome == 'gets the status 200':
         assert _status(second) == 200, second
         assert _content(second) == b'whole', second
@@ -822,3 +829,131 @@
     context.app.fire(resume, 'http_client')
     reports = _wait_for_outcome(context, _send(context, method))
     assert _content(reports) == b'kept', reports
+
+
+def _reset(sock):
+    linger = struct.pack('ii', 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
+
+
+def _close(peer, sock):
+    """Leave it to the kernel, which resets if it holds unread bytes."""
+
+
+def _reset_at_once(peer, sock):
+    _reset(sock)
+
+
+def _reset_when_arrived(peer, sock):
+    assert peer.data_seen.wait(_HANG_S)
+    _reset(sock)
+
+
+def _half_close(peer, sock):
+    sock.shutdown(socket.SHUT_WR)
+    time.sleep(_REST_AFTER_S)
+
+
+def _half_close_and_read(peer, sock):
+    sock.shutdown(socket.SHUT_WR)
+    while sock.recv(65536):
+        """The rest of the upload is read."""
+
+
+def _half_close_and_reset(peer, sock):
+    sock.shutdown(socket.SHUT_WR)
+    _reset(sock)
+
+
+_ENDINGS = {
+    'closes it': _close,
+    'closes it with bytes unread': _close,
+    'resets the connection': _reset_at_once,
+    'resets it when the part has arrived': _reset_when_arrived,
+    'ends its side and reads no more': _half_close,
+    'ends its side and reads on': _half_close_and_read,
+    'resets it while the client stands still': _reset_at_once,
+    'ends its side and resets it at a standstill': _half_close_and_reset,
+}
+_UNFRAMED_PART = b'HTTP/1.1 200 OK\r\n\r\npart'
+_REFUSAL = b'HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull'
+
+
+def _answer_upload(answer, end, is_read, peer, sock, number):
+    if is_read:
+        peer.read_request(sock, number)
+    else:
+        sock.recv(1)
+    if peer.stands_still.is_set():
+        assert peer.data_seen.wait(_HANG_S)
+    sock.sendall(answer)
+    end(peer, sock)
+    peer.has_answered.set()
+
+
+@given(
+    'an endpoint that answers a {amount} upload without a length and {ending}'
+)
+def answering_endpoint(context, amount, ending):
+    _start_upload_peer(context, _UNFRAMED_PART, amount, ending)
+
+
+@given('an endpoint that refuses a {amount} upload and {ending}')
+def refusing_endpoint(context, amount, ending):
+    _start_upload_peer(context, _REFUSAL, amount, ending)
+
+
+def _start_upload_peer(context, answer, amount, ending):
+    is_read = amount == 'whole'
+    script = partial(_answer_upload, answer, _ENDINGS[ending], is_read)
+    _start_peer(context, script)
+    # The rest of the upload does not fit into the peer's kernel.
+    context.peer.listener.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER_BYTES
+    )
+    if 'stand' in ending:
+        context.peer.stands_still.set()
+
+
+@when(
+    'a "{method}" of {size:d} bytes is sent to the peer over the daemon\'s '
+    'poller'
+)
+def send_over_daemon_poller(context, method, size):
+    _start_client(context, poller=SocketPoller())
+    if context.peer.stands_still.is_set():
+        _Standstill(context.peer, _REST_AFTER_S).register(context.app)
+    exchange = _send(context, method, body=bytes(size))
+    context.reports = _wait_for_outcome(context, exchange)
+
+
+@then('the outcome of the exchange is "{outcome}"')
+def outcome_is(context, outcome):
+    if outcome == 'complete':
+        answer_is(context, 'part')
+        return
+    fails(context, outcome, 'bytes')
+
+
+@then('no head of an answer was reported')
+def no_head(context):
+    names = [name for name, _ in context.reports]
+    assert 'exchange_head' not in names, names
+
+
+def _answer_with_first_id(peer, sock, number):
+    """Answer the second request with the id of the first."""
+    answer = b'HTTP/1.1 200 OK\r\nRequest-Id: first\r\n'
+    peer.read_request(sock, number)
+    sock.sendall(b''.join((answer, b'Content-Length: 5\r\n\r\nfirst')))
+    peer.read_request(sock, number)
+    sock.sendall(b''.join((answer, b'\r\nfirst')))
+
+
+@given(
+    'an endpoint that answers the second request with the id of the first, '
+    'without a length'
+)
+def answering_with_first_id(context):
+    _start_peer(context, _answer_with_first_id)
