--- a/features/bad_input.feature
+++ b/features/bad_input.feature
@@ -146,6 +146,20 @@
     When a streamed call to "cut" is sent
     Then its answer ends with an error event and no end marker
 
+  @known_red
+  Scenario Outline: An answer of a plain service that is cut
+    Guards against a truncated answer that looks complete because it is taken for a stream of chat events, whose end
+    marker its caller knows.
+    When a call to the service "fees" whose answer of type "<type>" is cut is sent over HTTP/1.<minor>
+    Then its answer ends with its first part and <end>
+
+    Examples:
+      | type              | minor | end                |
+      | text/event-stream | 1     | without its end    |
+      | text/event-stream | 0     | a reset connection |
+      | text/plain        | 1     | without its end    |
+      | text/plain        | 0     | a reset connection |
+
   Scenario: A caller that leaves
     Guards against work that continues for a caller that has disconnected.
     When a call to "silent" is taken and its connection closed
--- a/features/listener_process.py
+++ b/features/listener_process.py
@@ -115,6 +115,25 @@
         self.fire(event, 'caller')
 
 
+class _ServiceStub(Component):
+    """Cuts the answer to each service call, whose path is its content type."""
+
+    channel = 'services'
+
+    def __init__(self, timers):
+        super().__init__()
+        self._timers = timers
+
+    @handler('submit_service')
+    def _on_call(self, call):
+        content_type = Header('Content-Type', call.path.strip('/'))
+        head = reply_head(call.call_id, 200, (content_type,))
+        self.fire(head, 'caller')
+        self.fire(reply_data(call.call_id, b'data: part\n\n'), 'caller')
+        failed = reply_failed(call.call_id, Failure(ErrorKind.endpoint_lost))
+        self._timers.call_after(0.1, failed, 'caller')
+
+
 class _EmptyEntryChoice:
     def choose(self, view, orders, policy, count, random):
         return ()
@@ -180,7 +199,7 @@
         timers,
         _EmptyEntryChoice(),
     )
-    application = timers + listener + _ChatStub(timers)
+    application = timers + listener + _ChatStub(timers) + _ServiceStub(timers)
     application.fire(configuration_changed(1, _configuration()), '*')
     application.run()
 
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -471,6 +471,35 @@
     assert b'[DONE]' not in body, body
 
 
+@when(
+    'a call to the service "{service}" whose answer of type "{content_type}" '
+    'is cut is sent over HTTP/1.{minor:d}'
+)
+def cut_service_call(context, service, content_type, minor):
+    caller = _Caller(context)
+    line = f'GET /v1/services/{service}/{content_type} HTTP/1.{minor}\r\n'
+    caller.send(b''.join((line.encode(), _KEY_HEADERS, b'\r\n')))
+    context.was_reset = False
+    try:
+        while part := caller.sock.recv(65536):
+            caller.received += part
+    except ConnectionResetError:
+        context.was_reset = True
+    context.caller = caller
+
+
+@then('its answer ends with its first part and {end}')
+def cut_service_answer(context, end):
+    received = context.caller.received
+    assert context.was_reset is (end == 'a reset connection'), received
+    assert received.count(b'HTTP/1.') <= 1, received
+    assert b'error' not in received, received
+    assert not received.endswith(b'0\r\n\r\n'), received
+    if not context.was_reset:
+        assert b'200' in received, received
+        assert b'data: part\n\n' in received, received
+
+
 @when('a call to "{model}" is taken and its connection closed')
 def abandoned_call(context, model):
     caller = _Caller(context)
