--- a/features/relay_path.feature
+++ b/features/relay_path.feature
@@ -25,6 +25,24 @@
     And a stream that breaks off is resumed at another engine
     And an answer to another request is not passed to the caller
 
+  Scenario Outline: Endpoints that break off during an upload, and statuses that do not exist
+    Guards against a caller that gets a part of an answer as the whole, or a status that no answer can have, and against
+    endpoints that go on getting requests though they answer so.
+    Given a relay fleet
+    When all endpoints show the fault "<fault>"
+    Then a charge of 6 MB gets 502, without a stamp
+    And a lookup of 6 MB gets 502, without a stamp
+    And a draft of 6 MB gets 502, without a stamp
+    And the log has failed attempts with the fault "<logged>"
+
+    Examples:
+      | fault           | logged    |
+      | early           | broke_off |
+      | early_end       | broke_off |
+      | status 000 OK   | garbled   |
+      | status 099 Wait | garbled   |
+      | status 600 OK   | garbled   |
+
   Scenario: A fault in native code
     Guards against an instance that ends by itself and leaves nothing in its log but lines on requests.
     Given a relay fleet
--- a/features/standins/users_platform.py
+++ b/features/standins/users_platform.py
@@ -21,6 +21,10 @@
 - ``unframed``: the answer has neither a length nor chunks and ends with its
   connection. ``unframed_cut`` closes it inside the third event of a stream,
   ``unframed_reset`` resets it after the last byte.
+- ``early``: before it has read the request's body, it sends a part of an
+  answer without a length and resets the connection; ``early_end`` ends its side
+  first.
+- ``status``: its answer has the status ``headers['status']``.
 - ``pause``: a sound endpoint pauses for 0.9 to 1.6 s: once or twice in an
   answer, before it answers an order, or while it reads a part of a prompt.
 - those in :data:`ENDLESS`: bytes without end until the connection is closed.
@@ -81,6 +85,7 @@
 _EVENT_TOKENS: Final = 51
 #: Time in which the bytes written so far reach the instance.
 _DELIVERY_S: Final = 0.02
+_UNTRUE: Final = ('early', 'early_end', 'status')
 #: Value of ``SO_LINGER`` with which closing a socket resets the connection.
 _LINGER_RESET: Final = struct.pack('ii', 1, 0)
 #: More than a socket buffers, and less than an instance buffers.
@@ -474,10 +479,18 @@
         refusal = self._refuse(request, fault)
         if refusal is not None:
             return refusal
+        if fault in _UNTRUE:
+            return await self._send_untrue(request, fault)
+        return await self._run(request, fault)
+
+    async def _run(
+        self, request: web.Request, fault: str
+    ) -> web.StreamResponse:
+        parts = shared_parts(request.headers.get('Prompt-Prefix', ''))
         await request.read()
         pauses_s = self._pauses_of(request, fault)
         run_record = self._record_run(request, pauses_s)
-        if 'Token-Count' not in headers:
+        if 'Token-Count' not in request.headers:
             await asyncio.sleep(pauses_s.get(BEFORE_HEAD, 0))
         if fault == 'reset':
             request.transport.abort()
@@ -689,6 +702,25 @@
         transport.close()
         return web.Response()
 
+    async def _send_untrue(
+        self, request: web.Request, fault: str
+    ) -> web.Response:
+        """Send an answer that is not whole, or whose status does not exist."""
+        transport = request.transport
+        head = self._answer_head(request)
+        if fault == 'status':
+            status = self.fault.headers['status'].encode()
+            head = head.replace(b'200 OK', status)
+            transport.write(b'%bContent-Length: 4\r\n\r\ndone' % head)
+            return web.Response()
+        transport.pause_reading()
+        transport.write(b'%b\r\npart' % head)
+        if fault == 'early_end':
+            transport.write_eof()
+        await asyncio.sleep(_DELIVERY_S)
+        transport.abort()
+        return web.Response()
+
     async def _send_endless(
         self, request: web.Request, fault: str
     ) -> web.StreamResponse:
--- a/features/steps/relay_path_steps.py
+++ b/features/steps/relay_path_steps.py
@@ -4,6 +4,8 @@
 import socket
 import threading
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
+from http.client import HTTPConnection
 from time import monotonic, sleep
 
 from behave import given, then, when
@@ -289,6 +291,50 @@
         assert (answer.status, answer.body) == (200, _FULL_STREAM), answer
 
 
+@when('all endpoints show the fault "{fault}"')
+def all_show_fault(context, fault):
+    fleet = context.fleet
+    limits = {**fleet.configuration(2)['limits'], 'maxBodyBytes': 8_000_000}
+    fleet.put_configuration(2, limits=limits)
+    fleet.wait_until(lambda: _has_version(fleet, 2), 'version 2 in force')
+    name, _, status = fault.partition(' ')
+    for port in (*fleet.plain, *fleet.engines):
+        fleet.fault(port, fault=name, headers={'status': status})
+
+
+@then('a {kind} of {megabytes:d} MB gets {status:d}, without a stamp')
+def large_call(context, kind, megabytes, status):
+    path = {'lookup': '/look/1'}.get(kind, f'/{kind}/1')
+    port = context.fleet.instances['a0'][0]
+    fields = {
+        'Host': HOST_NAME,
+        'Request-Id': context.fleet.next_id(),
+        'X-Api-Key': 'key-w',
+    }
+    if kind == 'draft':
+        fields['Token-Count'] = _STREAM_HEADERS['Token_Count']
+    connection = HTTPConnection('127.0.0.1', port, timeout=10)
+    with closing(connection):
+        connection.request('POST', path, bytes(megabytes * 10**6), fields)
+        answer = connection.getresponse()
+        answer.read()
+    assert answer.status == status, answer.status
+    assert answer.getheader('server-stamp') is None, answer.headers
+
+
+@then('the log has failed attempts with the fault "{fault}"')
+def failed_attempts(context, fault):
+    def faults():
+        return [
+            line['fault']
+            for line in context.fleet.log('a0')
+            if line['message_type'] == 'attempt_failed'
+        ]
+
+    context.fleet.wait_until(lambda: len(faults()) > 1, 'failed attempts')
+    assert set(faults()) == {fault}, faults()
+
+
 @then('an answer to another request is not passed to the caller')
 def other_answer_ignored(context):
     fleet = context.fleet
