Check: warnings and differences before a configuration is sent

check reports parts that never match, limits that contradict each other, also those of an instance's settings, and on demand what differs from the version in force. References and keys are checked beside other errors, so that all errors are reported at once; the scenario on that has one more row for it.

--- a/bergamotturn/command.py
+++ b/bergamotturn/command.py
@@ -27,6 +27,7 @@
     member_table,
     order_table,
 )
+from .configuration_check import check_files
 from .errors import ErrorKind, Failure
 from .explain import LogLine, read_lines, timeline_of
 from .operator_client import JsonObject, OperatorClient
@@ -63,15 +64,34 @@
 _TOKEN_ENV: Final = 'BERGAMOTTURN_TOKEN'  # noqa: S105
 
 
-def check(base: Path, *overlays: Path, json: bool = False) -> None:
-    """Check base and overlay files and print every error.
+def check(
+    base: Path,
+    *overlays: Path,
+    settings: Path | None = None,
+    in_force: bool = False,
+    json: bool = False,
+) -> None:
+    """Check base and overlay files before they are applied.
+
+    Prints every error, then warnings: parts that never match and limits that
+    contradict each other. Warnings do not change the exit code.
 
     :param base: the base file.
     :param overlays: one file for each site.
+    :param settings: settings of an instance, whose limits are checked too.
+    :param in_force: ask the fleet what differs from the version in force.
     :param json: print JSON for a script.
     """
-    _load((base, *overlays), json=json)
-    _print_report({'errors': []}, 'no errors', json=json)
+    report, configuration = check_files((base, *overlays), settings)
+    if in_force and configuration is not None:
+        changes = _changes_of(configuration)
+        report = msgspec.structs.replace(report, changes=changes)
+    if report.errors and not json:
+        print(report.as_text(), file=sys.stderr)
+    else:
+        _print_report(msgspec.to_builtins(report), report.as_text(), json=json)
+    if report.errors:
+        sys.exit(_EXIT_FILE_ERRORS)
 
 
 def diff(base: Path, *overlays: Path, json: bool = False) -> None:
@@ -81,12 +101,7 @@
     :param overlays: one file for each site.
     :param json: print JSON for a script.
     """
-    wanted = _load((base, *overlays), json=json)
-    current = _ok_or_exit(_client().get('/configuration'))
-    changes = configuration_changes(
-        current.get('content') or {},
-        msgspec.json.decode(encode_configuration(wanted)),
-    )
+    changes = _changes_of(_load((base, *overlays), json=json))
     text = '\n'.join(changes) or 'no changes'
     _print_report({'changes': changes}, text, json=json)
 
@@ -204,6 +219,15 @@
     sys.exit(_EXIT_FILE_ERRORS)
 
 
+def _changes_of(wanted: Configuration) -> list[str]:
+    """Return the differences of ``wanted`` from the version in force."""
+    current = _ok_or_exit(_client().get('/configuration'))
+    return configuration_changes(
+        current.get('content') or {},
+        msgspec.json.decode(encode_configuration(wanted)),
+    )
+
+
 def _log_lines(logs: Sequence[Path]) -> Iterator[LogLine | None]:
     if not logs:
         yield from read_lines(sys.stdin)
--- a/bergamotturn/version/validation.py
+++ b/bergamotturn/version/validation.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 from types import MappingProxyType
-from typing import Any, Final
+from typing import Any, Final, final
 
 import msgspec
 from expression import Error, Ok, Result
@@ -19,7 +19,12 @@
 )
 from .merge import Finding, MergedDocument, merge_documents, read_document
 
-__all__ = ('check_references', 'load_configuration', 'validate')
+__all__ = (
+    'check_references',
+    'load_configuration',
+    'load_merged',
+    'validate',
+)
 
 _ITEM_TYPES: Final = MappingProxyType(
     {
@@ -45,6 +50,17 @@
     :param paths: the base file first.
     :returns: the configuration, or every error that was found.
     """
+    return load_merged(paths).bind(validate)
+
+
+def load_merged(
+    paths: Sequence[Path],
+) -> Result[MergedDocument, tuple[Finding, ...]]:
+    """Read and merge the base file and the overlays.
+
+    :param paths: the base file first.
+    :returns: the merged files, or an error for each that cannot be read.
+    """
     findings: list[Finding] = []
     documents = []
     for path in paths:
@@ -55,7 +71,7 @@
             findings.append(document.error)
     if findings:
         return Error(tuple(findings))
-    return validate(merge_documents(documents))
+    return Ok(merge_documents(documents))
 
 
 def validate(
@@ -64,11 +80,10 @@
     """Return the typed configuration, or every error with its file."""
     findings = list(merged.findings)
     configuration = _convert_sections(merged, findings)
-    if not findings:
-        findings.extend(
-            Finding(merged.origin_of(finding.key), finding.key, finding.reason)
-            for finding in check_references(configuration)
-        )
+    findings.extend(
+        Finding(merged.origin_of(finding.key), finding.key, finding.reason)
+        for finding in check_references(configuration, _listed_names(merged))
+    )
     if findings:
         return Error(tuple(sorted(findings)))
     return Ok(configuration)
@@ -106,8 +121,11 @@
         }
 
     def read(self, key: str, content: dict[str, object]) -> Any:
-        """Return the item, or ``None`` after recording its errors."""
-        finding_count = len(self._findings)
+        """Return the item and record its errors.
+
+        :returns: ``None`` if a field is missing or has another type, so that
+            nothing can be said about the rest of the item.
+        """
         converted: dict[str, object] = {}
         for name, value in content.items():
             field = self._fields.get(name)
@@ -115,10 +133,14 @@
                 self._report(f'{key}.{name}', 'is not a known field')
                 continue
             converted[name] = self._convert(f'{key}.{name}', value, field.type)
-        for name, field in self._fields.items():
-            if field.required and name not in content:
-                self._report(f'{key}.{name}', 'is required')
-        if len(self._findings) > finding_count:
+        missing = [
+            required
+            for required, field in self._fields.items()
+            if field.required and required not in content
+        ]
+        for absent in missing:
+            self._report(f'{key}.{absent}', 'is required')
+        if missing or msgspec.UNSET in converted.values():
             return None
         return self._type(**converted)
 
@@ -131,7 +153,7 @@
             )
         except (msgspec.ValidationError, ValueError) as error:
             self._report(key, str(error))
-            return None
+            return msgspec.UNSET
         reason = _range_error(key.rpartition('.')[2], converted)
         if reason:
             self._report(key, reason)
@@ -160,46 +182,85 @@
     return 'must be above 0' if value <= 0 else ''
 
 
-def check_references(configuration: Configuration) -> Iterator[Finding]:
+@final
+class ListedNames(msgspec.Struct, frozen=True):
+    """Names that a configuration lists, also those of items with errors.
+
+    :param served: names that endpoints give in ``serves``.
+    """
+
+    models: frozenset[str]
+    services: frozenset[str]
+    served: frozenset[str]
+
+    @property
+    def known(self) -> frozenset[str]:
+        """Return the names that endpoints may serve and workspaces use."""
+        return self.models | self.services
+
+
+def _listed_names(merged: MergedDocument) -> ListedNames:
+    return ListedNames(
+        models=frozenset(merged.items['deployments']),
+        services=frozenset(merged.items['services']),
+        served=frozenset(
+            str(fields.get('serves'))
+            for fields in merged.items['endpoints'].values()
+        ),
+    )
+
+
+def _names_of(configuration: Configuration) -> ListedNames:
+    return ListedNames(
+        models=frozenset(item.model for item in configuration.deployments),
+        services=frozenset(item.name for item in configuration.services),
+        served=frozenset(item.serves for item in configuration.endpoints),
+    )
+
+
+def check_references(
+    configuration: Configuration, names: ListedNames | None = None
+) -> Iterator[Finding]:
     """Yield an error for each unknown, shared or unused name.
 
     The findings have no file; the caller adds it.
+
+    :param names: those that count as listed, if not only those of
+        ``configuration``.
     """
-    models = {item.model for item in configuration.deployments}
-    services = {item.name for item in configuration.services}
-    for name in models & services:
+    names = names or _names_of(configuration)
+    for name in names.models & names.services:
         yield Finding(
             '', f'services[{name}]', 'is also the name of a deployment'
         )
-    known = models | services
-    yield from _check_endpoints(configuration, models, known)
-    yield from _check_workspaces(configuration, known)
+    yield from _check_endpoints(configuration, names)
+    yield from _check_workspaces(configuration, names.known)
 
 
 def _check_endpoints(
-    configuration: Configuration, models: set[str], known: set[str]
+    configuration: Configuration, names: ListedNames
 ) -> Iterator[Finding]:
     addresses: dict[Address, str] = {}
     for endpoint in configuration.endpoints:
         key = f'endpoints[{endpoint.name}]'
-        if endpoint.serves not in known:
+        if endpoint.serves not in names.known:
             yield Finding(
                 '', f'{key}.serves', f'{endpoint.serves!r} does not exist'
             )
-        if endpoint.serves in models and not endpoint.kv_tokens:
+        if endpoint.serves in names.models and not endpoint.kv_tokens:
             yield Finding(
                 '', f'{key}.kv_tokens', 'must be above 0 for an engine'
             )
         other = addresses.setdefault(endpoint.address, endpoint.name)
         if other != endpoint.name:
             yield Finding('', f'{key}.address', f'is also used by {other!r}')
-    for name in known - {item.serves for item in configuration.endpoints}:
-        section = 'deployments' if name in models else 'services'
+    for name in names.known - names.served:
+        section = 'deployments' if name in names.models else 'services'
         yield Finding('', f'{section}[{name}]', 'has no endpoint')
 
 
 def _check_workspaces(
-    configuration: Configuration, known: set[str]
+    configuration: Configuration, known: frozenset[str]
 ) -> Iterator[Finding]:
     owners: dict[str, str] = {}
     for workspace in configuration.workspaces:
--- a/features/command.feature
+++ b/features/command.feature
@@ -7,6 +7,7 @@
     Given a fleet of three instances and files that describe it
     Then "check" of the files exits with 0
     And "check" of a broken file exits with 1 and names file and key
+    And "check" with "--in-force" of the files with a workspace without a key shows a warning and what it adds
     And "diff" of the files shows no changes
     And "apply" of the files with one more workspace exits with 0 and is in force at 3 members
     And "diff" of the old files shows the workspace that would be removed
--- a/features/steps/command_steps.py
+++ b/features/steps/command_steps.py
@@ -59,6 +59,25 @@
     assert 'policy.long_share' in completed.stderr, completed.stderr
 
 
+@then(
+    '"check" with "--in-force" of the files with a workspace without a key '
+    'shows a warning and what it adds'
+)
+def check_in_force(context):
+    """Check files that differ from the version in force."""
+    keyless = context.base.with_name('keyless.toml')
+    keyless.write_text(
+        '[[workspaces]]\nname = "extra"\nuses = ["letter"]\nkey_digests = []\n'
+    )
+    files = (context.base, context.overlay, keyless)
+    completed = _run(context, 'check', '--in-force', '--json', *files, code=0)
+    report = json.loads(completed.stdout)
+    assert not report['errors'], report
+    wanted = {'file': str(keyless), 'key': 'workspaces[extra].key_digests'}
+    assert any(wanted.items() <= each.items() for each in report['warnings'])
+    assert '+ workspaces[extra].name = "extra"' in report['changes'], report
+
+
 @then('"diff" of the files shows no changes')
 def diff_is_empty(context):
     """Compare the files with the version in force."""
--- a/features/validation.feature
+++ b/features/validation.feature
@@ -58,6 +58,7 @@
       | file    | key                           |
       | base    | deployments[letter].deadline_s |
       | base    | workspaces[clerks].colour     |
+      | base    | workspaces[clerks].key_digests |
       | overlay | endpoints[letter-1].address   |
       | overlay | policy.long_share             |
 
@@ -102,6 +103,39 @@
       | base | workspaces[clerks].key_digests |
       | base | workspaces[clerks].uses        |
 
+  Scenario: References are checked beside other errors
+    Guards against a check that reports unknown names only once all other errors are corrected, and against names that
+    count as unknown because their item has another error.
+    Given the base file
+      """
+      [[deployments]]
+      model = "letter"
+      deadline_s = "soon"
+      [[services]]
+      name = "ledger"
+      [[endpoints]]
+      name = "letter-1"
+      address = "127.0.0.1:9001"
+      data_centre = "a"
+      serves = "letter"
+      kv_tokens = 400000
+      [[endpoints]]
+      name = "ledger-1"
+      address = "nowhere"
+      data_centre = "a"
+      serves = "ledger"
+      [[workspaces]]
+      name = "clerks"
+      uses = ["letter", "ledger", "notes"]
+      key_digests = []
+      """
+    When the files are merged
+    Then these errors are reported
+      | file | key                            |
+      | base | deployments[letter].deadline_s |
+      | base | endpoints[ledger-1].address    |
+      | base | workspaces[clerks].uses        |
+
   Scenario: The burn rate is computed from the counts of all instances
     Guards against a mean of the burn rates of instances, which is wrong when their load differs.
     Given an instance that counted 990 good and 10 bad answers
