Check: the platform's configuration row

check takes the store's row as a .json file. It reports all errors of the row with their keys, warnings in the row's own names, limits that the settings of an instance contradict, and the differences from the row in force.

--- a/bergamotturn/command.py
+++ b/bergamotturn/command.py
@@ -27,10 +27,11 @@
     member_table,
     order_table,
 )
-from .configuration_check import check_files
+from .configuration_check import CheckReport, check_files, check_row
 from .errors import ErrorKind, Failure
 from .explain import LogLine, read_lines, timeline_of
 from .operator_client import JsonObject, OperatorClient
+from .platform.configuration_row import ConfigurationRow
 from .version.configuration import Configuration, encode_configuration
 from .version.validation import load_configuration
 
@@ -47,11 +48,15 @@
 )
 
 _EXIT_FILE_ERRORS: Final = 1
+_EXIT_WRONG_USAGE: Final = 2
 _EXIT_REFUSED: Final = 3
 _EXIT_UNREACHABLE: Final = 4
 _EXIT_NOT_IN_TIME: Final = 5
 _EXIT_NOT_FOUND: Final = 6
 
+#: Suffix of a file with the store's row.
+_ROW_SUFFIX: Final = '.json'
+
 _POLL_INTERVAL_S: Final = 0.2
 _UNREACHABLE_KINDS: Final = frozenset(
     (
@@ -69,23 +74,29 @@
     *overlays: Path,
     settings: Path | None = None,
     in_force: bool = False,
+    against: Path | None = None,
     json: bool = False,
 ) -> None:
-    """Check base and overlay files before they are applied.
+    """Check a configuration before it is applied or written to the store.
 
     Prints every error, then warnings: parts that never match and limits that
     contradict each other. Warnings do not change the exit code.
 
-    :param base: the base file.
+    :param base: the base file, or a .json file with the store's row.
     :param overlays: one file for each site.
     :param settings: settings of an instance, whose limits are checked too.
     :param in_force: ask the fleet what differs from the version in force.
+    :param against: for a .json file, the one that is in force.
     :param json: print JSON for a script.
     """
-    report, configuration = check_files((base, *overlays), settings)
-    if in_force and configuration is not None:
-        changes = _changes_of(configuration)
-        report = msgspec.structs.replace(report, changes=changes)
+    if base.suffix == _ROW_SUFFIX:
+        if overlays or in_force:
+            _exit_wrong_usage('a row has no overlays, and no --in-force')
+        report = check_row(base, ConfigurationRow(), settings, against)
+    else:
+        if against:
+            _exit_wrong_usage('--against is for a row in a .json file')
+        report = _check_files((base, *overlays), settings, in_force=in_force)
     if report.errors and not json:
         print(report.as_text(), file=sys.stderr)
     else:
@@ -219,6 +230,20 @@
     sys.exit(_EXIT_FILE_ERRORS)
 
 
+def _check_files(
+    files: Sequence[Path], settings: Path | None, *, in_force: bool
+) -> CheckReport:
+    report, configuration = check_files(files, settings)
+    if in_force and configuration is not None:
+        report.changes = tuple(_changes_of(configuration))
+    return report
+
+
+def _exit_wrong_usage(reason: str) -> NoReturn:
+    print(reason, file=sys.stderr)
+    sys.exit(_EXIT_WRONG_USAGE)
+
+
 def _changes_of(wanted: Configuration) -> list[str]:
     """Return the differences of ``wanted`` from the version in force."""
     current = _ok_or_exit(_client().get('/configuration'))
--- a/bergamotturn/command_report.py
+++ b/bergamotturn/command_report.py
@@ -78,7 +78,8 @@
 
 
 def _item_name(item: Mapping[str, Any]) -> str:
-    return str(item.get('name') or item.get('model'))
+    names = (item.get(field) for field in ('name', 'model', 'service'))
+    return str(next(filter(None, names), None))
 
 
 def _table(
--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -18,7 +18,7 @@
     key_digest,
 )
 
-__all__ = ('read_configuration',)
+__all__ = ('ConfigurationJson', 'read_configuration')
 
 _MS_PER_S: Final = 1000.0
 _THOUSAND_TOKENS: Final = 1000.0
@@ -119,7 +119,7 @@
 
 
 @final
-class _ConfigurationJson(_JsonObject, frozen=True):
+class ConfigurationJson(_JsonObject, frozen=True):
     """A configuration in full; one without routes would serve nothing."""
 
     version: WholeNumber
@@ -129,7 +129,7 @@
     tenants: tuple[_TenantJson, ...] = ()
 
 
-_DECODER: Final = msgspec.json.Decoder(_ConfigurationJson)
+_DECODER: Final = msgspec.json.Decoder(ConfigurationJson)
 
 
 def read_configuration(
