Start: callers can connect before the program is loaded, and wait for the first read

After a loss of all instances callers used up their repeats within a second, at instances that did not listen yet or answered 503 with a wait of 2 s. The listeners for callers and the directory are now opened before the program is loaded, so that connections wait in the kernel's queue, and requests that come before the first configuration and the endpoints wait for these, for 1 s from the start at most. A refusal by an unknown path or key needs both as well.

The step of the listener that doubts its configuration also makes the endpoints known, without which requests wait now; what it checks is unchanged.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -22,7 +22,8 @@
     resume_answer,
 )
 from ..version.settings import Limits, TlsSettings
-from .exchange import Address, Header
+from .exchange import Header
+from .guarded_server import ListenAddress
 from .web_server import WebCall, WebServer
 
 __all__ = ('CallListener',)
@@ -90,7 +91,7 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         limits: Limits,
         timers: Timers,
         call_prefix: str,
--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -24,7 +24,10 @@
 from ..version.settings import TlsSettings
 from .exchange import Address
 
-__all__ = ('GuardedServer', 'output_drained')
+__all__ = ('GuardedServer', 'ListenAddress', 'output_drained')
+
+#: Where a server listens: an address, or a socket that listens already.
+ListenAddress = Address | socket
 
 _READ_BYTES: Final = 65_536
 
@@ -120,16 +123,16 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         channel: str,
         timers: Timers,
         max_pending_total: int,
         stall_s: float,
     ) -> None:
         """Listen on ``address``."""
-        super().__init__(
-            (address.host, address.port), bufsize=_READ_BYTES, channel=channel
-        )
+        if isinstance(address, Address):
+            address = (address.host, address.port)
+        super().__init__(address, bufsize=_READ_BYTES, channel=channel)
         self._timers = timers
         self._max_pending_total = max_pending_total
         self._stall_s = stall_s
@@ -268,7 +271,7 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         channel: str,
         timers: Timers,
         max_pending_total: int,
--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -1,14 +1,18 @@
 """Listener for callers whose requests are relayed unchanged."""
 
+from collections.abc import Iterable
+from dataclasses import dataclass
 from random import SystemRandom
 from time import monotonic
 from typing import Final, Protocol, final
 
-from circuits import handler
+from circuits import Component, Event, handler
 from eliot import log_message
 
 from ..errors import ErrorKind, Failure
 from ..process.events import ShutdownPhase
+from ..process.metrics import HELD_AT_START
+from ..process.start_gate import StartGate
 from ..process.timers import Timers
 from ..request.calls import submit_relay
 from ..request.relay.call import RelayCall
@@ -16,7 +20,7 @@
 from ..version.serving import ServingConfiguration, ServingIndex
 from ..version.settings import Limits
 from .call_listener import CallListener
-from .exchange import Address
+from .guarded_server import ListenAddress
 from .input_guard import CompleteRequest
 from .web_server import WebCall
 
@@ -35,6 +39,19 @@
 )
 
 
+class _gate_closes(Event):
+    """Answer the requests that still wait for the first configuration."""
+
+
+@final
+@dataclass(slots=True, frozen=True)
+class _HeldCall:
+    """A request that waits until the instance can place it."""
+
+    web_call: WebCall
+    caller_request: CallerRequest
+
+
 class CallerFormat(Protocol):
     """Wire format of callers' requests."""
 
@@ -50,7 +67,7 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         timers: Timers,
         call_prefix: str,
         caller_format: CallerFormat,
@@ -60,11 +77,27 @@
         self._caller_format = caller_format
         self._random = SystemRandom()
         self._index: ServingIndex | None = None
+        self._gate = StartGate(monotonic())
+        self._held: dict[str, _HeldCall] = {}
         self._is_leaving = False
         self._is_doubted = False
         #: Monotonic time at which the configuration came into force.
         self._in_force_since_s = float(0)
 
+    @handler('registered', channel='*')
+    def _on_self_registered(self, component: Component, *_: object) -> None:
+        if component is self:
+            wait_s = max(0, self._gate.closes_s - monotonic())
+            self._timers.call_after(wait_s, _gate_closes(), self.channel)
+
+    @handler('_gate_closes')
+    def _on_gate_closes(self) -> None:
+        self._serve_held(self._gate.end())
+
+    @handler('endpoints_changed', channel='*')
+    def _on_endpoints_changed(self, *_: object) -> None:
+        self._serve_held(self._gate.note_endpoints())
+
     @handler('configuration_doubted', channel='*')
     def _on_configuration_doubted(self, is_doubted: bool) -> None:
         self._is_doubted = is_doubted
@@ -82,17 +115,43 @@
                 idle_s=max(_MIN_IDLE_S, _IDLE_LIMIT_FACTOR * limits.idle_s),
             )
         )
+        self._serve_held(self._gate.note_configuration())
 
     @handler('shutdown_phase_changed', priority=-1)
     def _on_phase(self, phase: str) -> None:
         self._is_leaving = phase != ShutdownPhase.serving
         for call in self._open_calls.values():
             call.web_call.response.close |= self._is_leaving
+        if self._is_leaving:
+            self._serve_held(self._gate.end())
 
     def _serve(self, call: WebCall) -> None:
         call_key = self._next_call_id()
-        call.response.close |= self._is_leaving
         caller_request = self._caller_format.read(call.request)
+        if not self._is_leaving and self._gate.hold(monotonic(), call_key):
+            HELD_AT_START.inc()
+            log_message('request_held', request=caller_request.call_id)
+            self._held[call_key] = _HeldCall(call, caller_request)
+            return
+        self._place(call, caller_request, call_key)
+
+    def _serve_held(self, call_keys: Iterable[str]) -> None:
+        for call_key in call_keys:
+            held = self._held.pop(call_key)
+            self._place(held.web_call, held.caller_request, call_key)
+
+    def _on_caller_gone(self, call: WebCall) -> None:
+        for call_key, held in tuple(self._held.items()):
+            if held.web_call is call:
+                self._gate.drop(call_key)
+                self._held.pop(call_key)
+        super()._on_caller_gone(call)
+
+    def _place(
+        self, call: WebCall, caller_request: CallerRequest, call_key: str
+    ) -> None:
+        """Submit a request, or refuse it."""
+        call.response.close |= self._is_leaving
         relay_call = self._build_call(caller_request, call_key, call.began_s)
         if isinstance(relay_call, Failure):
             log_message(
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -16,8 +16,9 @@
 from ..process.timers import Timers
 from ..request.error_body import encode_failure
 from ..version.settings import Limits, TlsSettings
-from .exchange import Address, Header
+from .exchange import Header
 from .closing_server import ClosingServer
+from .guarded_server import ListenAddress
 from .input_guard import (
     CompleteRequest,
     InputGuard,
@@ -64,7 +65,7 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         limits: Limits,
         timers: Timers,
         tls: TlsSettings | None = None,
--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -4,14 +4,14 @@
 and runs until a graceful shutdown is complete.
 """
 
-import argparse
-import os
 import signal
 import sys
+from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from secrets import token_hex
-from typing import Final
+from socket import socket
+from typing import Final, NoReturn
 
 import eliot
 from circuits import Component, Manager
@@ -48,6 +48,7 @@
 from .caller_format import PlatformCallerFormat
 from .engine_format import PlatformEndpointFormat
 from .entry_listeners import DirectoryListener, ReadyListener
+from .starting import SETTINGS_VARIABLE
 from .table_format import PlatformTable
 from .table_row_reader import (
     CONFIGURATION_KEY,
@@ -58,8 +59,6 @@
 
 __all__ = ('build_daemon', 'main', 'watched_tables')
 
-#: Environment variable in which the platform gives the settings path.
-_SETTINGS_VARIABLE: Final = 'BERGAMOTTURN_SETTINGS'
 _BOOT_ID_BYTES: Final = 6
 _EXIT_SETTINGS_ERROR: Final = 2
 #: Maximum wait for changes in one call, and the longest wait after a failed
@@ -98,13 +97,19 @@
 
 
 def build_daemon(
-    path: Path, settings: ServingSettings, boot_id: str, log_lines: LogLines
+    path: Path,
+    settings: ServingSettings,
+    boot_id: str,
+    log_lines: LogLines,
+    listeners: Mapping[str, socket],
 ) -> Manager:
     """Return the root of all components of one instance, ready to run.
 
     :param path: file from which the settings were loaded.
     :param boot_id: random id of this start of the process.
     :param log_lines: buffer that the log lines are written to.
+    :param listeners: sockets that listen already, by the setting that names
+        their address.
     """
     timers = Timers()
     root = Component(channel='root')
@@ -135,13 +140,13 @@
         RelayTask(settings, boot_id, timers, PlatformEndpointFormat()),
         QuarantineTask(timers),
         RelayListener(
-            settings.caller_address,
+            listeners.get('caller', settings.caller_address),
             timers,
             f'{settings.instance}/{boot_id}',
             PlatformCallerFormat(),
         ),
         DirectoryListener(
-            Address.parse(settings.directory),
+            listeners.get('directory', Address.parse(settings.directory)),
             timers,
             EntryChoice(settings.instance, settings.data_centre),
             settings.caller_address,
@@ -159,30 +164,32 @@
     return root
 
 
-def main() -> None:
-    """Run the daemon until it is stopped."""
-    parser = argparse.ArgumentParser(
-        prog='bergamotturn-serve', description=__doc__
-    )
-    parser.add_argument(
-        '--settings',
-        type=Path,
-        default=os.environ.get(_SETTINGS_VARIABLE),
-        help=f'path of the TOML settings file (default: {_SETTINGS_VARIABLE})',
-    )
-    path = parser.parse_args().settings
+def main(path: Path | None, listeners: Mapping[str, socket]) -> None:
+    """Run the daemon until it is stopped.
+
+    :param path: file with the settings, None if none was given.
+    :param listeners: sockets that listen already, by the setting that names
+        their address.
+    """
     if path is None:
-        parser.error(
-            f'no settings file: give --settings or set {_SETTINGS_VARIABLE}'
+        _exit_unset(
+            f'no settings file: give --settings or set {SETTINGS_VARIABLE}'
         )
-    settings = load_serving_settings(Path(path))
+    settings = load_serving_settings(path)
     if settings.is_error():
-        parser.exit(_EXIT_SETTINGS_ERROR, settings.error.detail)
-    _run(Path(path), settings.ok)
+        _exit_unset(settings.error.detail)
+    _run(path, settings.ok, listeners)
     end_process()
 
 
-def _run(path: Path, settings: ServingSettings) -> None:
+def _exit_unset(reason: str) -> NoReturn:
+    sys.stderr.write(f'bergamotturn-serve: {reason}\n')
+    sys.exit(_EXIT_SETTINGS_ERROR)
+
+
+def _run(
+    path: Path, settings: ServingSettings, listeners: Mapping[str, socket]
+) -> None:
     log_lines = LogLines(sys.stdout.fileno())
     boot_id = token_hex(_BOOT_ID_BYTES)
     eliot.add_global_fields(instance=settings.instance)
@@ -194,7 +201,7 @@
         settings_path=str(path),
         settings=settings,
     )
-    root = build_daemon(path, settings, boot_id, log_lines)
+    root = build_daemon(path, settings, boot_id, log_lines, listeners)
     # circuits installs handlers for SIGINT and SIGTERM, but not for SIGHUP.
     signal.signal(
         signal.SIGHUP,
--- a/bergamotturn/platform/entry_listeners.py
+++ b/bergamotturn/platform/entry_listeners.py
@@ -12,6 +12,7 @@
 from circuits import handler
 
 from ..connection.exchange import Address
+from ..connection.guarded_server import ListenAddress
 from ..connection.web_server import WebCall, WebServer
 from ..errors import ErrorKind, Failure
 from ..process.entry_choice import EntryChoice
@@ -51,7 +52,7 @@
 
     def __init__(
         self,
-        address: Address,
+        address: ListenAddress,
         timers: Timers,
         choice: EntryChoice,
         own_address: Address,
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -17,6 +17,7 @@
     'ENDPOINT_FAULTS',
     'FIRST_EVENT_S',
     'FIRST_TOKEN_S',
+    'HELD_AT_START',
     'GROUPS',
     'INVARIANT_BREACHES',
     'IN_FLIGHT',
@@ -58,6 +59,10 @@
     'Requests by outcome',
     ('kind', 'outcome'),
 )
+HELD_AT_START: Final = Counter(
+    'bergamotturn_requests_held_at_start',
+    'Requests that came before the first configuration and the endpoints.',
+)
 REFUSALS: Final = Counter(
     'bergamotturn_refusals',
     'Refusals by error kind',
--- a/features/steps/platform_forms_steps.py
+++ b/features/steps/platform_forms_steps.py
@@ -39,6 +39,7 @@
 from bergamotturn.process.endpoints.entry import EndpointEntry
 from bergamotturn.process.events import (
     configuration_doubted,
+    endpoints_changed,
     serving_changed,
     table_changed,
 )
@@ -787,6 +788,8 @@
     context.listener = _RecordingListener(timers).register(context.root)
     context.lock = RLock()
     context.root.fire(serving_changed(_serving('private')), '*')
+    # Until the endpoints are known too, requests wait for them.
+    context.root.fire(endpoints_changed((), ()), '*')
     _doubt(context, is_doubted=True)
 
 
