Placement: short waits, for bursts of shorts while engines are cold, leaving or gone

With queueing.short_waits, off by default: cells that have less than half of the fleet's warm engines per instance share engines and work updates with two others, and shorts use warming engines within the cold bound before full ones.

--- a/bergamotturn/process/endpoints/cells.py
+++ b/bergamotturn/process/endpoints/cells.py
@@ -13,7 +13,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from math import ceil
 from typing import Final, final
 
@@ -46,8 +46,9 @@
         '_cell_by_instance',
         '_cell_counts',
         '_instance',
-        '_names',
         '_live_peers',
+        '_names',
+        '_partners',
     )
 
     def __init__(self, instance: str) -> None:
@@ -57,6 +58,7 @@
         self._names: tuple[str, ...] = (SINGLE_CELL,)
         self._cell_by_instance: dict[str, str] = {}
         self._live_peers: dict[str, tuple[str, ...]] = {}
+        self._partners: dict[str, tuple[str, ...]] = {}
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -108,11 +110,45 @@
             return self._names[rank % len(self._names)]
         return self._cell_name(entry.data_centre, rank)
 
+    def use_hosts(self, hosts: Mapping[str, tuple[str, ...]]) -> None:
+        """Let some cells share their engines with others.
+
+        :param hosts: the cells that share with each cell that has too few
+            engines. They all use the engines of each other as their own.
+        """
+        partners: defaultdict[str, set[str]] = defaultdict(set)
+        for guest, guest_hosts in hosts.items():
+            group = {guest, *guest_hosts}
+            for member in group:
+                partners[member] |= group
+        self._partners = {
+            cell: tuple(sorted(found - {cell}))
+            for cell, found in partners.items()
+        }
+
+    @property
+    def own_partners(self) -> tuple[str, ...]:
+        """Return the other cells whose engines are used as own ones."""
+        own_cell = self.cell_of_instance(self._instance)
+        return self._partners.get(own_cell, ())
+
     def is_in_own_cell(self, entry: EndpointEntry) -> bool:
-        """Return whether an endpoint is in the own cell."""
-        return self.cell_of_endpoint(entry) == self.cell_of_instance(
-            self._instance
-        )
+        """Return whether updates on an endpoint's shorts come here."""
+        cell = self.cell_of_endpoint(entry)
+        if cell == self.cell_of_instance(self._instance):
+            return True
+        return cell in self.own_partners
+
+    def cells_to_notify(self, entry: EndpointEntry) -> tuple[str, ...]:
+        """Return the cells that get updates on shorts at an endpoint."""
+        cell = self.cell_of_endpoint(entry)
+        return (cell, *self._partners.get(cell, ()))
+
+    def live_counts(self) -> dict[str, int]:
+        """Return the number of instances of each cell that are not dead."""
+        counts = {cell: len(self.live_peers(cell)) for cell in self._names}
+        own_cell = self.cell_of_instance(self._instance)
+        return {**counts, own_cell: counts.get(own_cell, 0) + 1}
 
     def live_peers(self, cell: str) -> tuple[str, ...]:
         """Return the other instances of ``cell`` that are not dead."""
--- a/bergamotturn/process/endpoints/known_endpoint.py
+++ b/bergamotturn/process/endpoints/known_endpoint.py
@@ -37,6 +37,14 @@
         default_factory=lambda: RecentCount(RATE_WINDOW_S)
     )
 
+    def is_sound(self, now_s: float) -> bool:
+        """Return whether it is warm, not ejected and not about to stop."""
+        if self.is_leaving or self.entry.is_leaving:
+            return False
+        if self.entry.cold_until_s > now_s:
+            return False
+        return not self.health.is_ejected(now_s)
+
     def is_same_start(self, entry: EndpointEntry) -> bool:
         """Return whether an entry names the start that is known."""
         born_unix_ms = self.entry.born_unix_ms
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -161,6 +161,21 @@
         if known is not None:
             known.health.eject(now_s + for_s, reason)
 
+    def usable_entries(
+        self, now_s: float, service: ServedService
+    ) -> Iterable[EndpointEntry]:
+        """Return the entries of warm endpoints that may get work now."""
+        cut_off = _cut_off_centres(now_s, service, self._known.values())
+        unusable = cut_off | self._out_of_service
+        return tuple(
+            known.entry
+            for known in self._known.values()
+            if known.entry.service == service.name
+            and known.entry.data_centre not in unusable
+            and known.is_sound(now_s)
+            and not self.addresses.is_replaced(known.entry)
+        )
+
     def ejected_count(self, now_s: float, service: str) -> int:
         """Return the number of ejected endpoints of a service."""
         return sum(
@@ -231,7 +246,7 @@
         excluded.alone = len(eligible) - len(healthy)
         if len(healthy) < len(eligible) * _MIN_HEALTHY_SHARE:
             healthy = eligible
-        cut_off = self._cut_off(now_s, service)
+        cut_off = _cut_off_centres(now_s, service, self._known.values())
         reachable = [
             known for known in healthy if known.entry.data_centre not in cut_off
         ]
@@ -249,23 +264,6 @@
             for known in healthy
         ], excluded
 
-    def _cut_off(self, now_s: float, service: ServedService) -> set[str]:
-        """Return the data centres whose endpoints seem to be unreachable."""
-        listed: Counter[str] = Counter()
-        unreachable: Counter[str] = Counter()
-        for known in self._known.values():
-            if known.entry.service != service.name:
-                continue
-            centre = known.entry.data_centre
-            listed[centre] += 1
-            unreachable[centre] += known.health.is_unreachable(now_s)
-        return {
-            centre
-            for centre, count in unreachable.items()
-            if count
-            >= max(_MIN_CUT_OFF_ENDPOINTS, _MIN_CUT_OFF_SHARE * listed[centre])
-        }
-
     def _is_eligible(
         self,
         now_s: float,
@@ -322,3 +320,23 @@
             known.own_requests.count(now_s),
             is_cold=known.entry.cold_until_s > now_s,
         )
+
+
+def _cut_off_centres(
+    now_s: float, service: ServedService, endpoints: Iterable[KnownEndpoint]
+) -> set[str]:
+    """Return the data centres whose endpoints seem to be unreachable."""
+    listed: Counter[str] = Counter()
+    unreachable: Counter[str] = Counter()
+    for known in endpoints:
+        if known.entry.service != service.name:
+            continue
+        centre = known.entry.data_centre
+        listed[centre] += 1
+        unreachable[centre] += known.health.is_unreachable(now_s)
+    return {
+        centre
+        for centre, count in unreachable.items()
+        if count
+        >= max(_MIN_CUT_OFF_ENDPOINTS, _MIN_CUT_OFF_SHARE * listed[centre])
+    }
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -194,6 +194,10 @@
     'Bytes between instances',
     ('direction',),
 )
+CELLS_SHORT: Final = Gauge(
+    'bergamotturn_cells_short',
+    'Cells whose instances use the engines of other cells as their own',
+)
 CONFIGURATION_VERSION: Final = Gauge(
     'bergamotturn_configuration_version',
     'Configuration version in force',
--- a/bergamotturn/process/relay_tasks/endpoint_registry.py
+++ b/bergamotturn/process/relay_tasks/endpoint_registry.py
@@ -305,4 +305,4 @@
         """Return the cells that get updates on a request at ``entry``."""
         if to_all_cells:
             return self._cells.names
-        return (self._cells.cell_of_endpoint(entry),)
+        return self._cells.cells_to_notify(entry)
--- a/bergamotturn/process/relay_tasks/notice_registry.py
+++ b/bergamotturn/process/relay_tasks/notice_registry.py
@@ -27,12 +27,12 @@
 from ..endpoints.rate_limit_exchange import RateLimitExchange
 from ..events import MemberView
 from ..timers import Timers
-from .endpoint_registry import EndpointRegistry
+from .cell_registry import CellRegistry
 
 __all__ = ('NoticeRegistry',)
 
 
-class NoticeRegistry(EndpointRegistry):
+class NoticeRegistry(CellRegistry):
     """Keeps what endpoints say of the requests that they take."""
 
     def __init__(
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -8,6 +8,7 @@
 from ...errors import ErrorKind
 from ...request.relay.call import RelayCall
 from ...version.serving import ServedService, ServingIndex
+from ...version.serving_settings import QueueingSettings
 from ..endpoints.quarantined_part import QuarantinedPart
 from ..endpoints.retry_budget import RetryBudget
 from ..endpoints.table import EndpointTable, Exclusions
@@ -18,6 +19,7 @@
     Plan,
     Refusal,
 )
+from ..queueing.crowded_shorts import offered_engines
 
 __all__ = ('PlacementRouter', 'short_prefill_s')
 
@@ -50,17 +52,23 @@
         budget: RetryBudget,
         policy: PlacementPolicy,
         random: Random,
+        queueing: QueueingSettings | None = None,
     ) -> None:
         """Use the endpoints of ``table`` and the retries of ``budget``."""
         self._table = table
         self._retry_budget = budget
         self._policy = policy
         self._random = random
+        self._queueing = queueing or QueueingSettings()
         self._index: ServingIndex | None = None
         self._short_prefill_s: dict[str, float] = {}
         #: Monotonic time until which each prompt part is in quarantine.
         self._quarantined_until_s: dict[str, float] = {}
 
+    def use_queueing(self, queueing: QueueingSettings) -> None:
+        """Apply other settings from now on."""
+        self._queueing = queueing
+
     def use_index(self, index: ServingIndex) -> None:
         """Replace the configuration."""
         self._index = index
@@ -152,6 +160,10 @@
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
             known_engines=self._known_engines(call),
         )
+        if self._queueing.short_waits:
+            candidates = offered_engines(
+                now_s, request, candidates, self._random
+            )
         outcome = self._policy.choose(now_s, request, candidates, self._random)
         outcome.inputs.update(excluded.as_fields())
         return outcome
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -12,6 +12,7 @@
 from ...request.calls import reply_failed
 from ...request.relay.call import EndpointNotice, RelayCall
 from ...request.relay.flow import RelayFlow
+from ...version.serving_settings import ServingSettings
 from ..endpoints.health import Fault
 from ..endpoints.quarantined_part import QuarantinedPart
 from ..events import ShutdownPhase
@@ -52,6 +53,11 @@
         )
         self._perform_all(pending, pending.flow.begin(now_s))
 
+    @handler('settings_changed', channel='*')
+    def _on_settings_changed(self, settings: ServingSettings) -> None:
+        super()._on_settings_changed(settings)
+        self._router.use_queueing(settings.queueing)
+
     @handler('cut_off_scheduled')
     def _on_cut_off_scheduled(self, cut_off_s: float) -> None:
         self._cut_off_s = cut_off_s
@@ -70,7 +76,7 @@
         if phase != ShutdownPhase.ended:
             return
         for pending in tuple(self._pending.values()):
-            self._log_interrupted(pending)
+            _log_interrupted(pending)
             self._perform_all(pending, pending.flow.on_stop())
 
     def _refuse_for_stop(self, call: RelayCall) -> None:
@@ -86,21 +92,6 @@
         failure = Failure(ErrorKind.draining)
         self.fire(reply_failed(call.key, failure), 'caller')
 
-    def _log_interrupted(self, pending: PendingRelay) -> None:
-        now_s = monotonic()
-        call, flow = pending.flow.call, pending.flow
-        silent_s = now_s - pending.last_data_s if pending.last_data_s else None
-        log_message(
-            'request_interrupted',
-            request=call.call_id,
-            key=call.key,
-            attempts=flow.attempt_count,
-            events=flow.event_count,
-            after_s=round(now_s - call.arrived_s, SECONDS_DIGITS),
-            silent_s=silent_s and round(silent_s, SECONDS_DIGITS),
-            left_s=round(call.deadline_s - now_s, SECONDS_DIGITS),
-        )
-
     @handler('parts_quarantined')
     def _on_parts_quarantined(
         self, parts: tuple[QuarantinedPart, ...], is_own: bool
@@ -299,6 +290,22 @@
             self._broadcast_suspicion(entry.endpoint_id, for_s, fault.value)
 
 
+def _log_interrupted(pending: PendingRelay) -> None:
+    now_s = monotonic()
+    call, flow = pending.flow.call, pending.flow
+    silent_s = now_s - pending.last_data_s if pending.last_data_s else None
+    log_message(
+        'request_interrupted',
+        request=call.call_id,
+        key=call.key,
+        attempts=flow.attempt_count,
+        events=flow.event_count,
+        after_s=round(now_s - call.arrived_s, SECONDS_DIGITS),
+        silent_s=silent_s and round(silent_s, SECONDS_DIGITS),
+        left_s=round(call.deadline_s - now_s, SECONDS_DIGITS),
+    )
+
+
 def _fault_of(failure: Failure, sent: bool) -> Fault:
     if not sent:
         return Fault.unreachable
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -95,6 +95,7 @@
             self._retry_budget,
             policy_of(settings.placement, settings.data_centre),
             self._random,
+            settings.queueing,
         )
         self._pending: dict[str, PendingRelay] = {}
         self._exchanges: dict[int, tuple[PendingRelay, Attempt]] = {}
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -12,7 +12,12 @@
 from ..connection.exchange import Address
 from ..errors import ErrorKind, Failure
 
-__all__ = ('ServingSettings', 'StoreSettings', 'load_serving_settings')
+__all__ = (
+    'QueueingSettings',
+    'ServingSettings',
+    'StoreSettings',
+    'load_serving_settings',
+)
 
 
 _MS_PER_S: Final = 1000.0
@@ -29,6 +34,17 @@
     history_s: float = 20
 
 
+@final
+class QueueingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """What is decided while requests compete for too little room.
+
+    :param short_waits: whether short requests use warming engines, and those
+        of other cells as known ones, while their own cell has no room.
+    """
+
+    short_waits: bool = False
+
+
 @final
 class ServingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Settings of one process; unknown keys are ignored.
@@ -66,6 +82,7 @@
     directory: str
     peer: str
     store: StoreSettings
+    queueing: QueueingSettings = QueueingSettings()
     peer_listen: str = ''
     contacts: tuple[str, ...] = ()
     metrics_port: int = 0
--- /dev/null
+++ b/features/short_bursts.feature
@@ -0,0 +1,77 @@
+Feature: Bursts of shorts while part of the engines is cold, leaving or gone
+  Guards against requests that are late although engines are free, because their instances send them to full engines
+  that they know nothing of, or leave warming engines empty.
+
+  Scenario Outline: Shorts find the free engines when those of one data centre are gone
+    Load: two and a half times the usual shorts while the engines of one of three data centres are gone; the others
+    have slots for all. Guards against instances without engines of their own that choose at random among full ones.
+    Given a fleet of 31 instances and 60 engines that decides on <waits>
+    And 100 shorts a second for 3 seconds
+    When the engines of one data centre are gone
+    And 165 shorts come a second for 2 seconds
+    Then <found> 1 in 20 of them come to a full engine
+
+    Examples:
+      | waits       | found        |
+      | short waits | at most      |
+      | nothing     | at least     |
+
+  Scenario: Warming engines take what they bear
+    Load: as before, and the engines come back cold. Guards against engines that stay empty until they are warm, and
+    against more requests than a cold engine survives, 44 a second from all instances together.
+    Given a fleet of 31 instances and 60 engines that decides on short waits
+    When the engines of one data centre are gone
+    And 165 shorts come a second for 2 seconds
+    And 20 engines come back cold there
+    And 165 shorts come a second for 3 seconds
+    Then at most 1 in 20 of them come to a full engine
+    And warming engines get 1 in 10 of them or more
+    And no cold engine gets more than 44 in any second
+
+  Scenario: The bound at a cold engine holds without work updates
+    Failure: the links that carry work updates are cut during a burst on cold engines only. Guards against instances
+    that each send a cold engine what all together may send.
+    Given a fleet of 31 instances and 60 engines that decides on short waits
+    When work updates are cut
+    And the engines of all data centres are gone
+    And 20 engines come back cold there
+    And 400 shorts come a second for 3 seconds
+    Then no cold engine gets more than 44 in any second
+
+  Scenario: The decision is the same at all instances and leaves out dead ones
+    Failure: an instance that shares its engines dies. Guards against instances that disagree on who shares, and
+    against updates to dead instances.
+    Given a fleet of 31 instances and 60 engines that decides on short waits
+    When the engines of one data centre are gone
+    And one instance of another data centre dies
+    Then all instances agree that its cell shares the engines of both others
+    And no instance sends updates to the dead one
+
+  Scenario: A crashed engine that seems usable for a moment changes nothing
+    Failure: ejections of crashed engines end before their entries lapse. Guards against a division that moves back and
+    forth, each time with a report from every instance.
+    Given a cell with 10 instances and 1 usable engine, and two with 20
+    Then it is short
+    When it has 20 usable engines for 3 seconds
+    Then it is short
+    When it has 20 usable engines for 5 seconds
+    Then no cell is short
+
+  Scenario: A cell that lacks a few engines keeps to itself
+    Load: a release takes a quarter of a cell's engines at a time. Guards against messages to more cells than needed.
+    Given a cell with 10 instances and 15 usable engines, and two with 20
+    Then no cell is short
+
+  Scenario: A fleet that is short everywhere is not divided anew
+    Failure: all engines are cold after a loss of power. Guards against sharing that helps nobody.
+    Given a cell with 10 instances and 0 usable engines, and two with 0
+    Then no cell is short
+
+  Scenario: Without the setting, shorts are placed as before
+    Guards against a change for deployments that do not ask for it.
+    Given a fleet of 31 instances and 60 engines that decides on nothing
+    When the engines of one data centre are gone
+    And 20 engines come back cold there
+    And 165 shorts come a second for 2 seconds
+    Then warming engines get none of them
+    And each instance uses its own cell only
