--- a/bergamotturn/process/relay_tasks/answer_pauses.py
+++ b/bergamotturn/process/relay_tasks/answer_pauses.py
@@ -12,12 +12,12 @@
 )
 from ...request.relay.actions import SendAttempt
 from .pending_relay import PendingRelay
-from .runner import RelayRunner
+from .return_runner import ReturnRunner
 
 __all__ = ('AnswerPauses',)
 
 
-class AnswerPauses(RelayRunner):
+class AnswerPauses(ReturnRunner):
     """Stops reading from the endpoints of a request while its caller is slow.
 
     A pause concerns all attempts of the request, and ends with it.
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -62,11 +62,11 @@
 from .prompt_reports import PromptReports
 from .reservation_manager import ReservationManager
 
-__all__ = ('SECONDS_DIGITS', 'RelayRunner', 'flow_due')
+__all__ = ('ANSWERED', 'SECONDS_DIGITS', 'RelayRunner', 'flow_due')
 
 _MS: Final = 1000.0
 #: Outcome of a request whose complete answer was passed on.
-_ANSWERED: Final = 'answered'
+ANSWERED: Final = 'answered'
 #: Decimal places of seconds in log lines.
 SECONDS_DIGITS: Final = 3
 
@@ -162,13 +162,13 @@
         self._reply(pending, reply_data, action.data)
 
     def _reply_full(self, pending: PendingRelay, action: ReplyFull) -> None:
-        self._log_end(pending, _ANSWERED, status=action.status)
+        self._log_end(pending, ANSWERED, status=action.status)
         self._reply(
             pending, reply_full, action.status, action.headers, action.body
         )
 
     def _reply_end(self, pending: PendingRelay, action: ReplyEnd) -> None:
-        self._log_end(pending, _ANSWERED, events=pending.flow.event_count)
+        self._log_end(pending, ANSWERED, events=pending.flow.event_count)
         self._reply(pending, reply_end)
 
     def _reply_failure(
@@ -348,7 +348,7 @@
     ) -> None:
         call = pending.flow.call
         after_s = monotonic() - call.arrived_s
-        if outcome == _ANSWERED:
+        if outcome == ANSWERED:
             self._durations.record(call.route.name, after_s)
         RELAYED.labels(call.service, outcome).inc()
         ENDED_AFTER_S.labels(call.service).observe(after_s)
--- a/features/short_bursts.feature
+++ b/features/short_bursts.feature
@@ -75,3 +75,26 @@
     And 165 shorts come a second for 2 seconds
     Then warming engines get none of them
     And each instance uses its own cell only
+
+  Scenario: Refused callers don't return in one wave
+    Load: a burst beyond all slots, of which hundreds are refused within a second. Guards against callers that all
+    return at the same moment and are refused again.
+    Given an instance that answers 60 requests a second
+    When it refuses 120 requests with 9 seconds left within a second
+    Then at most 70 of them return in any second
+    And nobody is asked to wait for longer than 3 seconds
+    And each waits for 0.2 seconds or more
+
+  Scenario: Callers with little time are asked to return while they can
+    Guards against a time to return at which the caller has given up.
+    Given an instance that answers 2 requests a second
+    When it refuses 40 requests with 1.5 seconds left within a second
+    Then nobody is asked to wait for longer than 0.5 seconds
+
+  Scenario: The pause that an endpoint asked for is passed on
+    Guards against a caller that returns before the pause ends, and against others that wait for it.
+    Given an instance that answers 60 requests a second
+    When it refuses a request for a pause of 30 seconds
+    Then it is asked to wait for 30 seconds
+    When it refuses 1 requests with 9 seconds left within a second
+    Then nobody is asked to wait for longer than 0.3 seconds
--- a/features/steps/short_bursts_steps.py
+++ b/features/steps/short_bursts_steps.py
@@ -1,13 +1,19 @@
 """Steps for bursts of shorts while engines are cold, leaving or gone."""
 
+from bisect import bisect_left
+
 from behave import given, then, when
 
 from bergamotturn.connection.peer_messages import MemberState
+from bergamotturn.errors import ErrorKind, Failure
 from bergamotturn.process.queueing.cell_shortage import CellShortage
+from bergamotturn.process.queueing.return_times import ReturnTimes
 from features.support.burst_fleet import BurstFleet, most_in_a_second
+from features.support.relay_samples import relay_call, route
 
 _CELLS = ('a', 'b', 'c')
 _LOST = 'dc-2'
+_ROUNDING_S = 1e-6
 
 
 @given(
@@ -132,6 +138,56 @@
     assert not context.hosts
 
 
+@given('an instance that answers {rate:d} requests a second')
+def answering(context, rate):
+    context.now_s = 100.0
+    context.returns = ReturnTimes()
+    for number in range(2 * rate):
+        at_s = context.now_s - 2 + number / rate
+        context.returns.note_answered(at_s, 'letters')
+
+
+@when(
+    'it refuses {count:d} requests with {left_s:g} seconds left within a second'
+)
+def refuse(context, count, left_s):
+    context.waits = []
+    for number in range(count):
+        now_s = context.now_s + number / count
+        wait_s = _refused_wait_s(context, now_s, left_s, 0.2)
+        context.waits.append((now_s, wait_s))
+
+
+@when('it refuses a request for a pause of {pause_s:g} seconds')
+def refuse_for_pause(context, pause_s):
+    wait_s = _refused_wait_s(context, context.now_s, 100, pause_s)
+    context.waits = [(context.now_s, wait_s)]
+
+
+@then('at most {limit:d} of them return in any second')
+def no_wave(context, limit):
+    returns_s = sorted(at_s + wait_s for at_s, wait_s in context.waits)
+    for first, at_s in enumerate(returns_s):
+        assert bisect_left(returns_s, at_s + 1) - first <= limit
+
+
+@then('nobody is asked to wait for longer than {limit_s:g} seconds')
+def waits_at_most(context, limit_s):
+    assert max(wait_s for _, wait_s in context.waits) <= limit_s + _ROUNDING_S
+
+
+@then('each waits for {limit_s:g} seconds or more')
+@then('it is asked to wait for {limit_s:g} seconds')
+def waits_at_least(context, limit_s):
+    assert min(wait_s for _, wait_s in context.waits) >= limit_s - _ROUNDING_S
+
+
+def _refused_wait_s(context, now_s, left_s, earliest_s):
+    call = relay_call(route(), deadline_s=now_s + left_s)
+    failure = Failure(ErrorKind.overloaded, retry_after_s=earliest_s)
+    return context.returns.spread(now_s, call, failure).retry_after_s
+
+
 def _update(context, usable):
     counts = {**dict.fromkeys(_CELLS, context.others), 'a': usable}
     context.hosts = context.shortage.find_hosts(
