--- a/bergamotturn/process/queueing/crowded_shorts.py
+++ b/bergamotturn/process/queueing/crowded_shorts.py
@@ -27,6 +27,9 @@
 #: Engines that are drawn at random, of which placement takes the better one.
 #: The more are drawn, the more instances choose the same one at once.
 _MAX_DRAWN: Final = 2
+#: Share of the objective within which an engine's pending prefills must end.
+#: The rest covers the pass under way, the first event and the network.
+_PREFILL_SHARE: Final = 0.5
 
 
 def offered_engines(
@@ -40,8 +43,9 @@
     They are all ``candidates`` while enough warm engines of the own cell have
     room for a short: one, and one more for each request that others may have
     sent without being known here yet. After that they are a few of the own cell
-    with free slots, warm or warming; and last the own cell with the warming
-    engines of other cells, whose requests are not known here.
+    with free slots and little to prefill, warm or warming; and last the own
+    cell with the warming engines of other cells, whose requests are not known
+    here.
     """
     if request.service.engine is None or request.is_long:
         return candidates
@@ -52,7 +56,10 @@
     if sum(_has_room(now_s, request, each) for each in warm) >= enough:
         return candidates
     with_slot = [
-        _as_warm(each) for each in own if _free_slots(request, each) > 0
+        _as_warm(each)
+        for each in own
+        if _free_slots(request, each) > 0
+        and _prefills_in_time(now_s, request, each)
     ]
     if not with_slot:
         return _with_unknown_warming(now_s, request, candidates)
@@ -97,6 +104,14 @@
     return max(0, request.engine.slots - candidate.load.requests)
 
 
+def _prefills_in_time(
+    now_s: float, request: PlacementRequest, candidate: PlacementCandidate
+) -> bool:
+    """Return whether pending prefills leave time for that of the request."""
+    prefill_s = candidate.load.pending_prefill_s(now_s) + request.prefill_s
+    return prefill_s <= _PREFILL_SHARE * request.objective_s
+
+
 def _has_room(
     now_s: float, request: PlacementRequest, candidate: PlacementCandidate
 ) -> bool:
--- a/features/short_bursts.feature
+++ b/features/short_bursts.feature
@@ -38,6 +38,15 @@
     And 400 shorts come a second for 3 seconds
     Then no cold engine gets more than 44 in any second
 
+  Scenario: Shorts of a burst avoid engines that prefill a long prompt
+    Load: a burst of shorts beside longs that two thirds of the engines prefill for seconds. Guards against a short
+    that is placed on one of them because it has many free slots.
+    Given a fleet of 31 instances and 60 engines that decides on short waits
+    When the engines of one data centre are gone
+    And 30 of the engines prefill a long prompt for 3 seconds
+    And 60 shorts come a second for 1 second
+    Then none of them come to an engine that prefills a long
+
   Scenario: The decision is the same at all instances and leaves out dead ones
     Failure: an instance that shares its engines dies. Guards against instances that disagree on who shares, and
     against updates to dead instances.
--- a/features/steps/short_bursts_steps.py
+++ b/features/steps/short_bursts_steps.py
@@ -28,6 +28,7 @@
 
 @given('{rate:d} shorts a second for {seconds:d} seconds')
 @when('{rate:d} shorts come a second for {seconds:d} seconds')
+@when('{rate:d} shorts come a second for {seconds:d} second')
 def shorts(context, rate, seconds):
     context.before = len(context.fleet.arrivals)
     context.fleet.run(seconds, rate)
@@ -138,6 +139,18 @@
     assert not context.hosts
 
 
+@when('{count:d} of the engines prefill a long prompt for {seconds:d} seconds')
+def prefill_longs(context, count, seconds):
+    context.busy = context.fleet.prefill_longs(count, seconds)
+
+
+@then('none of them come to an engine that prefills a long')
+def avoid_longs(context):
+    engines = {name for _, name, _ in context.fleet.arrivals[context.before :]}
+    assert engines
+    assert not engines & context.busy, engines & context.busy
+
+
 @given('an instance that answers {rate:d} requests a second')
 def answering(context, rate):
     context.now_s = 100.0
--- a/features/support/burst_fleet.py
+++ b/features/support/burst_fleet.py
@@ -141,6 +141,28 @@
         self.entries |= {known.endpoint_id: known for known in found}
         self._put(found)
 
+    def prefill_longs(self, count, for_s):
+        """Let some engines prefill a long each, as all instances know.
+
+        :returns: their names.
+        """
+        names = frozenset(tuple(self.entries)[:count])
+        for name in names:
+            self._work += 1
+            began = WorkBegan(
+                place=0,
+                work=self._work,
+                is_long=True,
+                lasts_ms=20_000,
+                due_ms=4000,
+                shares=(
+                    WorkShare(name, int(for_s * 1000), 100_000, runs=True),
+                ),
+            )
+            for node in self.nodes:
+                node.table.load_table.apply_own(self.now_s, 'other', began)
+        return names
+
     def find_shortage(self):
         """Let each instance find the short cells, as after any change."""
         for node in self.nodes:
