Refuse a configuration with engines that prefill nothing in a step

It was put in force, and each choice of an engine of that service then failed with a division by zero. The example on read_per_s is refused for that number alone now, not for its missing routes.

--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -88,7 +88,7 @@
     per_seq_ms: float = 0
     context_per_k: float = 0
     pairs_per_m: float = 0
-    chunk: WholeNumber = 2048
+    chunk: Annotated[float, msgspec.Meta(ge=1, multiple_of=1)] = 2048
     stride: WholeNumber = 1
     report_lag_ms: float = 0
     hop_ms: float = msgspec.field(name='hopMs', default=0)
--- a/features/platform_forms.feature
+++ b/features/platform_forms.feature
@@ -30,7 +30,8 @@
       | {"version": 3, "services": []}       |
       | {"version": 3, "services": [], "routes": [{"name": "r", "host": "h", "prefix": "/", "kind": "safe", "service": "x", "timeoutMs": -1}]} |
       | {"version": 3, "services": [], "routes": [], "limits": {"maxHeaderBytes": 0, "maxBodyBytes": 9, "headerTimeoutMs": 9, "idleTimeoutMs": 9}} |
-      | {"version": 3, "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
+      | {"version": 3, "routes": [], "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 0}}]} |
+      | {"version": 3, "routes": [], "services": [{"name": "x", "engine": {"slots": 1, "kvTokens": 1, "step_ms": 1, "read_per_s": 1, "chunk": 0}}]} |
       | {"version": 9007199254740992, "services": [], "routes": []} |
       | {"version": 9007199254740992.0, "services": [], "routes": []} |
       | {"version": 3.5, "services": [], "routes": []} |
