--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -373,10 +373,11 @@
         """Read what arrived before the peer reset the connection.
 
         It may be a whole refusal of a request whose rest the peer does not
-        read. After the reset nothing more arrives.
+        read. After the reset nothing more arrives. Bytes that came before any
+        of the request was sent cannot be its answer.
         """
         transfer = connection.transfer
-        if transfer is not None and not transfer.is_paused:
+        if transfer is not None and transfer.sent and not transfer.is_paused:
             while (
                 self._goes_on(connection, transfer) and connection.has_unread()
             ):
