Placement: short waits at services whose promises a crowded engine breaks

Which deployments call for short waits follows from their configuration: engines that break the shortest promised gap when they prefill two prompts of the usual length in one pass while they are full. The settings of the platform ask for it there and nowhere else.

--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -67,6 +67,14 @@
     resumable: bool = False
 
 
+@final
+class _UsualJson(msgspec.Struct, frozen=True):
+    """Mean numbers of tokens of an engine's requests."""
+
+    prompt: _NotNegative = 0
+    answer: _NotNegative = 0
+
+
 @final
 class _EngineJson(msgspec.Struct, frozen=True):
     """Performance figures of an engine.
@@ -92,6 +100,7 @@
     stride: WholeNumber = 1
     report_lag_ms: float = 0
     hop_ms: float = msgspec.field(name='hopMs', default=0)
+    usual: _UsualJson = _UsualJson()
 
 
 @final
@@ -199,6 +208,8 @@
         steps_per_pass=max(1, int(parsed.stride)),
         group_step_s=parsed.hop_ms / _MS_PER_S,
         report_lag_s=parsed.report_lag_ms / _MS_PER_S,
+        usual_prompt_tokens=parsed.usual.prompt,
+        usual_output_tokens=parsed.usual.answer,
     )
 
 
--- a/bergamotturn/process/relay_tasks/cell_registry.py
+++ b/bergamotturn/process/relay_tasks/cell_registry.py
@@ -13,6 +13,7 @@
 from ..events import OrderView
 from ..metrics import CELLS_SHORT
 from ..queueing.cell_shortage import CellShortage
+from ..queueing.tight_gaps import has_short_waits
 from ..timers import Timers
 from .endpoint_registry import EndpointRegistry
 
@@ -74,7 +75,7 @@
         usable = Counter(
             self._cells.cell_of_endpoint(entry)
             for service in self._index.services.values()
-            if service.engine
+            if has_short_waits(self._settings.queueing, self._index, service)
             for entry in self._table.usable_entries(now_s, service)
         )
         live = self._cells.live_counts()
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -20,6 +20,7 @@
     Refusal,
 )
 from ..queueing.crowded_shorts import offered_engines
+from ..queueing.tight_gaps import has_short_waits
 
 __all__ = ('PlacementRouter', 'short_prefill_s')
 
@@ -69,6 +70,12 @@
         """Apply other settings from now on."""
         self._queueing = queueing
 
+    def has_short_waits(self, service: ServedService) -> bool:
+        """Return whether bursts of shorts at ``service`` are spread."""
+        if self._index is None:
+            return False
+        return has_short_waits(self._queueing, self._index, service)
+
     def use_index(self, index: ServingIndex) -> None:
         """Replace the configuration."""
         self._index = index
@@ -160,7 +167,7 @@
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
             known_engines=self._known_engines(call),
         )
-        if self._queueing.short_waits:
+        if self.has_short_waits(service):
             candidates = offered_engines(
                 now_s, request, candidates, self._random
             )
--- a/bergamotturn/process/relay_tasks/return_runner.py
+++ b/bergamotturn/process/relay_tasks/return_runner.py
@@ -31,7 +31,8 @@
     def _reply_failure(
         self, pending: PendingRelay, action: ReplyFailure
     ) -> None:
-        if self._settings.queueing.short_waits:
+        service = self._router.service(pending.flow.call.service)
+        if service is not None and self._router.has_short_waits(service):
             failure = self._return_times.spread(
                 monotonic(), pending.flow.call, action.failure
             )
--- a/bergamotturn/version/serving.py
+++ b/bergamotturn/version/serving.py
@@ -5,6 +5,7 @@
 key of a request.
 """
 
+from collections.abc import Iterable
 from hashlib import sha256
 from typing import Final, final
 
@@ -51,6 +52,8 @@
     :param group_step_s: added to a step of an answer whose prompt is spread
         over several engines.
     :param report_lag_s: age of the load that an engine reports.
+    :param usual_prompt_tokens: mean length of its prompts, 0 if not known.
+    :param usual_output_tokens: mean length of its answers.
     """
 
     slots: int
@@ -64,8 +67,10 @@
     steps_per_pass: int
     group_step_s: float = 0
     report_lag_s: float = 0
+    usual_prompt_tokens: float = 0
+    usual_output_tokens: float = 0
 
-    def prefill_s(self, prompt_tokens: int) -> float:
+    def prefill_s(self, prompt_tokens: float) -> float:
         """Return how long an idle engine takes to prefill a prompt."""
         pairs = prompt_tokens * prompt_tokens / _PAIRS_DIVISOR
         steps = prompt_tokens / self.chunk_tokens
@@ -75,7 +80,7 @@
             + self.step_s * steps
         )
 
-    def pass_s(self, decoding: int, context_tokens: int) -> float:
+    def pass_s(self, decoding: int, context_tokens: float) -> float:
         """Return how long a pass without prefill takes.
 
         :param decoding: answers being decoded.
@@ -194,9 +199,20 @@
 
 @final
 class ServingIndex:
-    """Looks up routes and workspaces of one version for a request."""
+    """Looks up routes and workspaces of one version for a request.
 
-    __slots__ = ('_routes', '_workspaces', 'configuration', 'services')
+    :ivar shortest_gaps_s: shortest gap between events that a route to a
+        service promises, by the service's name; services without such a
+        promise are left out.
+    """
+
+    __slots__ = (
+        '_routes',
+        '_workspaces',
+        'configuration',
+        'services',
+        'shortest_gaps_s',
+    )
 
     def __init__(self, configuration: ServingConfiguration) -> None:
         """Index ``configuration``."""
@@ -209,6 +225,7 @@
             for workspace in configuration.workspaces
             for digest in workspace.key_digests
         }
+        self.shortest_gaps_s = _shortest_gaps_s(configuration.routes)
         self._routes: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             by_prefix = self._routes.setdefault(route.host.lower(), {})
@@ -241,6 +258,17 @@
         return self._workspaces.get(key_digest(key))
 
 
+def _shortest_gaps_s(routes: Iterable[Route]) -> dict[str, float]:
+    gaps_s: dict[str, float] = {}
+    for route in routes:
+        if not route.gap_objective_s:
+            continue
+        for target in route.targets:
+            shortest_s = gaps_s.get(target.service, route.gap_objective_s)
+            gaps_s[target.service] = min(shortest_s, route.gap_objective_s)
+    return gaps_s
+
+
 def key_digest(key: str) -> str:
     """Return the digest by which an API key is stored and compared."""
     return sha256(key.encode('utf-8', 'surrogateescape')).hexdigest()
--- a/bergamotturn/version/serving_settings.py
+++ b/bergamotturn/version/serving_settings.py
@@ -40,9 +40,12 @@
 
     :param short_waits: whether short requests use warming engines, and those
         of other cells as known ones, while their own cell has no room.
+    :param only_tight_gaps: whether that is left to services whose engines
+        can't bear two usual prompts in one pass while they are full.
     """
 
     short_waits: bool = False
+    only_tight_gaps: bool = False
 
 
 @final
