Cells: check for short cells at most every 0.1 s, and a test of the registry

With 720 endpoints a check takes 1.0 ms of processor time, and each of hundreds of crashed endpoints is reported by others.

--- a/bergamotturn/process/relay_tasks/cell_registry.py
+++ b/bergamotturn/process/relay_tasks/cell_registry.py
@@ -2,7 +2,9 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from math import inf
 from time import monotonic
+from typing import Final
 
 from circuits import handler
 from eliot import log_message
@@ -18,6 +20,9 @@
 
 __all__ = ('CellRegistry',)
 
+#: Checking 720 endpoints takes a millisecond, and hundreds may fail at once.
+_MIN_CHECK_INTERVAL_S: Final = 0.1
+
 
 class CellRegistry(EndpointRegistry):
     """Finds short cells when endpoints change or fail, and every second."""
@@ -29,6 +34,8 @@
         super().__init__(settings, boot_id, timers)
         self._shortage = CellShortage()
         self._hosts: Mapping[str, tuple[str, ...]] = {}
+        #: Monotonic time before which the cells are not checked again.
+        self._next_check_s = -inf
 
     @handler('endpoints_changed', channel='*')
     def _on_endpoints_changed(
@@ -59,6 +66,9 @@
         self._update_shortage(now_s)
 
     def _update_shortage(self, now_s: float) -> None:
+        if now_s < self._next_check_s:
+            return
+        self._next_check_s = now_s + _MIN_CHECK_INTERVAL_S
         hosts = self._find_hosts(now_s)
         if hosts == self._hosts:
             return
--- a/features/short_bursts.feature
+++ b/features/short_bursts.feature
@@ -56,6 +56,16 @@
     Then all instances agree that its cell shares the engines of both others
     And no instance sends updates to the dead one
 
+  Scenario: An instance that begins to share asks what was sent before
+    Failure: the engines of the own data centre crash. Guards against engines of other cells that seem idle until their
+    requests end, and against sharing that goes on once the setting is off.
+    Given the endpoint registry of an instance of 31, with 60 engines in 3 data centres
+    When the engines of its data centre fail to be reached
+    Then it asks the 20 instances of the other cells for their work once
+    And updates on shorts go to all cells
+    When short waits are switched off
+    Then updates on shorts go to one cell
+
   Scenario: A crashed engine that seems usable for a moment changes nothing
     Failure: ejections of crashed engines end before their entries lapse. Guards against a division that moves back and
     forth, each time with a report from every instance.
--- a/features/steps/short_bursts_steps.py
+++ b/features/steps/short_bursts_steps.py
@@ -1,15 +1,30 @@
 """Steps for bursts of shorts while engines are cold, leaving or gone."""
 
 from bisect import bisect_left
+from time import monotonic
 
 from behave import given, then, when
+from msgspec.structs import replace
 
-from bergamotturn.connection.peer_messages import MemberState
+from bergamotturn.connection.peer_messages import (
+    MemberState,
+    SuspicionNote,
+    send_message,
+)
 from bergamotturn.errors import ErrorKind, Failure
+from bergamotturn.process.endpoints.health import Fault
+from bergamotturn.process.events import MemberView
 from bergamotturn.process.queueing.cell_shortage import CellShortage
 from bergamotturn.process.queueing.return_times import ReturnTimes
+from bergamotturn.process.relay_tasks.cell_registry import CellRegistry
+from bergamotturn.process.timers import Timers
+from bergamotturn.version.serving_settings import (
+    QueueingSettings,
+    ServingSettings,
+    StoreSettings,
+)
 from features.support.burst_fleet import BurstFleet, most_in_a_second
-from features.support.relay_samples import relay_call, route
+from features.support.relay_samples import relay_call, route, serving
 
 _CELLS = ('a', 'b', 'c')
 _LOST = 'dc-2'
@@ -151,6 +166,65 @@
     assert not engines & context.busy, engines & context.busy
 
 
+@given(
+    'the endpoint registry of an instance of {instances:d}, with {engines:d} '
+    'engines in 3 data centres'
+)
+def registry(context, instances, engines):
+    fleet = BurstFleet(instances, engines, queueing=False)
+    context.registry = CellRegistry(_settings(), 'boot', Timers())
+    context.asked = []
+    context.registry.fire = lambda event, *_: context.asked.extend(
+        event.args[:1] if isinstance(event, send_message) else ()
+    )
+    context.entries = tuple(fleet.entries.values())
+    context.registry._on_serving_changed(serving())
+    context.registry._on_members_changed(MemberView(fleet.members))
+    context.registry._on_endpoints_changed(context.entries, ())
+    assert not context.asked
+
+
+@when('the engines of its data centre fail to be reached')
+def unreachable(context):
+    context.registry._next_check_s = 0
+    for each in context.entries:
+        if each.data_centre == 'dc-0':
+            context.registry._eject_suspected(
+                monotonic(),
+                'n-1',
+                SuspicionNote(
+                    endpoint=each.endpoint_id,
+                    for_ms=1500,
+                    reason=Fault.unreachable.value,
+                ),
+            )
+    _check_cells(context)
+
+
+@then('it asks the {count:d} instances of the other cells for their work once')
+def asked(context, count):
+    assert len(context.asked) == len(set(context.asked)) == count
+
+
+@then('updates on shorts go to all cells')
+def all_cells(context):
+    for each in context.entries:
+        assert len(context.registry._cells.cells_to_notify(each)) == 3
+
+
+@when('short waits are switched off')
+def switch_off(context):
+    settings = replace(_settings(), queueing=QueueingSettings())
+    context.registry._on_settings_changed(settings)
+    _check_cells(context)
+
+
+@then('updates on shorts go to one cell')
+def one_cell(context):
+    for each in context.entries:
+        assert len(context.registry._cells.cells_to_notify(each)) == 1
+
+
 @given('an instance that answers {rate:d} requests a second')
 def answering(context, rate):
     context.now_s = 100.0
@@ -195,6 +269,25 @@
     assert min(wait_s for _, wait_s in context.waits) >= limit_s - _ROUNDING_S
 
 
+def _check_cells(context):
+    """Check the cells, as the timer does every second."""
+    context.registry._next_check_s = 0
+    context.registry._update_gauges(monotonic())
+
+
+def _settings():
+    return ServingSettings(
+        instance='n-0',
+        data_centre='dc-0',
+        caller='127.0.0.1:1',
+        ready='127.0.0.1:2',
+        directory='127.0.0.1:3',
+        peer='127.0.0.1:4',
+        store=StoreSettings(address='127.0.0.1:5'),
+        queueing=QueueingSettings(short_waits=True),
+    )
+
+
 def _refused_wait_s(context, now_s, left_s, earliest_s):
     call = relay_call(route(), deadline_s=now_s + left_s)
     failure = Failure(ErrorKind.overloaded, retry_after_s=earliest_s)
--- a/features/support/burst_fleet.py
+++ b/features/support/burst_fleet.py
@@ -99,7 +99,7 @@
 
     def use_members(self, states):
         """Let all instances know the states of all."""
-        members = [
+        self.members = tuple(
             MemberUpdate(
                 instance=node.name,
                 boot_id='b',
@@ -111,10 +111,10 @@
                 operator_address=_ADDRESS,
             )
             for number, node in enumerate(self.nodes)
-        ]
+        )
         for node in self.nodes:
-            node.cells.use_members(members)
-            node.table.cold_limiter.instances = len(members)
+            node.cells.use_members(self.members)
+            node.table.cold_limiter.instances = len(self.members)
         self.find_shortage()
 
     def lose(self, centre):
