Placement: instances that have just started do not all send to one engine

Instances that start together know of no request of the others and have the same order of engines: after a loss of all power, the shorts that had waited at 22 instances of a data centre went to two engines, which fell behind (25 of 32 traced; 588 suspicions of six engines within a second at these instances). For 0.5 s from its first configuration, an instance chooses among all engines of its cell with a free slot for shorts (rule any_seat).

--- a/bergamotturn/process/placement/plan.py
+++ b/bergamotturn/process/placement/plan.py
@@ -40,6 +40,8 @@
     :param short_prefill_s: longest prefill time of a short prompt.
     :param known_engines: engines that the service has, also those that can't be
         used now; only used for long prompts.
+    :param is_load_unknown: whether this instance has just started and does not
+        know yet what others send; only used for short prompts.
     """
 
     service: ServedService
@@ -49,6 +51,7 @@
     left_s: float
     short_prefill_s: float = 0
     known_engines: int = 0
+    is_load_unknown: bool = False
 
     @property
     def engine(self) -> EngineProfile:
--- a/bergamotturn/process/placement/shorts.py
+++ b/bergamotturn/process/placement/shorts.py
@@ -46,7 +46,9 @@
 
     The choice is random among the first such engines of the own cell: one, and
     one more for each request that others may have sent without being known here
-    yet. If there are none, an engine of the own cell that still answers early
+    yet. An instance that has just started knows of no request of others, and
+    all may have started with it: it chooses among all of them. If there are
+    none, an engine of the own cell that still answers early
     enough is chosen, then any engine with a free short slot in other cells,
     whose shorts are not known here, and last the one that answers earliest.
     """
@@ -65,6 +67,8 @@
         if candidate.is_in_own_cell
     )
     first_engines = own_cell[: 1 + int(requests_per_s * _UPDATE_DELAY_S)]
+    if own_cell and request.is_load_unknown:
+        return _plan(now_s, request, random.choice(own_cell), 'any_seat')
     if first_engines:
         return _plan(now_s, request, random.choice(first_engines), 'seat')
     with_slot = [
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -35,6 +35,10 @@
 #: Minimum wait that callers are asked for while all endpoints have a limit or
 #: have asked for a pause.
 _MIN_LIMITED_RETRY_S: Final = 0.2
+#: Time from the first configuration in which the load of engines counts as
+#: unknown. It covers the start of instances that start together, and the
+#: connections that work updates need.
+_LOAD_UNKNOWN_S: Final = 0.5
 #: Time after which a request that waits for a permit is placed again. A permit
 #: takes a round trip to another instance.
 _RECHECK_S: Final = 0.01
@@ -57,10 +61,15 @@
         self._policy = policy
         self._random = random
         self._index: ServingIndex | None = None
+        self._load_known_s = float('-inf')
         self._short_prefill_s: dict[str, float] = {}
         #: Monotonic time until which each prompt part is in quarantine.
         self._quarantined_until_s: dict[str, float] = {}
 
+    def begin(self, now_s: float) -> None:
+        """Count the load of engines as unknown for a time from the start."""
+        self._load_known_s = now_s + _LOAD_UNKNOWN_S
+
     def use_index(self, index: ServingIndex) -> None:
         """Replace the configuration."""
         self._index = index
@@ -151,6 +160,7 @@
             left_s=call.deadline_s - now_s,
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
             known_engines=self._known_engines(call),
+            is_load_unknown=now_s < self._load_known_s,
         )
         outcome = self._policy.choose(now_s, request, candidates, self._random)
         outcome.inputs.update(excluded.as_fields())
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -125,6 +125,8 @@
 
     @handler('serving_changed', channel='*')
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
+        if self._index is None:
+            self._router.begin(monotonic())
         super()._on_serving_changed(configuration)
         self._router.use_index(self._index)
         self._durations.keep_routes(
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -15,6 +15,14 @@
     When 120 shorts are sent within a second
     Then the next 6 shorts, placed without updates on each other, go to 3 engines or more
 
+  Scenario: Shorts of instances that have just started do not go to one engine
+    Guards against all instances sending their first requests to the same engine after a loss of all power, when none of
+    them knows of the others' requests. Load: the requests that waited at each of many instances.
+    Given 69 idle engines
+    When 44 shorts are placed by instances that have just started and know of no other request
+    Then no engine has more than 5 of them
+    And a short that is placed later by one of them is on the first engine
+
   Scenario: Shorts avoid an engine that prefills a long prompt
     Guards against a short whose first event waits for a second of prefill. Load: a burst of long prompts.
     Given 21 idle engines
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -175,6 +175,34 @@
     assert len(used) >= engines, used
 
 
+@when(
+    '{count:d} shorts are placed by instances that have just started and know '
+    'of no other request'
+)
+def place_at_start(context, count):
+    context.plans = [
+        context.policy.choose(
+            context.now_s,
+            engine_request(2000, is_load_unknown=True),
+            context.candidates,
+            context.random,
+        )
+        for _ in range(count)
+    ]
+
+
+@then('no engine has more than {most:d} of them')
+def spread_evenly(context, most):
+    counts = Counter(plan.entry.endpoint_id for plan in context.plans)
+    assert max(counts.values()) <= most, counts
+
+
+@then('a short that is placed later by one of them is on the first engine')
+def later_on_first(context):
+    place_shorts(context, 1)
+    assert context.plans[-1].entry is context.candidates[0].entry
+
+
 @then('it is on the second engine')
 def on_second(context):
     assert context.plans[-1].entry is context.candidates[1].entry
