--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -4,9 +4,10 @@
 import re
 import signal
 from base64 import b64decode
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import closing, contextmanager, suppress
 from http.client import HTTPConnection, HTTPException
+from itertools import starmap
 from pathlib import Path
 from tempfile import TemporaryDirectory
 from time import monotonic, sleep
@@ -52,6 +53,7 @@
     :param plain: number of endpoints of the plain service.
     :param loop: runs proxies in front of the store, the endpoints and the
         peer addresses of the instances; without it there are no proxies.
+    :param instance_settings: settings of each instance beside its addresses.
     :ivar store_proxies: proxy between each instance and the store.
     :ivar endpoint_proxies: proxy in front of each endpoint, by its port.
     :ivar peer_proxies: proxy in front of each instance's peer address.
@@ -63,12 +65,14 @@
         engines: int = 3,
         plain: int = 2,
         loop: LoopThread | None = None,
+        instance_settings: Mapping[str, int] | None = None,
     ) -> None:
         """Choose the ports without starting a process."""
         self._temporary = TemporaryDirectory(prefix='bergamotturn-')
         self.folder = Path(self._temporary.name)
         self._processes = ProcessGroup(self.folder)
         self._loop = loop
+        self._instance_settings = instance_settings or {}
         ports = free_ports(
             1 + 2 * (engines + plain) + (_PORTS_PER_INSTANCE + 2) * instances,
         )
@@ -410,6 +414,7 @@
                 f'directory = "{_HOST}:{directory}"',
                 f'peer = "{_HOST}:{advertised_peer}"',
                 f'peer_listen = "{_HOST}:{peer}"',
+                *starmap('{0} = {1}'.format, self._instance_settings.items()),
                 '[store]',
                 f'address = "{_HOST}:{store_port}"',
                 '',
