Placement: choose endpoints by learned costs with placement = "learned"

Shorts leave a full or cold cell for engines of other cells whose load is not known there; a full engine counted as freeing a slot after a constant time, and plain calls went by calls per slot. The new policy learns the pace of each endpoint, the length and time of a route's answers, and the requests that reported load shows, and forgets them with time.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -533,6 +533,8 @@
         none.
     :param again: whether this is a retry.
     :param shares: load of the request at each of its endpoints.
+    :param answer_ms: expected time to the end of the answer; left out by
+        senders that don't estimate it.
     """
 
     place: int
@@ -543,6 +545,7 @@
     pause_ms: int = 0
     again: bool = False
     shares: tuple[WorkShare, ...]
+    answer_ms: int | msgspec.UnsetType = msgspec.UNSET
 
 
 @final
--- a/bergamotturn/platform/caller_format.py
+++ b/bergamotturn/platform/caller_format.py
@@ -15,6 +15,8 @@
 _API_KEY: Final = 'x-api-key'
 #: Prompt tokens and maximum output tokens, separated by a comma.
 _TOKEN_COUNT: Final = 'token-count'
+#: Tokens of the answer as the caller expects them.
+_LENGTH_HINT: Final = 'length-hint'
 _LAST_EVENT_ID: Final = 'last-event-id'
 #: Parts of the prompt as ``id:tokens``, separated by commas.
 _PROMPT_PREFIX: Final = 'prompt-prefix'
@@ -78,6 +80,7 @@
             body=request.body,
             prompt_tokens=_parse_number(prompt) or 0,
             output_tokens=_parse_number(output) or 0,
+            hinted_tokens=_parse_number(headers.get(_LENGTH_HINT, '')) or 0,
             resume_after=_parse_number(headers.get(_LAST_EVENT_ID, '')),
             shared_parts=_shared_parts(headers.get(_PROMPT_PREFIX, '')),
         )
--- a/bergamotturn/process/endpoints/endpoint_load.py
+++ b/bergamotturn/process/endpoints/endpoint_load.py
@@ -29,6 +29,8 @@
     :param kv_tokens: KV memory that it holds there.
     :param due_s: monotonic deadline for the prefill of its prompt.
     :param max_token_gap_s: maximum token gap that its caller is promised.
+    :param ends_s: monotonic time at which its answer is expected to end;
+        infinite if its sender told none.
     """
 
     runs: bool
@@ -37,6 +39,7 @@
     kv_tokens: int = 0
     due_s: float = inf
     max_token_gap_s: float = inf
+    ends_s: float = inf
 
 
 @final
@@ -132,6 +135,14 @@
         min_gap_s = min(gaps_s, default=inf)
         return min_gap_s - self.pending_prefill_s(now_s)
 
+    def ends_s(self) -> list[float]:
+        """Return when the requests that run there are expected to end."""
+        return [
+            request_load.ends_s
+            for request_load in self._request_loads.values()
+            if request_load.runs
+        ]
+
     def recent_requests(self, now_s: float) -> int:
         """Return the number of requests sent there in the last second."""
         return self._sent.count(now_s)
--- a/bergamotturn/process/endpoints/load_table.py
+++ b/bergamotturn/process/endpoints/load_table.py
@@ -11,6 +11,8 @@
 from math import inf
 from typing import Final, final
 
+from msgspec import UNSET
+
 from ...connection.peer_messages import (
     WorkBegan,
     WorkEnded,
@@ -168,6 +170,7 @@
                 kv_tokens=share.kv_tokens,
                 due_s=now_s + began.due_ms / _MS,
                 max_token_gap_s=began.pause_ms / _MS or inf,
+                ends_s=_ends_s(now_s, began),
             )
             key = (instance, began.work)
             self.load(share.endpoint).add(now_s, key, request_load)
@@ -198,3 +201,10 @@
             return
         for share in request.began.shares:
             self.load(share.endpoint).remove(now_s, (instance, number))
+
+
+def _ends_s(now_s: float, began: WorkBegan) -> float:
+    """Return when the answer is expected to end, infinite if not told."""
+    if began.answer_ms is UNSET:
+        return inf
+    return now_s + began.answer_ms / _MS
--- /dev/null
+++ b/bergamotturn/process/estimates/__init__.py
@@ -0,0 +1,1 @@
+"""Costs of requests and paces of endpoints, learned from answers."""
--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -15,6 +15,8 @@
     'ENDED_AFTER_S',
     'ENDPOINTS_EJECTED',
     'ENDPOINT_FAULTS',
+    'ENDPOINTS_SLOW',
+    'ESTIMATE_RATIO',
     'FIRST_EVENT_S',
     'FIRST_TOKEN_S',
     'GROUPS',
@@ -53,6 +55,8 @@
     1_000_000,
 )
 
+_SERVICE_LABELS: Final = ('service',)
+
 REQUESTS: Final = Counter(
     'bergamotturn_requests',
     'Requests by outcome',
@@ -92,12 +96,23 @@
 ENDPOINTS_EJECTED: Final = Gauge(
     'bergamotturn_endpoints_alone',
     'Listed endpoints that get nothing because they failed',
-    ('service',),
+    _SERVICE_LABELS,
+)
+ENDPOINTS_SLOW: Final = Gauge(
+    'bergamotturn_endpoints_slow',
+    'Endpoints that learned costs show to be slower than others',
+    _SERVICE_LABELS,
+)
+ESTIMATE_RATIO: Final = Histogram(
+    'bergamotturn_estimate_ratio',
+    'Observed over expected time to a first event, or to the end of a call',
+    _SERVICE_LABELS,
+    buckets=(0.25, 0.5, 0.75, 1, 1.5, 2, 3, 5, 8),
 )
 RETRIES_LEFT: Final = Gauge(
     'bergamotturn_repeats_left',
     'Requests that this instance may send once more now',
-    ('service',),
+    _SERVICE_LABELS,
 )
 RATE_PERMITS: Final = Counter(
     'bergamotturn_rate_permits',
--- a/bergamotturn/process/placement/plan.py
+++ b/bergamotturn/process/placement/plan.py
@@ -40,6 +40,9 @@
     :param short_prefill_s: longest prefill time of a short prompt.
     :param known_engines: engines that the service has, also those that can't be
         used now; only used for long prompts.
+    :param route: name of its route.
+    :param hinted_tokens: length of its answer as the caller expects it, 0 if
+        it did not say.
     """
 
     service: ServedService
@@ -49,6 +52,8 @@
     left_s: float
     short_prefill_s: float = 0
     known_engines: int = 0
+    route: str = ''
+    hinted_tokens: int = 0
 
     @property
     def engine(self) -> EngineProfile:
@@ -122,6 +127,10 @@
     :param part_prefill_s: time in which each engine prefills its part.
     :param expected_first_event_s: expected time to the answer, or to its first
         event.
+    :param usual_first_event_s: the same at an endpoint of the usual pace, 0 if
+        nothing is to be learned from it.
+    :param expected_answer_s: expected time to the end of the answer, 0 if it
+        is not estimated.
     :param reason: rule that decided, for logs.
     :param inputs: values that the decision is based on, for logs.
     """
@@ -131,6 +140,8 @@
     own_kv_tokens: int = 0
     part_prefill_s: float = 0
     expected_first_event_s: float = 0
+    usual_first_event_s: float = 0
+    expected_answer_s: float = 0
     reason: str = ''
     inputs: dict[str, float] = field(default_factory=dict)
 
--- a/bergamotturn/process/placement/policies.py
+++ b/bergamotturn/process/placement/policies.py
@@ -1,4 +1,4 @@
-"""The default placement policy, and baselines to compare it with."""
+"""Placement policies by name, and baselines to compare them with."""
 
 from collections.abc import Sequence
 from itertools import count
@@ -6,6 +6,7 @@
 from types import MappingProxyType
 from typing import Final, final
 
+from .learned import LearnedPlacement
 from .longs import place_long
 from .plain import place_plain
 from .plan import (
@@ -112,6 +113,7 @@
 POLICIES: Final = MappingProxyType(
     {
         'packed': PackedPlacement,
+        'learned': LearnedPlacement,
         'random': RandomPlacement,
         'round_robin': RoundRobinPlacement,
         'fewest_outstanding': FewestOutstandingPlacement,
--- a/bergamotturn/process/relay_tasks/pending_relay.py
+++ b/bergamotturn/process/relay_tasks/pending_relay.py
@@ -3,10 +3,11 @@
 from dataclasses import dataclass, field
 from typing import final
 
+from ...request.relay.actions import Attempt
 from ...request.relay.flow import RelayFlow
 from .reservations import Reservation, ReservationSet
 
-__all__ = ('PendingRelay', 'ReservationCall', 'SentAttempt')
+__all__ = ('AnsweringAttempt', 'PendingRelay', 'ReservationCall', 'SentAttempt')
 
 
 @final
@@ -26,6 +27,21 @@
     sent_s: float
 
 
+@final
+@dataclass(slots=True, frozen=True, eq=False)
+class AnsweringAttempt:
+    """The attempt whose endpoint answered last.
+
+    :param sent_s: monotonic time at which it was sent.
+    :param first_event_s: monotonic time of its first event, or of the end of a
+        plain call.
+    """
+
+    attempt: Attempt
+    sent_s: float
+    first_event_s: float
+
+
 @final
 @dataclass(slots=True, eq=False)
 class PendingRelay:
@@ -40,6 +56,7 @@
     :param last_data_s: monotonic time at which the last part of a streamed
         answer was passed on, 0 before.
     :param pauses: how often its answer was paused for a slow caller.
+    :param answering: the attempt that is answered, None before.
     """
 
     flow: RelayFlow
@@ -50,6 +67,7 @@
     first_event_s: float = 0
     last_data_s: float = 0
     pauses: int = 0
+    answering: AnsweringAttempt | None = None
 
 
 @final
--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -151,6 +151,8 @@
             left_s=call.deadline_s - now_s,
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
             known_engines=self._known_engines(call),
+            route=call.route.name,
+            hinted_tokens=call.hinted_tokens,
         )
         outcome = self._policy.choose(now_s, request, candidates, self._random)
         outcome.inputs.update(excluded.as_fields())
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -175,6 +175,7 @@
         head = self._wire.read_head(pending.flow.call, status, headers)
         sent_s = pending.sent[attempt.number].sent_s
         self._note_answer(sent_s, attempt.plan.entry, head)
+        self._costs.note_report(monotonic(), attempt.plan.entry, head.load)
         if head.faulty_address:
             self._eject_address(pending, head.faulty_address)
         log_message(
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -17,7 +17,6 @@
     cancel_exchange,
     start_exchange,
 )
-from ...connection.peer_messages import WorkBegan, WorkShare
 from ...errors import answer_for
 from ...request.calls import (
     reply_data,
@@ -42,7 +41,6 @@
     SendAttempt,
     SendPrefillDone,
 )
-from ...request.relay.call import RelayCall
 from ...version.serving import ServingConfiguration
 from ...version.serving_settings import ServingSettings
 from ..metrics import (
@@ -57,14 +55,15 @@
 from ..placement.policies import policy_of
 from ..timers import Timers
 from .answer_durations import AnswerDurations
+from .cost_reports import CostReports
 from .pending_relay import PendingRelay, SentAttempt
 from .placement_router import PlacementRouter
 from .prompt_reports import PromptReports
 from .reservation_manager import ReservationManager
+from .work_updates import work_began
 
 __all__ = ('SECONDS_DIGITS', 'RelayRunner', 'flow_due')
 
-_MS: Final = 1000.0
 #: Outcome of a request whose complete answer was passed on.
 _ANSWERED: Final = 'answered'
 #: Decimal places of seconds in log lines.
@@ -90,12 +89,11 @@
     ) -> None:
         """Start without requests."""
         super().__init__(settings, boot_id, timers, wire)
+        policy = policy_of(settings.placement, settings.data_centre)
         self._router = PlacementRouter(
-            self._table,
-            self._retry_budget,
-            policy_of(settings.placement, settings.data_centre),
-            self._random,
+            self._table, self._retry_budget, policy, self._random
         )
+        self._costs = CostReports(policy, self._load_table, self._cells)
         self._pending: dict[str, PendingRelay] = {}
         self._exchanges: dict[int, tuple[PendingRelay, Attempt]] = {}
         self._prompt_reports = PromptReports(self.fire)
@@ -127,10 +125,15 @@
     def _on_serving_changed(self, configuration: ServingConfiguration) -> None:
         super()._on_serving_changed(configuration)
         self._router.use_index(self._index)
+        self._costs.use_index(self._index)
         self._durations.keep_routes(
             frozenset(route.name for route in configuration.routes)
         )
 
+    def _update_gauges(self, now_s: float) -> None:
+        super()._update_gauges(now_s)
+        self._costs.update_gauges(now_s)
+
     def _perform_all(
         self, pending: PendingRelay, actions: Iterable[RelayAction]
     ) -> None:
@@ -161,12 +164,14 @@
         self._reply(pending, reply_data, action.data)
 
     def _reply_full(self, pending: PendingRelay, action: ReplyFull) -> None:
+        self._costs.note_answer(monotonic(), pending)
         self._log_end(pending, _ANSWERED, status=action.status)
         self._reply(
             pending, reply_full, action.status, action.headers, action.body
         )
 
     def _reply_end(self, pending: PendingRelay, action: ReplyEnd) -> None:
+        self._costs.note_answer(monotonic(), pending)
         self._log_end(pending, _ANSWERED, events=pending.flow.event_count)
         self._reply(pending, reply_end)
 
@@ -214,7 +219,12 @@
         # The request goes first: sending the update to many instances takes
         # a while.
         self.fire(start_exchange(exchange), HTTP_CLIENT)
-        self._send_work_began(pending, attempt, sent, left_s)
+        self._send_update(
+            work_began(
+                call, attempt, sent, left_s, is_long=self._router.is_long(call)
+            ),
+            sent.notified_cells,
+        )
         ATTEMPTS.labels(call.service, plan.reason).inc()
         log_message(
             'request_sent',
@@ -248,28 +258,6 @@
             exchange.exchange_id, next(self._work_numbers), cells, now_s
         )
 
-    def _send_work_began(
-        self,
-        pending: PendingRelay,
-        attempt: Attempt,
-        sent: SentAttempt,
-        left_s: float,
-    ) -> None:
-        call = pending.flow.call
-        elapsed_s = sent.sent_s - call.arrived_s
-        due_s = max(0, call.route.objective_s - elapsed_s)
-        began = WorkBegan(
-            place=0,
-            work=sent.work,
-            is_long=self._router.is_long(call),
-            lasts_ms=int(left_s * _MS),
-            due_ms=int(due_s * _MS),
-            pause_ms=int(call.route.gap_objective_s * _MS),
-            again=attempt.is_retry,
-            shares=_shares(call, attempt),
-        )
-        self._send_update(began, sent.notified_cells)
-
     def _record_prefill_done(
         self, pending: PendingRelay, action: SendPrefillDone
     ) -> None:
@@ -279,6 +267,7 @@
         # The prefill of a short request takes less time than an update to
         # all other instances.
         sent = pending.sent[attempt.number]
+        self._costs.note_first_event(now_s, pending, attempt, sent.sent_s)
         if self._router.is_long(call):
             self._send_prefill_done(sent.work, sent.notified_cells)
         if not pending.first_event_s:
@@ -314,6 +303,7 @@
         self, pending: PendingRelay, action: ReportSuccess
     ) -> None:
         self._table.record_success(action.attempt.plan.entry.endpoint_id)
+        self._costs.note_success(monotonic(), pending, action.attempt)
 
     def _record_failure(
         self, pending: PendingRelay, action: ReportFailure
@@ -322,9 +312,9 @@
         for_s = self._table.record_failure(
             monotonic(), endpoint_id, action.fault
         )
-        ENDPOINT_FAULTS.labels(action.fault.value).inc()
         # A failure whose cause shows later is of an attempt that was closed.
         sent = pending.sent.get(action.attempt.number)
+        ENDPOINT_FAULTS.labels(action.fault.value).inc()
         after_s = monotonic() - sent.sent_s if sent else None
         log_message(
             'attempt_failed',
@@ -341,6 +331,7 @@
         if for_s:
             self._broadcast_suspicion(endpoint_id, for_s, action.fault.value)
         self._prompt_reports.report_failure(pending, action)
+        self._costs.note_failure(monotonic(), pending, action, after_s)
 
     def _log_end(
         self, pending: PendingRelay, outcome: str, **fields: object
@@ -360,24 +351,3 @@
             first_event_s=round(pending.first_event_s, SECONDS_DIGITS),
             **fields,
         )
-
-
-def _shares(call: RelayCall, attempt: Attempt) -> tuple[WorkShare, ...]:
-    """Return the load of ``attempt`` at each of its endpoints."""
-    plan = attempt.plan
-    prefill_ms = int(plan.part_prefill_s * _MS)
-    kv_tokens = call.prompt_tokens + call.output_tokens
-    helper_kv_tokens = sum(helper.kv_tokens for helper in plan.prefill_helpers)
-    serving_share = WorkShare(
-        plan.entry.endpoint_id,
-        prefill_ms,
-        max(0, kv_tokens - helper_kv_tokens),
-        runs=True,
-    )
-    helper_shares = (
-        WorkShare(
-            helper.entry.endpoint_id, prefill_ms, helper.kv_tokens, runs=False
-        )
-        for helper in plan.prefill_helpers
-    )
-    return (serving_share, *helper_shares)
--- a/bergamotturn/request/relay/call.py
+++ b/bergamotturn/request/relay/call.py
@@ -30,6 +30,8 @@
     :param headers: header fields to forward to the endpoint.
     :param prompt_tokens: length of the prompt, 0 for a plain call.
     :param output_tokens: maximum number of tokens of the answer.
+    :param hinted_tokens: length of the answer as the caller expects it, 0 if it
+        did not say.
     :param resume_after: sequence number of the last event that the caller
         received from an earlier attempt.
     :param shared_parts: ids of the parts of the prompt that other requests may
@@ -51,6 +53,7 @@
     body: bytes
     prompt_tokens: int = 0
     output_tokens: int = 0
+    hinted_tokens: int = 0
     resume_after: int | None = None
     shared_parts: tuple[str, ...] = ()
     arrived_s: float
