Learned costs: low reports of other cells go out of date sooner

All instances that saw a low report send there. Engines of a data centre without reports are taken to have their short slots filled: a cell whose engines are all cold and idle took the others for idle.

--- a/bergamotturn/process/estimates/unseen_requests.py
+++ b/bergamotturn/process/estimates/unseen_requests.py
@@ -14,6 +14,8 @@
 
 #: Half of the requests of usual lengths are over in about two seconds.
 _HALF_LIFE_S: Final = 2.0
+#: A low report is out of date sooner: all instances that saw one send there.
+_LOW_HALF_LIFE_S: Final = 0.5
 #: A burst fills the engines of a data centre within about a second.
 _MEAN_HALF_LIFE_S: Final = 1.0
 _HALF: Final = 0.5
@@ -91,7 +93,9 @@
         report = self._reports.get(lifetime_of(entry))
         if report is None:
             return usual
-        weight = _HALF ** (max(0, now_s - report.at_s) / _HALF_LIFE_S)
+        is_low = report.unseen < usual
+        half_life_s = _LOW_HALF_LIFE_S if is_low else _HALF_LIFE_S
+        weight = _HALF ** (max(0, now_s - report.at_s) / half_life_s)
         return weight * report.unseen + (1 - weight) * usual
 
     def _usual(self, now_s: float, entry: EndpointEntry, prior: float) -> float:
--- a/bergamotturn/process/placement/learned_shorts.py
+++ b/bergamotturn/process/placement/learned_shorts.py
@@ -98,10 +98,14 @@
     ) -> Iterator[EngineCost]:
         """Yield a few engines of other cells, chosen at random.
 
-        Without reports, other cells are taken to be as full as the own one.
+        Without reports, their warm engines are taken to have the shorts that
+        each gets before the next one, or as many as there are in the own cell.
         """
         requests = sum(map(_known_requests, own_cell))
-        prior_unseen = requests / max(1, len(own_cell))
+        prior_unseen = max(
+            short_slots(self._request.engine.slots),
+            requests / max(1, len(own_cell)),
+        )
         others = [each for each in candidates if not each.is_in_own_cell]
         self._random.shuffle(others)
         with_room = filter(self._has_room, others)
