--- a/bergamotturn/process/metrics.py
+++ b/bergamotturn/process/metrics.py
@@ -19,6 +19,7 @@
     'ESTIMATE_RATIO',
     'FIRST_EVENT_S',
     'FIRST_TOKEN_S',
+    'HELD_AT_START',
     'GROUPS',
     'INVARIANT_BREACHES',
     'IN_FLIGHT',
@@ -62,6 +63,10 @@
     'Requests by outcome',
     ('kind', 'outcome'),
 )
+HELD_AT_START: Final = Counter(
+    'bergamotturn_requests_held_at_start',
+    'Requests that came before the first configuration and the endpoints.',
+)
 REFUSALS: Final = Counter(
     'bergamotturn_refusals',
     'Refusals by error kind',
@@ -209,6 +214,10 @@
     'Bytes between instances',
     ('direction',),
 )
+CELLS_SHORT: Final = Gauge(
+    'bergamotturn_cells_short',
+    'Cells whose instances use the engines of other cells as their own',
+)
 CONFIGURATION_VERSION: Final = Gauge(
     'bergamotturn_configuration_version',
     'Configuration version in force',
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -62,10 +62,10 @@
 from .reservation_manager import ReservationManager
 from .work_updates import work_began
 
-__all__ = ('SECONDS_DIGITS', 'RelayRunner', 'flow_due')
+__all__ = ('ANSWERED', 'SECONDS_DIGITS', 'RelayRunner', 'flow_due')
 
 #: Outcome of a request whose complete answer was passed on.
-_ANSWERED: Final = 'answered'
+ANSWERED: Final = 'answered'
 #: Decimal places of seconds in log lines.
 SECONDS_DIGITS: Final = 3
 
@@ -91,7 +91,11 @@
         super().__init__(settings, boot_id, timers, wire)
         policy = policy_of(settings.placement, settings.data_centre)
         self._router = PlacementRouter(
-            self._table, self._retry_budget, policy, self._random
+            self._table,
+            self._retry_budget,
+            policy,
+            self._random,
+            settings.queueing,
         )
         self._costs = CostReports(policy, self._load_table, self._cells)
         self._pending: dict[str, PendingRelay] = {}
@@ -165,14 +169,14 @@
 
     def _reply_full(self, pending: PendingRelay, action: ReplyFull) -> None:
         self._costs.note_answer(monotonic(), pending)
-        self._log_end(pending, _ANSWERED, status=action.status)
+        self._log_end(pending, ANSWERED, status=action.status)
         self._reply(
             pending, reply_full, action.status, action.headers, action.body
         )
 
     def _reply_end(self, pending: PendingRelay, action: ReplyEnd) -> None:
         self._costs.note_answer(monotonic(), pending)
-        self._log_end(pending, _ANSWERED, events=pending.flow.event_count)
+        self._log_end(pending, ANSWERED, events=pending.flow.event_count)
         self._reply(pending, reply_end)
 
     def _reply_failure(
@@ -338,7 +342,7 @@
     ) -> None:
         call = pending.flow.call
         after_s = monotonic() - call.arrived_s
-        if outcome == _ANSWERED:
+        if outcome == ANSWERED:
             self._durations.record(call.route.name, after_s)
         RELAYED.labels(call.service, outcome).inc()
         ENDED_AFTER_S.labels(call.service).observe(after_s)
