--- a/bergamotturn/process/relay_tasks/placement_router.py
+++ b/bergamotturn/process/relay_tasks/placement_router.py
@@ -176,6 +176,8 @@
             short_prefill_s=self._short_prefill_s.get(call.service, 0),
             known_engines=self._known_engines(call),
             is_load_unknown=now_s < self._load_known_s,
+            route=call.route.name,
+            hinted_tokens=call.hinted_tokens,
         )
         if self.has_short_waits(service):
             candidates = offered_engines(
