--- a/bergamotturn/process/estimates/cost_estimates.py
+++ b/bergamotturn/process/estimates/cost_estimates.py
@@ -10,6 +10,7 @@
 from ...request.relay.call import LoadReport
 from ..endpoints.entry import EndpointEntry
 from .decayed_mean import DecayedMean
+from .refused_memory import RefusedMemory
 from .route_costs import RouteCosts
 from .service_pace import ServicePace
 from .unseen_requests import UnseenRequests, lifetime_of
@@ -35,7 +36,7 @@
 class _ServiceCosts:
     """Estimates for one service."""
 
-    __slots__ = ('call', 'cold', 'first_event', 'gap', 'unseen')
+    __slots__ = ('call', 'cold', 'first_event', 'gap', 'refused', 'unseen')
 
     def __init__(self) -> None:
         """Start without observations."""
@@ -43,6 +44,7 @@
         self.gap = ServicePace(_GAP_SLACK_S)
         self.call = ServicePace(_CALL_SLACK_S)
         self.unseen = UnseenRequests()
+        self.refused = RefusedMemory()
         self.cold = DecayedMean(_COLD_HALF_LIFE_S)
 
 
@@ -153,6 +155,17 @@
             is_in_own_cell=is_in_own_cell,
         )
 
+    def record_refused_memory(self, now_s: float, entry: EndpointEntry) -> None:
+        """Record that an engine refused to reserve memory."""
+        self._service(entry.service).refused.record(now_s, lifetime_of(entry))
+
+    def has_refused_memory(self, now_s: float, entry: EndpointEntry) -> bool:
+        """Return whether an engine refused memory a short time ago."""
+        costs = self._services.get(entry.service)
+        return costs is not None and costs.refused.is_recent(
+            now_s, lifetime_of(entry)
+        )
+
     def pace(self, now_s: float, service: str, lifetime: str) -> float:
         """Return how many times longer an engine takes than others, or 1."""
         costs = self._services.get(service)
--- a/bergamotturn/process/placement/learned.py
+++ b/bergamotturn/process/placement/learned.py
@@ -58,7 +58,7 @@
         request: PlacementRequest,
         candidates: Sequence[PlacementCandidate],
     ) -> Plan | Refusal:
-        usable = self._not_slow(now_s, request, candidates)
+        usable = self._usable_for_long(now_s, candidates)
         outcome = place_long(now_s, request, usable)
         if isinstance(outcome, Refusal) and len(usable) < len(candidates):
             outcome = place_long(now_s, request, candidates)
@@ -70,21 +70,24 @@
         rest_s = answer_s(now_s, request, runner, self.estimates)
         return replace(outcome, expected_answer_s=first_event_s + rest_s)
 
-    def _not_slow(
-        self,
-        now_s: float,
-        request: PlacementRequest,
-        candidates: Sequence[PlacementCandidate],
+    def _usable_for_long(
+        self, now_s: float, candidates: Sequence[PlacementCandidate]
     ) -> Sequence[PlacementCandidate]:
-        """Leave out slow engines: the slowest part of a prompt decides."""
+        """Leave out slow engines, and those that lack the expected memory.
+
+        The slowest part of a prompt decides when it is prefilled.
+        """
         usable = [
             each
             for each in candidates
-            if self.estimates.pace(
-                now_s, request.service.name, lifetime_of(each.entry)
-            )
-            <= _MAX_LONG_PACE
+            if not self._is_slow(now_s, each)
+            and not self.estimates.has_refused_memory(now_s, each.entry)
         ]
         if len(usable) < _MIN_LONG_SHARE * len(candidates):
             return candidates
         return usable
+
+    def _is_slow(self, now_s: float, candidate: PlacementCandidate) -> bool:
+        entry = candidate.entry
+        pace = self.estimates.pace(now_s, entry.service, lifetime_of(entry))
+        return pace > _MAX_LONG_PACE
--- a/bergamotturn/process/relay_tasks/cost_reports.py
+++ b/bergamotturn/process/relay_tasks/cost_reports.py
@@ -79,6 +79,11 @@
             is_in_own_cell=self._cells.is_in_own_cell(entry),
         )
 
+    def note_refused_memory(self, now_s: float, entry: EndpointEntry) -> None:
+        """Record that an engine refused to reserve memory."""
+        if self._estimates is not None:
+            self._estimates.record_refused_memory(now_s, entry)
+
     def note_first_event(
         self,
         now_s: float,
--- a/bergamotturn/process/relay_tasks/relay_task.py
+++ b/bergamotturn/process/relay_tasks/relay_task.py
@@ -209,6 +209,10 @@
             if call.reservation_set.is_of_runner(call.reservation):
                 call.reservation_set.last_sign_s = monotonic()
             is_granted = self._wire.is_reserved(call.status)
+            if not is_granted:
+                self._costs.note_refused_memory(
+                    monotonic(), call.reservation.entry
+                )
             self._on_reservation_answer(call, is_granted=is_granted)
             return
         pending, attempt = self._exchanges.pop(
--- a/features/learned_costs.feature
+++ b/features/learned_costs.feature
@@ -158,6 +158,14 @@
     When the first engine is silent for too long with 3 streams in a row
     Then the first engine is slower than the other one
 
+  Scenario: A prompt is placed elsewhere when an engine refuses memory for it
+    Guards against four reservations in a row at an engine that holds requests of other cells, after which the prompt is
+    refused although other engines have room. Load: prompts beyond one engine's memory.
+    Given an instance with placement learned and eight engines
+    When a stream of 400000 tokens is sent and each engine that is asked for all its memory refuses
+    Then the second attempt asks no engine that refused
+    And 4 seconds later an engine that refused may be asked again
+
   Scenario: Callers' hints are read
     Guards against a hint that breaks a request. Load: callers that send anything.
     Then Length-Hint is read as follows
--- a/features/steps/learned_relay_steps.py
+++ b/features/steps/learned_relay_steps.py
@@ -19,7 +19,7 @@
 )
 from features.support.relay_samples import entry, relay_call, route, serving
 
-_COUNTS = {'one': 1, 'two': 2}
+_COUNTS = {'one': 1, 'two': 2, 'eight': 8}
 
 
 class _Fired:
@@ -57,12 +57,13 @@
     relay._on_endpoints_changed(context.entries, ())
 
 
-def _submit(context, key):
+def _submit(context, key, prompt_tokens=5000):
     now_s = monotonic()
     call = relay_call(
         route(),
         key=key,
         call_id=key,
+        prompt_tokens=prompt_tokens,
         arrived_s=now_s,
         caller_deadline_s=now_s + 10,
         deadline_s=now_s + 10,
@@ -160,3 +161,37 @@
         for each in context.entries
     )
     assert first > second, (first, second)
+
+
+@when(
+    'a stream of {tokens:d} tokens is sent and each engine that is asked for '
+    'all its memory refuses'
+)
+def memory_refused(context, tokens):
+    _submit(context, 'k', tokens)
+    first = tuple(context.fired.exchanges)
+    largest = max(first, key=lambda each: len(each.body))
+    context.refused = largest.address
+    context.relay._on_exchange_head(largest, 409, ())
+    context.relay._on_exchange_end(largest)
+    context.asked = {
+        each.address
+        for each in context.fired.exchanges[len(first) :]
+        if b'release' not in each.body
+    }
+
+
+@then('the second attempt asks no engine that refused')
+def other_engines_asked(context):
+    assert context.asked
+    assert context.refused not in context.asked
+
+
+@then('4 seconds later an engine that refused may be asked again')
+def may_be_asked_again(context):
+    refusing = next(
+        each for each in context.entries if each.address == context.refused
+    )
+    estimates, now_s = _estimates(context), monotonic()
+    assert estimates.has_refused_memory(now_s, refusing)
+    assert not estimates.has_refused_memory(now_s + 4, refusing)
