Start: listeners for callers open with the daemon again

A caller that is refused goes elsewhere at once; one that waits at a starting instance is served late. Their two scenarios and steps go with them.

--- a/bergamotturn/connection/call_listener.py
+++ b/bergamotturn/connection/call_listener.py
@@ -23,8 +23,7 @@
 )
 from ..request.held_input import HeldInput
 from ..version.settings import Limits, TlsSettings
-from .exchange import Header
-from .guarded_server import ListenAddress
+from .exchange import Address, Header
 from .web_server import WebCall, WebServer
 
 __all__ = ('CallListener',)
@@ -92,7 +91,7 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         limits: Limits,
         timers: Timers,
         call_prefix: str,
--- a/bergamotturn/connection/guarded_server.py
+++ b/bergamotturn/connection/guarded_server.py
@@ -24,10 +24,7 @@
 from ..version.settings import TlsSettings
 from .exchange import Address
 
-__all__ = ('GuardedServer', 'ListenAddress', 'output_drained')
-
-#: Where a server listens: an address, or a socket that listens already.
-ListenAddress = Address | socket
+__all__ = ('GuardedServer', 'output_drained')
 
 _READ_BYTES: Final = 65_536
 
@@ -135,16 +132,16 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         channel: str,
         timers: Timers,
         max_pending_total: int,
         stall_s: float,
     ) -> None:
         """Listen on ``address``."""
-        if isinstance(address, Address):
-            address = (address.host, address.port)
-        super().__init__(address, bufsize=_READ_BYTES, channel=channel)
+        super().__init__(
+            (address.host, address.port), bufsize=_READ_BYTES, channel=channel
+        )
         self._timers = timers
         self._max_pending_total = max_pending_total
         self._stall_s = stall_s
@@ -293,7 +290,7 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         channel: str,
         timers: Timers,
         max_pending_total: int,
--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -20,7 +20,7 @@
 from ..request.relay.call_builder import CallerRequest, build_relay_call
 from ..version.serving import ServingConfiguration, ServingIndex
 from .call_listener import CallListener
-from .guarded_server import ListenAddress
+from .exchange import Address
 from .listener_bounds import ListenerBounds
 from .request_assembler import CompleteRequest
 from .web_server import WebCall
@@ -68,7 +68,7 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         timers: Timers,
         call_prefix: str,
         caller_format: CallerFormat,
--- a/bergamotturn/connection/web_server.py
+++ b/bergamotturn/connection/web_server.py
@@ -17,9 +17,8 @@
 from ..request.error_body import encode_failure
 from ..request.held_input import HeldInput
 from ..version.settings import Limits, TlsSettings
-from .exchange import Header
+from .exchange import Address, Header
 from .closing_server import ClosingServer
-from .guarded_server import ListenAddress
 from .input_guard import InputGuard, encode_refusal
 from .polled_component import PolledComponent
 from .request_assembler import CompleteRequest
@@ -63,7 +62,7 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         limits: Limits,
         timers: Timers,
         tls: TlsSettings | None = None,
--- a/bergamotturn/platform/daemon.py
+++ b/bergamotturn/platform/daemon.py
@@ -4,14 +4,14 @@
 and runs until a graceful shutdown is complete.
 """
 
+import argparse
+import os
 import signal
 import sys
-from collections.abc import Mapping
 from functools import partial
 from pathlib import Path
 from secrets import token_hex
-from socket import socket
-from typing import Final, NoReturn
+from typing import Final
 
 import eliot
 from circuits import Component, Manager
@@ -48,7 +48,6 @@
 from .caller_format import PlatformCallerFormat
 from .engine_format import PlatformEndpointFormat
 from .entry_listeners import DirectoryListener, ReadyListener
-from .starting import SETTINGS_VARIABLE
 from .table_format import PlatformTable
 from .table_row_reader import (
     CONFIGURATION_KEY,
@@ -59,6 +58,8 @@
 
 __all__ = ('build_daemon', 'main', 'watched_tables')
 
+#: Environment variable in which the platform gives the settings path.
+_SETTINGS_VARIABLE: Final = 'BERGAMOTTURN_SETTINGS'
 _BOOT_ID_BYTES: Final = 6
 _EXIT_SETTINGS_ERROR: Final = 2
 #: Maximum wait for changes in one call, and the longest wait after a failed
@@ -101,15 +102,12 @@
     settings: ServingSettings,
     boot_id: str,
     log_lines: LogLines,
-    listeners: Mapping[str, socket],
 ) -> Manager:
     """Return the root of all components of one instance, ready to run.
 
     :param path: file from which the settings were loaded.
     :param boot_id: random id of this start of the process.
     :param log_lines: buffer that the log lines are written to.
-    :param listeners: sockets that listen already, by the setting that names
-        their address.
     """
     timers = Timers()
     root = Component(channel='root')
@@ -141,14 +139,14 @@
         RelayTask(settings, boot_id, timers, PlatformEndpointFormat()),
         QuarantineTask(timers),
         RelayListener(
-            listeners.get('caller', settings.caller_address),
+            settings.caller_address,
             timers,
             f'{settings.instance}/{boot_id}',
             PlatformCallerFormat(),
             bounds.callers(),
         ),
         DirectoryListener(
-            listeners.get('directory', Address.parse(settings.directory)),
+            Address.parse(settings.directory),
             timers,
             EntryChoice(settings.instance, settings.data_centre),
             settings.caller_address,
@@ -167,32 +165,30 @@
     return root
 
 
-def main(path: Path | None, listeners: Mapping[str, socket]) -> None:
-    """Run the daemon until it is stopped.
-
-    :param path: file with the settings, None if none was given.
-    :param listeners: sockets that listen already, by the setting that names
-        their address.
-    """
+def main() -> None:
+    """Run the daemon until it is stopped."""
+    parser = argparse.ArgumentParser(
+        prog='bergamotturn-serve', description=__doc__
+    )
+    parser.add_argument(
+        '--settings',
+        type=Path,
+        default=os.environ.get(_SETTINGS_VARIABLE),
+        help=f'path of the TOML settings file (default: {_SETTINGS_VARIABLE})',
+    )
+    path = parser.parse_args().settings
     if path is None:
-        _exit_unset(
-            f'no settings file: give --settings or set {SETTINGS_VARIABLE}'
+        parser.error(
+            f'no settings file: give --settings or set {_SETTINGS_VARIABLE}'
         )
-    settings = load_serving_settings(path)
+    settings = load_serving_settings(Path(path))
     if settings.is_error():
-        _exit_unset(settings.error.detail)
-    _run(path, settings.ok, listeners)
+        parser.exit(_EXIT_SETTINGS_ERROR, settings.error.detail)
+    _run(Path(path), settings.ok)
     end_process()
 
 
-def _exit_unset(reason: str) -> NoReturn:
-    sys.stderr.write(f'bergamotturn-serve: {reason}\n')
-    sys.exit(_EXIT_SETTINGS_ERROR)
-
-
-def _run(
-    path: Path, settings: ServingSettings, listeners: Mapping[str, socket]
-) -> None:
+def _run(path: Path, settings: ServingSettings) -> None:
     log_lines = LogLines(sys.stdout.fileno())
     boot_id = token_hex(_BOOT_ID_BYTES)
     eliot.add_global_fields(instance=settings.instance)
@@ -204,7 +200,7 @@
         settings_path=str(path),
         settings=settings,
     )
-    root = build_daemon(path, settings, boot_id, log_lines, listeners)
+    root = build_daemon(path, settings, boot_id, log_lines)
     # circuits installs handlers for SIGINT and SIGTERM, but not for SIGHUP.
     signal.signal(
         signal.SIGHUP,
--- a/bergamotturn/platform/entry_listeners.py
+++ b/bergamotturn/platform/entry_listeners.py
@@ -12,7 +12,6 @@
 from circuits import handler
 
 from ..connection.exchange import Address
-from ..connection.guarded_server import ListenAddress
 from ..connection.listener_bounds import ListenerBounds
 from ..connection.web_server import WebCall, WebServer
 from ..errors import ErrorKind, Failure
@@ -52,7 +51,7 @@
 
     def __init__(
         self,
-        address: ListenAddress,
+        address: Address,
         timers: Timers,
         choice: EntryChoice,
         own_address: Address,
--- a/features/instance_start.feature
+++ b/features/instance_start.feature
@@ -36,22 +36,6 @@
     When 300 requests come
     Then 256 of them wait
 
-  Scenario: Callers can connect before the program is loaded
-    Guards against connections that are refused for the half second that a small machine needs to load the program.
-    Then a process that starts accepts connections of callers, and none at its ready address, before it imports the daemon
-
-  Scenario Outline: Settings with which nothing can be opened early
-    Guards against a process that ends without the daemon's report of what is wrong with its settings.
-    When a process starts with <settings>
-    Then it ends with 2 and names what is wrong
-
-    Examples:
-      | settings                  |
-      | no settings file          |
-      | a file that is absent     |
-      | a file that is no TOML    |
-      | a file without addresses  |
-
   @fleet
   Scenario: All instances are killed at once and start again
     Guards against an answer of an instance that knows no configuration yet which says that a path or a key is unknown, a
