--- a/features/soak.feature
+++ b/features/soak.feature
@@ -36,6 +36,15 @@
       | seed   | seconds |
       | 1      | 10      |
 
+  Scenario Outline: A short run with learned costs and short waits keeps all promises
+    Guards against placement that breaks a promise under the same faults: an estimate that is wrong after a pause, or
+    work updates that are lost.
+    Then the soak of <seconds> seconds with learned costs and short waits and seed <seed> breaks no promise
+
+    Examples: Seed of each run of the checks
+      | seed   | seconds |
+      | 1      | 10      |
+
   Scenario Outline: Seeds that failed keep all promises
     Guards against faults that were found once.
     Then the soak of <seconds> seconds with seed <seed> breaks no promise
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,6 +23,14 @@
     _run_soak(seconds, seed, RunSize(engines=6, only_pauses=True))
 
 
+@then(
+    'the soak of {seconds:d} seconds with learned costs and short waits and '
+    'seed {seed:d} breaks no promise'
+)
+def soak_with_load_settings(context, seconds, seed):
+    _run_soak(seconds, seed, RunSize(engines=6, has_load_settings=True))
+
+
 @then('the soak of {seconds:d} seconds with seed {seed:d} breaks no promise')
 def soak(context, seconds, seed):
     _run_soak(seconds, seed, RunSize())
--- a/features/support/relay_fleet.py
+++ b/features/support/relay_fleet.py
@@ -65,7 +65,7 @@
         engines: int = 3,
         plain: int = 2,
         loop: LoopThread | None = None,
-        instance_settings: Mapping[str, int] | None = None,
+        instance_settings: Mapping[str, int | str] | None = None,
     ) -> None:
         """Choose the ports without starting a process."""
         self._temporary = TemporaryDirectory(prefix='bergamotturn-')
--- a/features/support/soak/__main__.py
+++ b/features/support/soak/__main__.py
@@ -7,8 +7,9 @@
 loses its history while its reads are behind, and it is restored from a copy.
 With ``--pauses`` nothing
 fails: sound endpoints pause, endpoints are full, routes and keys change, and
-instances get SIGHUP and SIGTERM. The exit code is 1 when a check failed; the
-logs of such a run are kept.
+instances get SIGHUP and SIGTERM. With ``--load-settings`` instances place
+requests by learned costs and with short waits. The exit code is 1 when a check
+failed; the logs of such a run are kept.
 """
 
 import argparse
@@ -39,6 +40,7 @@
         )
     parser.add_argument('--changes', action='store_true')
     parser.add_argument('--pauses', action='store_true')
+    parser.add_argument('--load-settings', action='store_true')
     options = parser.parse_args()
     size = RunSize(
         options.instances,
@@ -47,6 +49,7 @@
         options.callers,
         with_changes=options.changes,
         only_pauses=options.pauses,
+        has_load_settings=options.load_settings,
     )
     first = options.seed
     if first is None:
--- a/features/support/soak/run.py
+++ b/features/support/soak/run.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from random import Random
 from time import monotonic, sleep
+from types import MappingProxyType
 from typing import Final, final
 
 from features.support.relay_fleet import RelayFleet
@@ -33,6 +34,10 @@
 _RECOVERY_S: Final = 8.0
 _AFTER_RECOVERY_S: Final = 3.0
 _POLL_S: Final = 0.05
+#: Settings of placement that are off by default, as TOML.
+_LOAD_SETTINGS: Final = MappingProxyType(
+    {'placement': '"learned"', 'queueing.short_waits': 'true'}
+)
 
 
 @final
@@ -81,6 +86,8 @@
         faults.
     :param only_pauses: whether sound endpoints pause, endpoints are full and
         planned changes come, in place of the faults.
+    :param has_load_settings: whether instances place requests by learned costs
+        and with short waits.
     """
 
     instances: int = 5
@@ -89,6 +96,7 @@
     callers: int = 12
     with_changes: bool = False
     only_pauses: bool = False
+    has_load_settings: bool = False
 
 
 def run_seed(
@@ -101,6 +109,7 @@
         instances=size.instances,
         engines=size.engines,
         plain=size.plain,
+        instance_settings=_LOAD_SETTINGS if size.has_load_settings else {},
         loop=loop,
     )
     with fleet.running():
