Review: works end at cells that began to share, bounds on learned estimates, callers with little time

Found by a review of: an instance that begins to share asked for all works and heard the end of none (engines looked full until the route's timeout); an answer without a declared length at a full engine divided by zero, and a huge Length-Hint could not be encoded, both with placement = learned only; a caller with less time than the wait at a start was held; unreadable usual lengths refused a configuration.

--- a/bergamotturn/connection/relay_listener.py
+++ b/bergamotturn/connection/relay_listener.py
@@ -134,7 +134,10 @@
     def _serve(self, call: WebCall) -> None:
         call_key = self._next_call_id()
         caller_request = self._caller_format.read(call.request)
-        if not self._is_leaving and self._gate.hold(monotonic(), call_key):
+        is_held = not self._is_leaving and self._gate.hold(
+            monotonic(), call_key, caller_request.wait_s
+        )
+        if is_held:
             HELD_AT_START.inc()
             log_message('request_held', request=caller_request.call_id)
             self._held[call_key] = _HeldCall(call, caller_request)
--- a/bergamotturn/platform/configuration_format.py
+++ b/bergamotturn/platform/configuration_format.py
@@ -100,7 +100,7 @@
     stride: WholeNumber = 1
     report_lag_ms: float = 0
     hop_ms: float = msgspec.field(name='hopMs', default=0)
-    usual: _UsualJson = _UsualJson()
+    usual: object = None
 
 
 @final
@@ -194,6 +194,7 @@
 
 
 def _engine_profile(parsed: _EngineJson) -> EngineProfile:
+    usual = _usual_tokens(parsed.usual)
     return EngineProfile(
         slots=int(parsed.slots),
         kv_tokens=int(parsed.kv_tokens),
@@ -208,11 +209,22 @@
         steps_per_pass=max(1, int(parsed.stride)),
         group_step_s=parsed.hop_ms / _MS_PER_S,
         report_lag_s=parsed.report_lag_ms / _MS_PER_S,
-        usual_prompt_tokens=parsed.usual.prompt,
-        usual_output_tokens=parsed.usual.answer,
+        usual_prompt_tokens=usual.prompt,
+        usual_output_tokens=usual.answer,
     )
 
 
+def _usual_tokens(parsed: object) -> _UsualJson:
+    """Return the mean numbers of tokens; they count as unknown if unreadable.
+
+    No request depends on them, so that they refuse no configuration.
+    """
+    try:
+        return msgspec.convert(parsed, _UsualJson)
+    except msgspec.ValidationError:
+        return _UsualJson()
+
+
 def _workspace(parsed: _TenantJson) -> ServingWorkspace:
     priority = parsed.priority
     return ServingWorkspace(
--- a/bergamotturn/process/endpoints/cells.py
+++ b/bergamotturn/process/endpoints/cells.py
@@ -141,8 +141,11 @@
 
     def cells_to_notify(self, entry: EndpointEntry) -> tuple[str, ...]:
         """Return the cells that get updates on shorts at an endpoint."""
-        cell = self.cell_of_endpoint(entry)
-        return (cell, *self._partners.get(cell, ()))
+        return (self.cell_of_endpoint(entry), *self.partners_of(entry))
+
+    def partners_of(self, entry: EndpointEntry) -> tuple[str, ...]:
+        """Return the other cells that use an endpoint as their own."""
+        return self._partners.get(self.cell_of_endpoint(entry), ())
 
     def live_counts(self) -> dict[str, int]:
         """Return the number of instances of each cell that are not dead."""
--- a/bergamotturn/process/estimates/work_left.py
+++ b/bergamotturn/process/estimates/work_left.py
@@ -9,6 +9,8 @@
 #: Least time that a running request is expected to go on for, as a share of
 #: the usual time: no estimate is better than that.
 _MIN_LEFT_SHARE: Final = 0.1
+#: Least usual time, for requests that declare no length of their answers.
+_MIN_USUAL_S: Final = 0.001
 
 
 def slot_wait_s(
@@ -32,9 +34,11 @@
     :param usual_s: time for which a request is usually there.
     :param overdue_s: time for which a request goes on that should be over.
     """
+    slots = max(1, slots)
     missing = len(ends_s) + unseen + 1 - slots
     if missing <= 0:
         return 0
+    usual_s = max(usual_s, _MIN_USUAL_S)
     lefts_s = [
         _left_s(now_s, end_s, usual_s, overdue_s)
         for end_s in (*ends_s, *(inf for _ in range(unseen)))
--- a/bergamotturn/process/placement/learned_shorts.py
+++ b/bergamotturn/process/placement/learned_shorts.py
@@ -79,7 +79,13 @@
         ordered = sorted(candidates, key=_rank)
         own_cell = [each for each in ordered if each.is_in_own_cell]
         seats = self._with_short_slot(own_cell)
-        first_engines = tuple(islice(seats, self._spread(own_cell)))
+        # An instance that has just started knows of no request of others.
+        spread = (
+            len(own_cell)
+            if self._request.is_load_unknown
+            else self._spread(own_cell)
+        )
+        first_engines = tuple(islice(seats, spread))
         if first_engines:
             return self._plan(self._random.choice(first_engines), 'seat')
         near = map(self._cost, self._least_busy(own_cell))
--- a/bergamotturn/process/relay_tasks/cell_registry.py
+++ b/bergamotturn/process/relay_tasks/cell_registry.py
@@ -107,4 +107,6 @@
             if cell in known_partners:
                 continue
             for peer in self._cells.live_peers(cell):
+                # An earlier question was of the cells that it shared with then.
+                self._last_asked_s.pop(peer, None)
                 self._ask_for_report(now_s, peer)
--- a/bergamotturn/process/relay_tasks/runner.py
+++ b/bergamotturn/process/relay_tasks/runner.py
@@ -305,7 +305,10 @@
                 endpoint=action.attempt.plan.entry.endpoint_id,
                 reason=action.reason,
             )
-        self._send_work_ended(sent.work, sent.notified_cells)
+        # Cells that share by now may have learned of it from a full report.
+        partners = self._cells.partners_of(action.attempt.plan.entry)
+        cells = dict.fromkeys((*sent.notified_cells, *partners))
+        self._send_work_ended(sent.work, cells)
 
     def _record_success(
         self, pending: PendingRelay, action: ReportSuccess
--- a/bergamotturn/process/relay_tasks/work_updates.py
+++ b/bergamotturn/process/relay_tasks/work_updates.py
@@ -29,16 +29,17 @@
     elapsed_s = sent.sent_s - call.arrived_s
     due_s = max(0, call.route.objective_s - elapsed_s)
     answer_s = attempt.plan.expected_answer_s
+    lasts_ms = int(left_s * _MS)
     return WorkBegan(
         place=0,
         work=sent.work,
         is_long=is_long,
-        lasts_ms=int(left_s * _MS),
+        lasts_ms=lasts_ms,
         due_ms=int(due_s * _MS),
         pause_ms=int(call.route.gap_objective_s * _MS),
         again=attempt.is_retry,
         shares=_shares(call, attempt),
-        answer_ms=int(answer_s * _MS) if answer_s else UNSET,
+        answer_ms=min(int(answer_s * _MS), lasts_ms) if answer_s else UNSET,
     )
 
 
--- a/bergamotturn/process/start_gate.py
+++ b/bergamotturn/process/start_gate.py
@@ -47,10 +47,16 @@
         """Return whether requests can be placed."""
         return self._has_configuration and self._has_endpoints
 
-    def hold(self, now_s: float, key: str) -> bool:
-        """Let a request wait if it is to; return whether it does."""
+    def hold(self, now_s: float, key: str, wait_s: float | None = None) -> bool:
+        """Let a request wait if it is to; return whether it does.
+
+        :param wait_s: how long its caller waits, None if it did not say. One
+            that may leave before the end of the wait is answered at once.
+        """
         if self.is_open or now_s >= self.closes_s:
             return False
+        if wait_s is not None and now_s + wait_s < self.closes_s:
+            return False
         if len(self._waiting) >= _MAX_WAITING:
             return False
         self._waiting[key] = None
--- a/bergamotturn/request/relay/call_builder.py
+++ b/bergamotturn/request/relay/call_builder.py
@@ -94,7 +94,7 @@
         body=request.body,
         prompt_tokens=request.prompt_tokens,
         output_tokens=request.output_tokens,
-        hinted_tokens=request.hinted_tokens,
+        hinted_tokens=min(request.hinted_tokens, request.output_tokens),
         resume_after=request.resume_after,
         shared_parts=request.shared_parts,
         arrived_s=arrived_s,
--- a/features/instance_start.feature
+++ b/features/instance_start.feature
@@ -30,6 +30,11 @@
     Then the requests 1, 2, 3 are answered, once
     And a request that comes then does not wait
 
+  Scenario: A caller with less time than the wait
+    Guards against an answer that comes after its caller has left.
+    Given an instance that has just started
+    Then a request of a caller that waits 0.5 s does not wait, and one of 2 s does
+
   Scenario: More requests than may wait
     Guards against a number of waiting requests without a bound.
     Given an instance that has just started
--- a/features/steps/instance_start_steps.py
+++ b/features/steps/instance_start_steps.py
@@ -87,6 +87,14 @@
     assert not context.gate.hold(1, 'late')
 
 
+@then(
+    'a request of a caller that waits 0.5 s does not wait, and one of 2 s does'
+)
+def callers_time(context):
+    assert not context.gate.hold(0.1, 'short', 0.5)
+    assert context.gate.hold(0.1, 'long', 2)
+
+
 @then('{count:d} of them wait')
 def some_wait(context, count):
     assert sum(context.held) == count, sum(context.held)
