Relay: no other endpoint goes on with a body that was forwarded in part

A refusal of a stream route that was longer than the buffer was forwarded in part; when it broke off, or a standby was left, the events of another endpoint followed it, with an end that looked complete. The new scenario fails without the fix. A connection that is closed for input sent ahead is reset, since its end could be taken for that of an answer without a length.

--- a/bergamotturn/connection/input_guard.py
+++ b/bergamotturn/connection/input_guard.py
@@ -153,8 +153,11 @@
     def _close_for(self, sock: socket, reason: str) -> None:
         CONNECTIONS_CLOSED.labels(self.channel, reason).inc()
         log_message('connection_closed', listener=self.channel, reason=reason)
+        state = self._request_states.get(sock)
+        # The end of the connection could be taken for that of the answer.
+        breaks_off = state is not None and state.is_answering
         self._drop_state(sock)
-        drops_output = self._server.has_output(sock)
+        drops_output = breaks_off or self._server.has_output(sock)
         self._server.reset(sock, drops_output=drops_output)
 
     def _expect_request(self, sock: socket) -> None:
--- a/bergamotturn/request/relay/attempt_flow.py
+++ b/bergamotturn/request/relay/attempt_flow.py
@@ -116,6 +116,7 @@
         content = bytes(self._progress.body)
         # The answer may last long, and hundreds of them may wait for callers.
         self._progress.body = bytearray()
+        self._is_body_forwarded = True
         return [*self._forward_head(), ReplyData(content)]
 
     def on_end(self, now_s: float) -> Sequence[RelayAction]:
@@ -265,7 +266,8 @@
         route = self.call.route
         if not route.may_run_again or runs >= route.max_endpoints:
             return False
-        if self._is_head_forwarded and not route.is_stream:
+        # What another endpoint sends can't go on with a part of a body.
+        if self._is_body_forwarded:
             return False
         if not self._position.is_known:
             return False
--- a/bergamotturn/request/relay/flow.py
+++ b/bergamotturn/request/relay/flow.py
@@ -91,7 +91,7 @@
         if standby is not None:
             return self._on_standby_data(now_s, standby, data)
         actions = super().on_data(now_s, data)
-        if self._is_head_forwarded and not self.call.route.is_stream:
+        if self._is_body_forwarded:
             return [*actions, *self._standbys.close_all('answered_elsewhere')]
         return actions
 
--- a/bergamotturn/request/relay/flow_state.py
+++ b/bergamotturn/request/relay/flow_state.py
@@ -101,6 +101,8 @@
         self.caller_pause = CallerPause()
         self._position = StreamPosition(call.resume_after)
         self._is_head_forwarded = False
+        #: Whether a part of an answer was forwarded that isn't made of events.
+        self._is_body_forwarded = False
 
     @property
     def attempt(self) -> Attempt | None:
--- a/features/relay_flow.feature
+++ b/features/relay_flow.feature
@@ -124,6 +124,12 @@
     When its endpoint sends 5 kB of the answer
     Then 5 kB of the answer are forwarded and none are buffered
 
+  Scenario: A refusal that was forwarded in part is not continued by another endpoint
+    Guards against the events of one endpoint behind the error of another, with an end that looks complete.
+    Given a stream that shares 1000 kB for answers with 99 others
+    When its endpoint answers 400, sends 11 kB and breaks off
+    Then nothing is sent to another endpoint and the answer breaks off
+
   Scenario: The failure of the last endpoint is forwarded unchanged
     Guards against a status that differs from the endpoint's own.
     Given a repeatable call
--- a/features/steps/relay_flow_steps.py
+++ b/features/steps/relay_flow_steps.py
@@ -284,6 +284,35 @@
     context.run.receive_head(_SUCCESS)
 
 
+@given(
+    'a stream that shares {total_kb:d} kB for answers with {others:d} others'
+)
+def sharing_stream(context, total_kb, others):
+    room = AnswerRoom(total_kb * _KB, calls=range(others + 1))
+    context.run = _RelayRun(route(), room=room)
+
+
+@when('its endpoint answers 400, sends {size_kb:d} kB and breaks off')
+def refusal_breaks_off(context, size_kb):
+    run = context.run
+    run.receive_head(EndpointAnswerHead(HeadKind.failure, 400))
+    run.record(run.flow.on_data(run.now_s, bytes(size_kb * _KB)))
+    run.record(
+        run.flow.on_failed(run.now_s, Fault.broke_off, 'reset', is_sent=True)
+    )
+
+
+@then('nothing is sent to another endpoint and the answer breaks off')
+def not_continued(context):
+    sent = [each for each in context.run.actions if _is_send(each)]
+    assert len(sent) == 1, sent
+    assert isinstance(context.run.actions[-1], ReplyFailure)
+
+
+def _is_send(action):
+    return isinstance(action, SendAttempt)
+
+
 @when('its endpoint sends {size_kb:d} kB of the answer')
 def endpoint_sends(context, size_kb):
     run = context.run
