--- a/features/short_bursts.feature
+++ b/features/short_bursts.feature
@@ -66,6 +66,13 @@
     When short waits are switched off
     Then updates on shorts go to one cell
 
+  Scenario: Cells that begin to share hear the end of what was sent before
+    Failure: a cell learns of running requests from a full report. Guards against engines that look full to it until the
+    time limit of requests that have ended.
+    Given a request that an instance of 31 has sent to one of 60 engines in 3 data centres
+    When the cell of its engine begins to share and the request ends
+    Then 2 cells are told of the end, and 1 was told of the request
+
   Scenario: A crashed engine that seems usable for a moment changes nothing
     Failure: ejections of crashed engines end before their entries lapse. Guards against a division that moves back and
     forth, each time with a report from every instance.
--- a/features/steps/short_bursts_steps.py
+++ b/features/steps/short_bursts_steps.py
@@ -1,22 +1,29 @@
 """Steps for bursts of shorts while engines are cold, leaving or gone."""
 
 from bisect import bisect_left
+from collections import Counter
 from time import monotonic
 
 from behave import given, then, when
 from msgspec.structs import replace
 
+from bergamotturn.connection.exchange import start_exchange
 from bergamotturn.connection.peer_messages import (
     MemberState,
     SuspicionNote,
+    WorkBegan,
+    WorkEnded,
+    multicast_message,
     send_message,
 )
 from bergamotturn.errors import ErrorKind, Failure
+from bergamotturn.platform.engine_format import PlatformEndpointFormat
 from bergamotturn.process.endpoints.health import Fault
 from bergamotturn.process.events import MemberView
 from bergamotturn.process.queueing.cell_shortage import CellShortage
 from bergamotturn.process.queueing.return_times import ReturnTimes
 from bergamotturn.process.relay_tasks.cell_registry import CellRegistry
+from bergamotturn.process.relay_tasks.relay_task import RelayTask
 from bergamotturn.process.timers import Timers
 from bergamotturn.version.serving_settings import (
     QueueingSettings,
@@ -225,6 +232,60 @@
         assert len(context.registry._cells.cells_to_notify(each)) == 1
 
 
+@given(
+    'a request that an instance of {instances:d} has sent to one of '
+    '{engines:d} engines in 3 data centres'
+)
+def sent_request(context, instances, engines):
+    fleet = BurstFleet(instances, engines, queueing=False)
+    relay = RelayTask(_settings(), 'boot', Timers(), PlatformEndpointFormat())
+    context.relay, context.fired = relay, []
+    relay.fire = lambda event, *_: context.fired.append(event)
+    relay._on_serving_changed(serving())
+    relay._on_members_changed(MemberView(fleet.members))
+    relay._on_endpoints_changed(tuple(fleet.entries.values()), ())
+    now_s = monotonic()
+    relay._on_submit_relay(
+        relay_call(
+            route(),
+            prompt_tokens=5000,
+            arrived_s=now_s,
+            caller_deadline_s=now_s + 10,
+            deadline_s=now_s + 10,
+        )
+    )
+
+
+@when('the cell of its engine begins to share and the request ends')
+def shares_and_ends(context):
+    relay = context.relay
+    (pending,) = relay._pending.values()
+    cell = relay._cells.cell_of_endpoint(pending.flow.attempt.plan.entry)
+    other = next(name for name in relay._cells.names if name != cell)
+    relay._cells.use_hosts({cell: (other,)})
+    (exchange,) = _args_of(context, start_exchange)
+    relay._on_exchange_failed(
+        exchange[0], Failure(ErrorKind.endpoint_unavailable), False
+    )
+
+
+@then(
+    '{ended:d} cells are told of the end, and {began:d} was told of the request'
+)
+def told_cells(context, ended, began):
+    updates = [
+        message
+        for _, message in _args_of(context, multicast_message)
+        if getattr(message, 'work', None) == 1
+    ]
+    kinds = Counter(type(update) for update in updates)
+    assert kinds == {WorkEnded: ended, WorkBegan: began}, kinds
+
+
+def _args_of(context, kind):
+    return [each.args for each in context.fired if isinstance(each, kind)]
+
+
 @given('an instance that answers {rate:d} requests a second')
 def answering(context, rate):
     context.now_s = 100.0
