--- a/review/kit-2/standins.py
+++ b/review/kit-2/standins.py
@@ -710,6 +710,24 @@
     )
 
 
+def free_ports(hosts, names):
+    """Return a port for each name that is free on all hosts."""
+    ports = {}
+    while len(ports) < len(names):
+        with contextlib.ExitStack() as stack:
+            port = 0
+            try:
+                for host in hosts:
+                    sock = stack.enter_context(socket.socket())
+                    sock.bind((host, port))
+                    port = sock.getsockname()[1]
+            except OSError:
+                continue
+        if port not in ports.values():
+            ports[names[len(ports)]] = port
+    return ports
+
+
 class Fleet:
     """A small deployment: the store, engines, plain services and instances."""
 
@@ -740,9 +758,9 @@
         for each in (*self.engines, *self.plain):
             await each.start()
         self.store.put('op', 'config', self.config)
-        ports = {'front': 8227, 'ready': 8220, 'control': 8229, 'directory': 8224}
         hosts = [f'{self._net}.{200 + n}' for n in range(self._count)]
-        seeds = [f'{host}:8229' for host in hosts[:3]]
+        ports = free_ports(hosts, ('front', 'ready', 'control', 'directory'))
+        seeds = [f'{host}:{ports["control"]}' for host in hosts[:3]]
         self.instances = [
             Instance(
                 self.folder,
