--- a/review/kit-3/platform_standin.py
+++ b/review/kit-3/platform_standin.py
@@ -369,7 +369,9 @@
         body = f'done {request.id}'.encode()
         writer.write(encode_answer(200, self.headers_for(request), body))
 
-    async def send_stream(self, request, writer, *, events=5, gap_s=0.03):
+    async def send_stream(
+        self, request, writer, *, events=5, gap_s=0.03, first_gap_s=None
+    ):
         lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
         headers = self.headers_for(request)
         lines += [f'{name}: {value}' for name, value in headers.items()]
@@ -377,7 +379,8 @@
         writer.write('\r\n'.join(lines).encode())
         first = int(request.headers.get('last-event-id', 0)) + 1
         for number in range(first, events + 1):
-            await asyncio.sleep(gap_s)
+            is_first = number == first and first_gap_s is not None
+            await asyncio.sleep(first_gap_s if is_first else gap_s)
             event = b'id: %d\ndata: %s event %d\n\n' % (
                 number,
                 request.id.encode(),
