Log the number that an endpoint gives its entries

An endpoint numbers the entries of one start. The log could not tell an entry that its store took late from a new one: `endpoint_changed` and `endpoint_entry_outdated` name the number now. The table does not use it yet.

--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -53,7 +53,7 @@
 
     :param born: Unix time of its start in milliseconds.
     :param cold_remaining_ms: time that it remains cold after the write.
-    :param sequence: number of the write, checked and otherwise unused.
+    :param sequence: number of the write since that start.
     """
 
     service: str
@@ -223,6 +223,7 @@
         data_centre=parsed.zone,
         slots=max(1, int(parsed.slots)),
         born_unix_ms=int(parsed.born),
+        revision=parsed.sequence,
         is_leaving=parsed.state == _LEAVING,
         cold_until_s=now_s + max(0, parsed.cold_remaining_ms) / _MS_PER_S,
         listed_s=now_s,
--- a/bergamotturn/process/endpoints/entry.py
+++ b/bergamotturn/process/endpoints/entry.py
@@ -16,6 +16,8 @@
     :param endpoint_id: unique among all starts, except that a restarted
         endpoint may take its earlier id again.
     :param born_unix_ms: start time, 0 when unknown.
+    :param revision: number that rises with each entry of this start, 0 when
+        unknown.
     :param is_leaving: whether it is about to stop and takes no new work.
     :param cold_until_s: monotonic time until which it is cold.
     :param listed_s: monotonic time at which this instance learned of this
@@ -28,6 +30,7 @@
     data_centre: str
     slots: int
     born_unix_ms: int = 0
+    revision: float = 0
     is_leaving: bool = False
     cold_until_s: float = 0
     listed_s: float = 0
--- a/bergamotturn/process/relay_tasks/endpoint_registry.py
+++ b/bergamotturn/process/relay_tasks/endpoint_registry.py
@@ -164,6 +164,7 @@
                     'endpoint_entry_outdated',
                     endpoint=entry.endpoint_id,
                     born_unix_ms=entry.born_unix_ms,
+                    revision=entry.revision,
                 )
                 continue
             log_message(
@@ -177,6 +178,7 @@
                 is_leaving=entry.is_leaving,
                 cold_s=round(max(0, entry.cold_until_s - entry.listed_s), 3),
                 born_unix_ms=entry.born_unix_ms,
+                revision=entry.revision,
             )
         for endpoint_id in removed:
             self._table.remove(endpoint_id)
