Ignore entries that an endpoint wrote before the newest known one

Cause: a store may perform a write seconds after its sender has given it up. The table of endpoints took the entries of one start in the order in which the store performed them, so that an earlier entry undid the leaving or the removal, and put back the cold time and the address.

The late write has the newest version of the row, so that no order of versions can tell.

Change: entries are compared by the start and number that the endpoint gives them, also with that of an endpoint whose entry was removed. States of a row that an answer tells of before the last one are read as well.

--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -1,6 +1,6 @@
 """Parses changed rows of the platform's tables and publishes their content."""
 
-from collections.abc import Iterable, Sized
+from collections.abc import Collection, Iterable, Iterator, Sized
 from ipaddress import IPv4Address
 from time import monotonic
 from typing import Final, final
@@ -153,6 +153,10 @@
         self.fire(serving_changed(parsed.ok), '*')
 
     def _read_endpoints(self, change: TableChange) -> None:
+        # A store may take a write late, after newer ones of its sender, so that
+        # the last state of an entry need not be the newest.
+        for batch in _batches(change.superseded):
+            self._publish_superseded(batch)
         now_s = monotonic()
         removed = [_endpoint_id(key) for key in change.removed_keys]
         entries = []
@@ -170,6 +174,18 @@
         self._expect_evacuations(entries)
         self.fire(endpoints_changed(entries, removed), '*')
 
+    def _publish_superseded(self, rows: Iterable[Row]) -> None:
+        """Publish states of entries that others followed at once."""
+        now_s = monotonic()
+        removed, entries = [], []
+        for row in rows:
+            entry = None if row.is_removed else _endpoint_entry(row, now_s)
+            if row.is_removed:
+                removed.append(_endpoint_id(row.row_key))
+            elif entry is not None:
+                entries.append(entry)
+        self.fire(endpoints_changed(entries, removed), '*')
+
     def _expect_evacuations(self, entries: Iterable[EndpointEntry]) -> None:
         """Let the rows be looked for that would evacuate a new zone."""
         new = {entry.data_centre for entry in entries} - self._zones
@@ -194,6 +210,18 @@
     return row_key.removeprefix(ENDPOINTS_TABLE)
 
 
+def _batches(rows: Iterable[Row]) -> Iterator[Collection[Row]]:
+    """Split rows, in order, so that no batch has two states of a row."""
+    batch: dict[str, Row] = {}
+    for row in rows:
+        if row.row_key in batch:
+            yield batch.values()
+            batch = {}
+        batch[row.row_key] = row
+    if batch:
+        yield batch.values()
+
+
 def _length(section: Sized | None) -> int | None:
     """Return the length of a section, or None if the row has no such one."""
     return None if section is None else len(section)
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -12,6 +12,7 @@
 from .cells import Cells
 from .cold_limiter import ColdEndpointLimiter
 from .entry import EndpointEntry
+from .entry_order import EntryOrder
 from .health import EndpointHealth, Fault
 from .known_endpoint import KnownEndpoint, RemovedEndpoints
 from .load_table import LoadTable
@@ -69,6 +70,7 @@
         self.rate_limits = RateLimits()
         self._known: dict[str, KnownEndpoint] = {}
         self._removed = RemovedEndpoints()
+        self.entry_order = EntryOrder()
         self._out_of_service: frozenset[str] = frozenset()
         self.addresses = AddressOwners()
 
@@ -94,9 +96,12 @@
         An entry of a later start resets the endpoint's health and what it
         said of itself, one that comes back its health only.
 
-        :returns: false if the entry is of an earlier start than the known
-            one and was ignored.
+        :returns: false if the entry is older than the newest known one, also
+            of an endpoint that was removed, and was ignored.
         """
+        newest = self.entry(entry.endpoint_id, with_removed=True)
+        if not self.entry_order.accepts(entry, newest):
+            return False
         known = self._known.get(entry.endpoint_id)
         if known is None:
             known = self._removed.take(entry)
@@ -104,11 +109,9 @@
                 self.rate_limits.forget(entry.endpoint_id)
                 known = KnownEndpoint(entry, rank_of(entry.endpoint_id))
             self._known[entry.endpoint_id] = known
-        elif entry.born_unix_ms < known.entry.born_unix_ms:
-            return False
         else:
             self.addresses.remove(known.entry)
-            if entry.born_unix_ms > known.entry.born_unix_ms:
+            if entry.born_unix_ms != known.entry.born_unix_ms:
                 known.health = EndpointHealth()
                 known.is_leaving = False
                 known.paused_until_s = float('-inf')
@@ -119,6 +122,7 @@
 
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint that is gone."""
+        self.entry_order.forget(endpoint_id)
         known = self._known.pop(endpoint_id, None)
         if known is None:
             return
--- a/bergamotturn/process/mirror/table_copy.py
+++ b/bergamotturn/process/mirror/table_copy.py
@@ -42,6 +42,8 @@
         without a gap.
     :param outdated: rows that were not taken, as their versions are below those
         that are known.
+    :param superseded: earlier states of ``rows`` and ``removed_keys`` that the
+        answer told of as well, in order.
     """
 
     rows: tuple[Row, ...]
@@ -51,6 +53,7 @@
     answer: tuple[Row, ...] = ()
     since_version: int = 0
     outdated: tuple[Row, ...] = ()
+    superseded: tuple[Row, ...] = ()
 
     def removal_version(self, row_key: str) -> int:
         """Return the version at which a row of the answer was removed, or 0.
@@ -141,31 +144,22 @@
             removed. Unlike the removed ones among ``rows``, of which the store
             or a peer told, a restored store may have lost them; those stay.
         """
-        # The store reports all changes of a row; the last one counts.
-        changed: dict[str, Row] = {}
-        removed: dict[str, None] = {}
         since_version = self._unchanged_since
         gone = [row for row in absent if not self._keep_missing(row)]
         answer = (*gone, *rows)
         outdated = tuple(filter(self._is_outdated, answer))
-        for row in answer:
-            self.changed_version = max(self.changed_version, row.row_version)
-            if row.is_removed and self._remove(row.row_key, row.row_version):
-                changed.pop(row.row_key, None)
-                removed[row.row_key] = None
-            elif not row.is_removed and self._put(row):
-                removed.pop(row.row_key, None)
-                changed[row.row_key] = row
+        last, superseded = self._apply_all(answer)
         self.version = max(self.version, version)
         if answer:
             self._unchanged_since = self.version
         return TableChange(
-            tuple(changed.values()),
-            tuple(removed),
+            tuple(each for each in last.values() if not each.is_removed),
+            tuple(key for key, each in last.items() if each.is_removed),
             self.version,
             answer=answer,
             since_version=since_version,
             outdated=outdated,
+            superseded=superseded,
         )
 
     def replace(
@@ -259,6 +253,31 @@
             return newest_version
         return max(newest_version, known.row_version)
 
+    def _apply_all(
+        self, rows: Iterable[Row]
+    ) -> tuple[Mapping[str, Row], tuple[Row, ...]]:
+        """Apply changes in order.
+
+        :returns: the last new state of each row, by key, and the earlier ones.
+        """
+        last: dict[str, Row] = {}
+        superseded = []
+        for row in rows:
+            self.changed_version = max(self.changed_version, row.row_version)
+            if not self._apply(row):
+                continue
+            earlier = last.pop(row.row_key, None)
+            if earlier is not None:
+                superseded.append(earlier)
+            last[row.row_key] = row
+        return last, tuple(superseded)
+
+    def _apply(self, row: Row) -> bool:
+        """Apply a change of a row, and return whether it is news."""
+        if row.is_removed:
+            return self._remove(row.row_key, row.row_version)
+        return self._put(row)
+
     def _put(self, row: Row) -> bool:
         """Take a row if it is newer, and return whether its content changed.
 
--- a/bergamotturn/process/relay_tasks/endpoint_registry.py
+++ b/bergamotturn/process/relay_tasks/endpoint_registry.py
@@ -37,7 +37,7 @@
 from ..endpoints.load_table import LoadTable, WorkUpdate
 from ..endpoints.retry_budget import RetryBudget
 from ..endpoints.table import EndpointTable
-from ..events import MemberView, OrderView
+from ..events import MemberView, OrderView, endpoints_changed
 from ..metrics import (
     CONFIGURATION_VERSION,
     ENDPOINTS_EJECTED,
@@ -74,6 +74,18 @@
     return f'{_TARGET_PREFIX}{data_centre}'
 
 
+def _log_outdated(entry: EndpointEntry, newest: EndpointEntry) -> None:
+    log_message(
+        'endpoint_entry_outdated',
+        endpoint=entry.endpoint_id,
+        is_leaving=entry.is_leaving,
+        born_unix_ms=entry.born_unix_ms,
+        revision=entry.revision,
+        newest_born_unix_ms=newest.born_unix_ms,
+        newest_revision=newest.revision,
+    )
+
+
 class EndpointRegistry(Component):
     """Keeps the endpoint state that placement decisions are based on."""
 
@@ -121,6 +133,13 @@
         dropped = self._load_table.expire(now_s)
         if dropped:
             log_message('work_expired', dropped=dropped)
+        overdue = self._table.entry_order.overdue_entries(now_s)
+        if overdue:
+            log_message(
+                'endpoint_entries_overdue',
+                endpoints=[entry.endpoint_id for entry in overdue],
+            )
+            self.fire(endpoints_changed(overdue, ()), '*')
         self._update_gauges(now_s)
 
     def _update_gauges(self, now_s: float) -> None:
@@ -160,12 +179,8 @@
         for entry in entries:
             known_entry = self._table.entry(entry.endpoint_id)
             if not self._table.put(entry):
-                log_message(
-                    'endpoint_entry_outdated',
-                    endpoint=entry.endpoint_id,
-                    born_unix_ms=entry.born_unix_ms,
-                    revision=entry.revision,
-                )
+                newest = self._table.entry(entry.endpoint_id, with_removed=True)
+                _log_outdated(entry, newest or entry)
                 continue
             log_message(
                 'endpoint_listed'
--- a/features/steps/reads_behind_steps.py
+++ b/features/steps/reads_behind_steps.py
@@ -208,6 +208,7 @@
 
 
 @then('no lookup reaches either later than 2 seconds after its acknowledgement')
+@then('no lookup reaches it later than 2 seconds after its acknowledgement')
 @then(
     'no lookup reaches its endpoints later than 2 seconds after its '
     'acknowledgement'
--- a/features/steps/tables_steps.py
+++ b/features/steps/tables_steps.py
@@ -260,6 +260,16 @@
     assert len(change.answer) == 4, change.answer
 
 
+@then('it has the states in between in order')
+def states_in_between(context):
+    (change,) = context.harness.changes
+    states = [
+        (row.row_key, row.value, row.is_removed) for row in change.superseded
+    ]
+    expected = [('t/1', b'', True), ('t/2', b'new', False)]
+    assert states == expected, states
+
+
 @when('an answer has an older state of one of them, and another one unchanged')
 def older_state(context):
     copy = context.harness.watch.copy
--- a/features/tables.feature
+++ b/features/tables.feature
@@ -177,6 +177,7 @@
     Given a copy of a table with 3 rows
     When one answer has a row removed and written again, and another one written and removed
     Then the change has each row once, as it is at the end
+    And it has the states in between in order
 
   Scenario Outline: An odd row of the instances' table names no member
     Guards against a row of another writer that ends all messages to the instances after it, or the list of members.
