Tell an instance that starts which endpoints were removed

Cause: the late entry can be told from a new one only by the last entry before the removal, which an instance that has started since has never seen.

Change: an instance asks up to three peers after its start for the endpoints that were removed, and ignores earlier entries of them.

Tests: late_entries.feature "An instance starts after an endpoint was removed, and then an earlier entry of it is taken" and two without processes.

--- a/bergamotturn/connection/peer_messages.py
+++ b/bergamotturn/connection/peer_messages.py
@@ -51,6 +51,9 @@
     'RateLimitNote',
     'RatePermitAsk',
     'RatePermitGrant',
+    'RemovedEntries',
+    'RemovedEntriesAsk',
+    'RemovedEntry',
     'StoreUnreachable',
     'SuspicionNote',
     'TableAsk',
@@ -497,6 +500,30 @@
 )
 
 
+@final
+class RemovedEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Last entry of an endpoint before its removal.
+
+    :param revision: the endpoint's number of the entry.
+    """
+
+    endpoint: str
+    born_unix_ms: int
+    revision: float
+
+
+@final
+class RemovedEntriesAsk(_Message, frozen=True, kw_only=True):
+    """Request of an instance that has started for the removed endpoints."""
+
+
+@final
+class RemovedEntries(_Message, frozen=True, kw_only=True):
+    """Answer to a :class:`RemovedEntriesAsk`, the latest removals last."""
+
+    entries: tuple[RemovedEntry, ...]
+
+
 @final
 class StoreUnreachable(_Message, frozen=True, kw_only=True):
     """Notification that the store does not answer its sender."""
@@ -719,6 +746,7 @@
     | PromiseAsk
     | PromiseGiven
 )
+_EntryMessage = RemovedEntries | RemovedEntriesAsk
 _WorkMessage = (
     WorkBegan | WorkRead | WorkEnded | WorkAsk | WorkReport | SuspicionNote
 )
@@ -730,6 +758,7 @@
     _MemberMessage
     | _VersionMessage
     | _PermitMessage
+    | _EntryMessage
     | _WorkMessage
     | _BurnMessage
     | _RateMessage
@@ -771,6 +800,7 @@
         BurnReply: 'burn',
         StoreUnreachable: 'mirror',
         **dict.fromkeys(get_args(TableMessage), 'mirror'),
+        **dict.fromkeys(get_args(_EntryMessage), 'relay'),
         **dict.fromkeys(get_args(_WorkMessage), 'relay'),
         **dict.fromkeys(get_args(_RateMessage), 'relay'),
         **dict.fromkeys(get_args(_QuarantineMessage), 'quarantine'),
--- a/bergamotturn/process/endpoints/entry_order.py
+++ b/bergamotturn/process/endpoints/entry_order.py
@@ -9,7 +9,7 @@
 
 from .entry import EndpointEntry
 
-__all__ = ('EntryOrder',)
+__all__ = ('EntryOrder', 'is_older')
 
 #: Time for which an older entry is ignored while nothing replaces it. Its
 #: endpoint writes about once a second and is removed after some seconds of
@@ -41,7 +41,7 @@
             removed.
         """
         endpoint_id = entry.endpoint_id
-        is_outdated = known is not None and _is_older(entry, known)
+        is_outdated = known is not None and is_older(entry, known)
         if is_outdated and endpoint_id not in self._overdue:
             self._ignored_since_s.setdefault(endpoint_id, entry.listed_s)
             self._ignored[endpoint_id] = entry
@@ -68,7 +68,7 @@
         return tuple(self._ignored[each] for each in self._overdue)
 
 
-def _is_older(entry: EndpointEntry, known: EndpointEntry) -> bool:
+def is_older(entry: EndpointEntry, known: EndpointEntry) -> bool:
     """Return whether an endpoint wrote ``entry`` before the known one.
 
     Entries without a revision, or of unknown starts, are in the order of the
--- a/bergamotturn/process/endpoints/known_endpoint.py
+++ b/bergamotturn/process/endpoints/known_endpoint.py
@@ -69,6 +69,11 @@
         """Return an endpoint that was removed, if it is remembered."""
         return self._removed.get(endpoint_id)
 
+    def newest(self, count: int) -> Sequence[EndpointEntry]:
+        """Return the last entries of the endpoints that were removed last."""
+        newest = tuple(self._removed.values())[-count:]
+        return tuple(known.entry for known in newest)
+
     def add(self, known: KnownEndpoint) -> Sequence[str]:
         """Remember an endpoint.
 
--- a/bergamotturn/process/endpoints/table.py
+++ b/bergamotturn/process/endpoints/table.py
@@ -69,7 +69,7 @@
         self.cold_limiter = limiter
         self.rate_limits = RateLimits()
         self._known: dict[str, KnownEndpoint] = {}
-        self._removed = RemovedEndpoints()
+        self.removed = RemovedEndpoints()
         self.entry_order = EntryOrder()
         self._out_of_service: frozenset[str] = frozenset()
         self.addresses = AddressOwners()
@@ -87,7 +87,7 @@
         """
         known = self._known.get(endpoint_id)
         if known is None and with_removed:
-            known = self._removed.get(endpoint_id)
+            known = self.removed.get(endpoint_id)
         return None if known is None else known.entry
 
     def put(self, entry: EndpointEntry) -> bool:
@@ -104,7 +104,7 @@
             return False
         known = self._known.get(entry.endpoint_id)
         if known is None:
-            known = self._removed.take(entry)
+            known = self.removed.take(entry)
             if known is None:
                 self.rate_limits.forget(entry.endpoint_id)
                 known = KnownEndpoint(entry, rank_of(entry.endpoint_id))
@@ -127,7 +127,7 @@
         if known is None:
             return
         self.addresses.remove(known.entry)
-        for forgotten in self._removed.add(known):
+        for forgotten in self.removed.add(known):
             self.load_table.forget_endpoint(forgotten)
             self.rate_limits.forget(forgotten)
 
@@ -195,7 +195,7 @@
 
         :returns: whether it said for the first time that it is leaving.
         """
-        known = self._known.get(endpoint_id) or self._removed.get(endpoint_id)
+        known = self._known.get(endpoint_id) or self.removed.get(endpoint_id)
         if known is None:
             return False
         if notice.pause_s:
--- a/bergamotturn/process/relay_tasks/cell_registry.py
+++ b/bergamotturn/process/relay_tasks/cell_registry.py
@@ -17,7 +17,7 @@
 from ..queueing.cell_shortage import CellShortage
 from ..queueing.tight_gaps import has_short_waits
 from ..timers import Timers
-from .endpoint_registry import EndpointRegistry
+from .entry_registry import EntryRegistry
 
 __all__ = ('CellRegistry',)
 
@@ -25,7 +25,7 @@
 _MIN_CHECK_INTERVAL_S: Final = 0.1
 
 
-class CellRegistry(EndpointRegistry):
+class CellRegistry(EntryRegistry):
     """Finds short cells when endpoints change or fail, and every second."""
 
     def __init__(
--- a/features/late_entries.feature
+++ b/features/late_entries.feature
@@ -23,6 +23,16 @@
       | 3     | says that it leaves and is removed | once                            |
       | 9     | says that it leaves                | once                            |
 
+  @fleet
+  Scenario: An instance starts after an endpoint was removed, and then an earlier entry of it is taken
+    Guards against an instance that has seen only the late entry: one that started 0.2 s after the removal sent the
+    endpoint 179 requests in 3.6 s.
+    Given 3 instances behind a store
+    And 60 lookups a second are sent through all instances for 1 seconds
+    When a plain endpoint is removed, and an instance starts right after that
+    And an earlier entry of it is taken 4 seconds after the removal, with 60 lookups a second for 3 seconds
+    Then no lookup reaches it later than 2 seconds after its acknowledgement
+
   Scenario Outline: An older entry changes nothing
     Guards against an endpoint that counts as ready, listed, warm or elsewhere again because of an entry that it wrote
     earlier.
@@ -49,6 +59,30 @@
       | starts again, counts from 1 and is removed | late                       |
       | leaves, lapses and writes that again      | within the same answer      |
 
+  Scenario Outline: An instance that has started learns from a peer what was removed
+    Guards against an endpoint that counts as listed although the instance's peers know that it was removed, and against
+    one that is dropped although it was written again.
+    Given an instance that knows <known>
+    When a peer tells it that the endpoint was removed after its entry 6
+    And the endpoint's entry <entry> is taken
+    Then the instance uses it <uses>
+
+    Examples:
+      | known                         | entry | uses  |
+      | no endpoint                   | 3     | never |
+      | no endpoint                   | 7     | now   |
+      | an endpoint by its entry 3    | 4     | never |
+      | an endpoint by its entry 3    | 7     | now   |
+      | an endpoint by its entry 7    | 8     | all the time |
+      | an endpoint that was removed after its entry 5 | 6 | now   |
+      | an endpoint that was removed after its entry 5 | 3 | never |
+
+  Scenario: An instance that starts asks its peers
+    Guards against an instance that asks nobody, or asks for ever.
+    Given an instance that knows no endpoint
+    When it learns of 4 live peers
+    Then it asks 3 of them, and no more once 3 have answered
+
   Scenario Outline: A newer entry is used
     Guards against an endpoint that stays out of use because an entry of it was ignored.
     Given an instance that knows an endpoint by its entry 5
--- a/features/steps/endpoint_beliefs_steps.py
+++ b/features/steps/endpoint_beliefs_steps.py
@@ -142,7 +142,7 @@
         endpoints.rate_limits._words,
         endpoints.rate_limits._permits,
         endpoints.load_table._loads,
-        endpoints._removed._removed,
+        endpoints.removed._removed,
     ):
         assert 0 < len(remembered) <= count, len(remembered)
 
--- a/features/steps/late_entries_steps.py
+++ b/features/steps/late_entries_steps.py
@@ -9,15 +9,28 @@
 from circuits import Component
 from msgspec import structs
 
+from bergamotturn.connection.exchange import Address
+from bergamotturn.connection.peer_messages import (
+    Envelope,
+    MemberState,
+    MemberUpdate,
+    RemovedEntries,
+    RemovedEntry,
+    peer_message,
+    send_message,
+)
 from bergamotturn.connection.store_events import Row
 from bergamotturn.platform.engine_format import PlatformEndpointFormat
 from bergamotturn.platform.table_row_reader import (
     ENDPOINTS_TABLE,
     TableRowReader,
 )
-from bergamotturn.process.events import table_changed
+from bergamotturn.process.events import MemberView, table_changed
 from bergamotturn.process.mirror.table_copy import TableCopy
-from bergamotturn.process.relay_tasks import endpoint_registry
+from bergamotturn.process.relay_tasks import (
+    endpoint_registry,
+    entry_registry,
+)
 from bergamotturn.process.relay_tasks.relay_task import RelayTask
 from bergamotturn.process.timers import Timers
 from bergamotturn.version.serving_settings import (
@@ -44,6 +57,8 @@
 _LATE_S = 1.5
 _OTHER_FORM = {'slots': 4, 'coldRemainingMs': 1, 'note': 'an earlier one'}
 _SILENT_S = 0.4
+_SETTLE_S = 0.5
+_START_AFTER_S = 0.2
 
 
 class _Instance:
@@ -58,6 +73,7 @@
         self.registry.register(self.root)
         self.copy = TableCopy()
         self.logged = []
+        self.asked = []
         self.registry._on_serving_changed(serving())
 
     def take(self, *entries, is_snapshot=False):
@@ -76,6 +92,21 @@
             self.root.fire(table_changed(ENDPOINTS_TABLE, change), '*')
             turn(self.root, RLock())
 
+    def receive(self, sender, message):
+        """Receive a message of a peer."""
+        envelope = Envelope(sender, 'boot', message)
+        self.root.fire(peer_message(envelope), 'relay')
+        turn(self.root, RLock())
+
+    def ask(self, after_s):
+        """Send the questions to peers that are due some time from now."""
+        now_s = monotonic() + after_s
+        clock = mock.patch.object(
+            entry_registry, 'monotonic', return_value=now_s
+        )
+        with clock, mock.patch.object(self.registry, 'fire', self._note_ask):
+            self.registry._on_questions_due()
+
     def look_after(self, after_s):
         """Do what the registry does each second, some time from now."""
         now_s = monotonic() + after_s
@@ -102,6 +133,10 @@
             self.uses(),
         )
 
+    def _note_ask(self, event, *_):
+        if isinstance(event, send_message):
+            self.asked.append(event.args[0])
+
     def _recorded_log(self):
         return mock.patch.object(
             endpoint_registry,
@@ -112,6 +147,82 @@
         )
 
 
+@given('an instance that knows no endpoint')
+def no_endpoint(context):
+    context.instance = _Instance()
+
+
+@given(
+    'an instance that knows an endpoint that was removed after its entry '
+    '{number:d}'
+)
+def removed_endpoint(context, number):
+    context.instance = _Instance()
+    context.instance.take(_entry(number))
+    context.instance.take(None)
+
+
+@when(
+    'a peer tells it that the endpoint was removed after its entry {number:d}'
+)
+def told_removed(context, number):
+    context.instance.receive(
+        'b0',
+        RemovedEntries(
+            entries=(RemovedEntry(_ENDPOINT, _BORN_UNIX_MS, number),)
+        ),
+    )
+    context.uses = [context.instance.uses()]
+
+
+@when("the endpoint's entry {number:d} is taken")
+def entry_taken(context, number):
+    context.instance.take(_entry(number))
+    context.uses.append(context.instance.uses())
+
+
+@then('the instance uses it {when_used}')
+def used_when(context, when_used):
+    expected = {
+        'never': [False, False],
+        'now': [False, True],
+        'all the time': [True, True],
+    }
+    assert context.uses == expected[when_used], context.uses
+
+
+@when('it learns of {count:d} live peers')
+def learns_of_peers(context, count):
+    instance = context.instance
+    nowhere = Address('127.0.0.1', 1)
+    members = tuple(
+        MemberUpdate(
+            instance=f'b{number}',
+            boot_id='boot',
+            data_centre='b',
+            incarnation=1,
+            state=MemberState.alive,
+            caller_address=nowhere,
+            peer_address=nowhere,
+            operator_address=nowhere,
+        )
+        for number in range(count)
+    )
+    instance.registry._on_live_members(MemberView(members))
+    instance.ask(after_s=0)
+
+
+@then('it asks {count:d} of them, and no more once {answers:d} have answered')
+def asks_some(context, count, answers):
+    instance = context.instance
+    asked = set(instance.asked)
+    assert len(asked) == len(instance.asked) == count, instance.asked
+    for name in sorted(asked)[:answers]:
+        instance.receive(name, RemovedEntries(entries=()))
+    instance.ask(after_s=1)
+    assert len(instance.asked) == count, instance.asked
+
+
 @given('an instance that knows an endpoint by its entry {number:d}')
 def known_endpoint(context, number):
     context.instance = _Instance()
@@ -244,7 +355,7 @@
     port = min(fleet.plain)
     context.left = [port]
     fleet.put_entry(port, sequence=5)
-    sleep(0.5)
+    sleep(_SETTLE_S)
     if leaves.startswith('says'):
         fleet.put_entry(port, sequence=6, state='draining')
     if leaves.endswith('removed'):
@@ -260,6 +371,36 @@
         fleet.put_entry(port, sequence=4)
 
 
+@when('a plain endpoint is removed, and an instance starts right after that')
+def remove_and_restart(context):
+    fleet = context.fleet
+    for sender in context.senders:
+        sender.result()
+    port = min(fleet.plain)
+    context.left = [port]
+    fleet.put_entry(port, sequence=5)
+    sleep(_SETTLE_S)
+    fleet.put('servers', f'i-{port}', None)
+    context.left_s = monotonic()
+    sleep(_START_AFTER_S)
+    name = min(fleet.instances)
+    fleet.restart(name)
+    fleet.wait_ready(name)
+
+
+@when(
+    'an earlier entry of it is taken {after_s:d} seconds after the removal, '
+    'with {rate:d} lookups a second for {for_s:d} seconds'
+)
+def late_after_start(context, after_s, rate, for_s):
+    sleep(context.left_s + after_s - monotonic())
+    context.fleet.put_entry(context.left[0], sequence=3)
+    context.execute_steps(
+        f'Given {rate} lookups a second are sent through all instances for '
+        f'{for_s} seconds'
+    )
+
+
 def _entry(number, born=_BORN_UNIX_MS, **changes):
     return {
         'service': ENGINE_SERVICE.name,
