Do not cut off answers that begin before a long body was read

Cause: the limit on unacknowledged bytes, which is 3 s while a body may be unread, was set back to 1 s at the first byte of the answer. The kernel counts the time in which the peer's window is closed as unacknowledged, and ended the connection.

Evidence: http_client.feature "A peer answers for seconds before it reads a large body" failed in 3 of 3 examples before, with "Connection timed out".

Change: while not all of the request is acknowledged, an answering peer has as long as the exchange. A connection whose answer ends before that is not used again: the next request would wait for the peer to read on ("A peer ends its answer before it reads a large body", failed before).

--- a/bergamotturn/connection/connection_pool.py
+++ b/bergamotturn/connection/connection_pool.py
@@ -102,6 +102,16 @@
         """
         if self.unsent or self.sock.getsockopt(SOL_SOCKET, SO_ERROR):
             return False
+        return self.is_acknowledged()
+
+    def is_acknowledged(self) -> bool:
+        """Return whether the peer's kernel has got the whole request.
+
+        Unlike :meth:`has_delivered` it leaves the error of the socket, which
+        the next read reports.
+        """
+        if self.unsent:
+            return False
         queued = ioctl(self.sock, TIOCOUTQ, bytes(_INT_BYTES))
         return not int.from_bytes(queued, sys.byteorder)
 
--- a/bergamotturn/connection/http_client.py
+++ b/bergamotturn/connection/http_client.py
@@ -368,11 +368,10 @@
                 connection, 'connection closed without an answer'
             )
             return
+        if transfer.may_be_unread:
+            self._adapt_limit(connection, transfer)
         transfer.answered = True
         transfer.last_activity_s = monotonic()
-        if transfer.may_be_unread:
-            transfer.may_be_unread = False
-            _limit_unacknowledged(connection.sock, self._unacknowledged_s)
         if not received:
             self._on_peer_closed(connection, transfer)
         elif transfer.stale_answer is not None:
@@ -380,6 +379,22 @@
         else:
             self._read_answer(connection, transfer, received)
 
+    def _adapt_limit(
+        self, connection: PeerConnection, transfer: Transfer
+    ) -> None:
+        """Let a peer answer before it has read the body.
+
+        It acknowledges nothing of the rest until it reads on, which may be
+        after its answer. Its silence still ends the exchange.
+        """
+        if connection.is_acknowledged():
+            transfer.may_be_unread = False
+            _limit_unacknowledged(connection.sock, self._unacknowledged_s)
+        elif not transfer.answered:
+            _limit_unacknowledged(
+                connection.sock, transfer.exchange.total_timeout_s
+            )
+
     def _on_send_error(self, connection: PeerConnection, reason: str) -> None:
         """Read what arrived before the peer reset the connection.
 
@@ -770,4 +785,7 @@
 def _is_reusable(connection: PeerConnection, transfer: Transfer) -> bool:
     if connection.unsent or not connection.keeps_alive:
         return False
+    if transfer.may_be_unread and not connection.is_acknowledged():
+        # The next request would wait until the peer has read this body.
+        return False
     return transfer.parser.is_reusable
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -153,6 +153,27 @@
       | 300000  |
       | 6000000 |
 
+  Scenario Outline: A peer answers for seconds before it reads a large body
+    Guards against an answer that is cut off since the peer's kernel acknowledges nothing of the body meanwhile: in
+    review/11, 12 to 16 of 40 events arrived.
+    Given a peer that answers for 4 s before it reads and ends with the length of the body
+    When a "POST" of <size> bytes is sent to the peer by a client that waits 1 s for acknowledgements
+    Then the peer's answer ends with "<size>"
+
+    Examples:
+      | size    |
+      | 300000  |
+      | 3500000 |
+      | 6000000 |
+
+  Scenario: A peer ends its answer before it reads a large body
+    Guards against a request that waits behind the body of the one before it.
+    Given a peer that answers its first request 2 s before it reads the body
+    When a "POST" of 300000 bytes is sent to the peer by a client that waits 1 s for acknowledgements
+    And another request is sent to the peer with a total timeout of 1 s
+    Then the peer's answer is "kept"
+    And the peer gets all 300000 bytes of the body
+
   Scenario: A small body to a peer that pauses before it reads
     Guards against a limit on the acknowledgement of bytes that ends the wait for a sound peer.
     Given a peer that pauses 1.5 s before it reads and echoes the length of the body
--- a/features/steps/http_client_steps.py
+++ b/features/steps/http_client_steps.py
@@ -33,6 +33,9 @@
 #: Far above any expected time; exceeded only if something hangs.
 _HANG_S = 20
 _OTHER_BYTES = b'other bytes'
+#: An answer that begins long before the peer reads the body.
+_EARLY_PARTS = 40
+_EARLY_PAUSE_S = 0.1
 #: Larger than the buffers of both ends of a connection.
 _LARGE_BODY = 16_000_000
 _READ_AT_STANDSTILL = 1_500_000
@@ -141,6 +144,20 @@
                 self.script(self, sock, number)
         self.closed_connections.put(number)
 
+    def read_head(self, sock):
+        """Read the head only, and return the length of the body."""
+        received = b''
+        while b'\r\n\r\n' not in received:
+            received += sock.recv(1)
+        return re.search(rb'content-length: (\d+)', received).group(1)
+
+    def read_rest(self, sock, size):
+        """Read ``size`` bytes."""
+        while size:
+            data = sock.recv(min(size, 65536))
+            assert data, f'{size} bytes of the body are missing'
+            size -= len(data)
+
     def read_request(self, sock, number=0, pause_s=0):
         """Return the body, or None if the connection is closed."""
         received = b''
@@ -284,6 +301,28 @@
     sock.sendall(_answer(str(len(body))))
 
 
+def _answer_before_reading(peer, sock, number):
+    size = int(peer.read_head(sock))
+    sock.sendall(_answer('', _EARLY_PARTS + len(str(size))))
+    for _ in range(_EARLY_PARTS):
+        sock.sendall(b'.')
+        time.sleep(_EARLY_PAUSE_S)
+    peer.read_rest(sock, size)
+    sock.sendall(b'%d' % size)
+
+
+def _end_before_reading(peer, sock, number):
+    if number > 1:
+        _answer_with_keep_alive(peer, sock, number)
+        return
+    size = int(peer.read_head(sock))
+    sock.sendall(_answer('early'))
+    time.sleep(2)
+    peer.read_rest(sock, size)
+    peer.body_bytes = size
+    peer.has_answered.set()
+
+
 def _answer_with_keep_alive(peer, sock, number):
     while peer.read_request(sock, number) is not None:
         sock.sendall(_answer('kept'))
@@ -398,6 +437,12 @@
     'pauses 1.5 s before it reads and echoes the length of the body': (
         _echo_length_after_pause
     ),
+    'answers for 4 s before it reads and ends with the length of the body': (
+        _answer_before_reading
+    ),
+    'answers its first request 2 s before it reads the body': (
+        _end_before_reading
+    ),
     'answers while the client stands still': _answer_at_standstill,
     'refuses the body while the client stands still': _refuse_at_standstill,
     'reads nothing': _read_nothing,
@@ -505,6 +550,20 @@
     )
 
 
+@when(
+    'another request is sent to the peer with a total timeout of {limit_s:g} s'
+)
+def send_another(context, limit_s):
+    exchange = _send(context, 'GET', total_timeout_s=limit_s)
+    context.reports = _wait_for_outcome(context, exchange)
+
+
+@then('the peer gets all {size:d} bytes of the body')
+def peer_gets_body(context, size):
+    assert context.peer.has_answered.wait(_HANG_S)
+    assert context.peer.body_bytes == size
+
+
 @when('a follow-up "{method}" is sent to the peer on the first connection')
 def send_follow_up(context, method):
     first = context.exchanges[0].exchange_id
@@ -624,6 +683,11 @@
     answer_is(context, '')
 
 
+@then('the peer\'s answer ends with "{text}"')
+def answer_ends(context, text):
+    answer_is(context, '.' * _EARLY_PARTS + text)
+
+
 @then('the peer\'s answer is "{text}"')
 def answer_is(context, text):
     assert context.reports[-1][0] == 'exchange_end', context.reports
