Drop remembered successes of prompt parts in blocks

Cause: a full table dropped its first entry at each success. A dict finds its first entry by skipping all those that were removed before it.

Change: 512 entries are dropped at a time.

--- a/bergamotturn/process/endpoints/part_quarantine.py
+++ b/bergamotturn/process/endpoints/part_quarantine.py
@@ -279,5 +279,5 @@
 
 def _tracked(parts: Iterable[str]) -> tuple[str, ...]:
     """Return the distinct parts of a request that are tracked."""
-    usable = (part for part in parts if len(part) <= _MAX_ID_LENGTH)
+    usable = [part for part in parts if len(part) <= _MAX_ID_LENGTH]
     return tuple(dict.fromkeys(usable))
--- a/bergamotturn/process/endpoints/part_successes.py
+++ b/bergamotturn/process/endpoints/part_successes.py
@@ -21,6 +21,9 @@
 RECENT_SUCCESS_S: Final = 60.0
 #: Bound of each of the two tables, more than the parts of the longest prompt.
 _MAX_TIMES: Final = 8192
+#: Number of parts that are dropped at a time. To find its first entry a dict
+#: skips all that were removed before, which costs more the more often it does.
+_DROPPED_TIMES: Final = 512
 
 
 @final
@@ -135,9 +138,9 @@
 
 
 def _drop_oldest(times_s: dict[str, float]) -> None:
-    """Drop the parts that were recorded first until the rest has room."""
+    """Drop parts that were recorded first until the rest has room."""
     excess = len(times_s) - _MAX_TIMES
     if excess <= 0:
         return
-    for part in tuple(islice(times_s, excess)):
+    for part in tuple(islice(times_s, excess + _DROPPED_TIMES)):
         times_s.pop(part)
