--- a/bergamotturn/platform/table_row_reader.py
+++ b/bergamotturn/platform/table_row_reader.py
@@ -175,7 +175,10 @@
         self.fire(endpoints_changed(entries, removed), '*')
 
     def _publish_superseded(self, rows: Iterable[Row]) -> None:
-        """Publish states of entries that others followed at once."""
+        """Publish states of entries that others followed at once.
+
+        An unreadable one is skipped: the state after it counts.
+        """
         now_s = monotonic()
         removed, entries = [], []
         for row in rows:
--- a/bergamotturn/process/endpoints/entry.py
+++ b/bergamotturn/process/endpoints/entry.py
@@ -16,8 +16,8 @@
     :param endpoint_id: unique among all starts, except that a restarted
         endpoint may take its earlier id again.
     :param born_unix_ms: start time, 0 when unknown.
-    :param revision: number that rises with each entry of this start, 0 when
-        unknown.
+    :param revision: the endpoint's own number of this entry, which rises with
+        each one that it writes after this start; 0 when unknown.
     :param is_leaving: whether it is about to stop and takes no new work.
     :param cold_until_s: monotonic time until which it is cold.
     :param listed_s: monotonic time at which this instance learned of this
--- a/bergamotturn/process/relay_tasks/entry_registry.py
+++ b/bergamotturn/process/relay_tasks/entry_registry.py
@@ -35,7 +35,7 @@
 
 __all__ = ('EntryRegistry',)
 
-#: More are removed at once only while the store is away.
+#: Entries in an answer. More are removed at once only while the store is away.
 _MAX_TOLD_ENTRIES: Final = 256
 _ASK_INTERVAL_S: Final = 0.3
 _NO_ADDRESS: Final = Address('0.0.0.0', 0)  # noqa: S104
@@ -46,7 +46,10 @@
 
 
 class EntryRegistry(EndpointRegistry):
-    """Asks peers after the start for endpoints that were removed."""
+    """Asks peers after the start for endpoints that were removed.
+
+    It answers the same question of others.
+    """
 
     def __init__(
         self, settings: ServingSettings, boot_id: str, timers: Timers
@@ -120,7 +123,8 @@
             self._table.put(last)
             self._table.remove(removed.endpoint)
             return True
-        # The entry that is listed was written before the removal.
+        # The entry that is listed was written before the removal: it is known
+        # to be older once the removed one has been listed and removed.
         self.fire(endpoints_changed((last,), ()), '*')
         self.fire(endpoints_changed((), (removed.endpoint,)), '*')
         self.fire(endpoints_changed((known,), ()), '*')
